--- /dev/null
+++ b/packages/admission/src/adaptive-limit.ts
@@ -0,0 +1,60 @@
+/** Bounds and starting point of a limit. */
+export interface AdaptiveLimitOptions {
+  readonly initial: number;
+  readonly min: number;
+  readonly max: number;
+}
+
+/** What the last interval showed. */
+export interface LimitSample {
+  /** Whether work waited for a place of this limit. */
+  readonly wasFull: boolean;
+  /** Mean duration of the finished work over its prediction without queueing; 0 for none finished. */
+  readonly slowdown: number;
+  /** Whether upstreams refused work as overloaded. */
+  readonly wasRefused: boolean;
+}
+
+// Upstreams at their planned concurrency are about twice as slow as empty ones
+// by the prediction's own model. Beyond this the work queues there, where this
+// instance cannot order it any more.
+const QUEUEING_SLOWDOWN = 2.5;
+const DECREASE = 0.85;
+
+/**
+ * How much of a pool one instance may use at a time. It grows by steps while
+ * work waits and shrinks by a factor when work queues at the upstreams, so
+ * that instances which share a pool come to even shares without a word.
+ */
+export class AdaptiveLimit {
+  private options: AdaptiveLimitOptions;
+  private value: number;
+
+  constructor(options: AdaptiveLimitOptions) {
+    this.options = options;
+    this.value = options.initial;
+  }
+
+  /** Returns the places, a whole number of at least one. */
+  getLimit(): number {
+    return Math.max(1, Math.floor(this.value));
+  }
+
+  /** Sets new bounds, as when the pool's size has changed. */
+  setBounds(options: AdaptiveLimitOptions): void {
+    this.options = options;
+    this.value = Math.min(options.max, Math.max(options.min, this.value));
+  }
+
+  /** Takes one interval's sample in. */
+  applySample(sample: LimitSample): void {
+    const {min, max} = this.options;
+    const isQueueing = sample.slowdown > QUEUEING_SLOWDOWN;
+    if (isQueueing || sample.wasRefused) {
+      this.value = Math.max(min, this.value * DECREASE);
+    } else if (sample.wasFull) {
+      const step = Math.max(1, this.value * 0.05);
+      this.value = Math.min(max, this.value + step);
+    }
+  }
+}
--- /dev/null
+++ b/packages/admission/src/index.ts
@@ -0,0 +1,26 @@
+/** Pure decisions about work: queue order, limits, deadlines, shares and retry budgets. */
+export {
+  chooseNextWaiting,
+  DEFAULT_QUEUE_POLICY,
+  type InServiceCount,
+  type QueuePolicy,
+  type WaitingWork,
+} from './stage-queue.ts';
+export {
+  AdaptiveLimit,
+  type AdaptiveLimitOptions,
+  type LimitSample,
+} from './adaptive-limit.ts';
+export {
+  judgeDeadline,
+  type DeadlineInput,
+  type DeadlineVerdict,
+} from './deadline.ts';
+export {DurationEstimator} from './duration-estimator.ts';
+export {RetryBudget} from './retry-budget.ts';
+export {computeShares, type Demand, type Share} from './shares.ts';
+export {
+  judgeRetry,
+  type RetryInput,
+  type RetryVerdict,
+} from './retry-decision.ts';
--- /dev/null
+++ b/packages/claims/src/claimed-calls.ts
@@ -0,0 +1,242 @@
+import {waitFor, type Clock} from '@hollowstack/clock';
+import {HollowstackError} from '@hollowstack/errors';
+import {StoreError} from '@hollowstack/platform';
+import type {CallOutcome, KeptAnswer} from '@hollowstack/types';
+import {match} from 'ts-pattern';
+import type {ClaimIdentity, ClaimStore, HeldClaim} from './claim-store.ts';
+
+/** What claimed calls work with. */
+export interface ClaimedCallsParts {
+  readonly claims: ClaimStore;
+  readonly clock: Clock;
+  /**
+   * Asks the instance that holds a claim how its call ended, waiting for the
+   * end at most `waitMs`. Undefined where it cannot be asked or knows nothing.
+   */
+  readonly askOutcome: (
+    claim: HeldClaim,
+    waitMs: number,
+  ) => Promise<CallOutcome | undefined>;
+  /** Called where a claim has no known outcome. */
+  readonly recordUnknown: (claim: HeldClaim) => void;
+}
+
+interface LocalCall {
+  readonly requestId: string;
+  readonly outcome: Promise<CallOutcome>;
+  /** Milliseconds since the epoch; undefined while the call runs. */
+  endedAtMs: number | undefined;
+}
+
+const RECORD_RETRY_MS = 500;
+const KEPT_OUTCOME_MS = 60_000;
+/** Milliseconds before its deadline at which a call whose claim is not there is refused. */
+const CLAIM_MARGIN_MS = 50;
+
+/** Runs calls under a claim: each at most once, resends get the first one's answer. */
+export class ClaimedCalls {
+  private readonly parts: ClaimedCallsParts;
+  private readonly local = new Map<string, LocalCall>();
+  private readonly unrecorded = new Set<Promise<void>>();
+
+  constructor(parts: ClaimedCallsParts) {
+    this.parts = parts;
+  }
+
+  /**
+   * Runs a call unless it was claimed before, and returns its answer.
+   *
+   * @param deadlineMs Milliseconds since the epoch.
+   * @param runCall Runs the call; must not throw, but say how the call ended.
+   * @throws HollowstackError `store-unavailable` (not run), `key-reused`,
+   *   `outcome-unknown`, or what `runCall` made of its own failure.
+   */
+  async runOnce(
+    identity: ClaimIdentity,
+    deadlineMs: number,
+    runCall: () => Promise<CallOutcome>,
+  ): Promise<KeptAnswer | undefined> {
+    const claim = await this.acquireClaim(identity, deadlineMs);
+    if (claim.record.requestId !== identity.requestId) {
+      return this.answerResend(claim, identity, deadlineMs, runCall);
+    }
+    return this.runHeld(claim, deadlineMs, runCall);
+  }
+
+  /** Tells another instance how a call of this one ended; waits for its end. */
+  async findOutcome(
+    claimKey: string,
+    requestId: string,
+    waitMs: number,
+  ): Promise<CallOutcome | undefined> {
+    const call = this.local.get(claimKey);
+    if (!call || call.requestId !== requestId) return undefined;
+    return Promise.race([
+      call.outcome,
+      waitFor(this.parts.clock, waitMs).then((): undefined => undefined),
+    ]);
+  }
+
+  /** Resolves once every outcome is recorded; a planned stop waits for it. */
+  async waitForRecording(): Promise<void> {
+    while (this.unrecorded.size > 0) await Promise.all(this.unrecorded);
+  }
+
+  private async acquireClaim(
+    identity: ClaimIdentity,
+    deadlineMs: number,
+  ): Promise<HeldClaim> {
+    const {claims} = this.parts;
+    try {
+      const giveUpAtMs = deadlineMs - CLAIM_MARGIN_MS;
+      return (await claims.acquireClaim(identity, giveUpAtMs)).claim;
+    } catch (error) {
+      if (!(error instanceof StoreError)) throw error;
+      // The claim may yet stand or come to stand in the service. A resend that
+      // finds it is told by this instance that the call did not run.
+      this.recordLocal(identity, Promise.resolve({type: 'not-run'}));
+      throw new HollowstackError(
+        'store-unavailable',
+        `the call was not run: its claim could not be made (${error.message})`,
+        {cause: error},
+      );
+    }
+  }
+
+  private async runHeld(
+    claim: HeldClaim,
+    deadlineMs: number,
+    runCall: () => Promise<CallOutcome>,
+  ): Promise<KeptAnswer | undefined> {
+    const {clock} = this.parts;
+    // A pause may have come between the claim and this line.
+    const isLate = clock.getNow() >= deadlineMs;
+    const running: Promise<CallOutcome> = isLate
+      ? Promise.resolve({type: 'not-run'})
+      : runCall();
+    const {key, record} = claim;
+    this.recordLocal({key, requestId: record.requestId}, running);
+    const outcome = await running;
+    this.startRecording(claim, outcome);
+    if (isLate) {
+      throw new HollowstackError('deadline-exceeded', 'too late to begin', {
+        ran: 'no',
+      });
+    }
+    return outcome.type === 'finished' ? outcome.answer : undefined;
+  }
+
+  private async answerResend(
+    claim: HeldClaim,
+    identity: ClaimIdentity,
+    deadlineMs: number,
+    runCall: () => Promise<CallOutcome>,
+  ): Promise<KeptAnswer | undefined> {
+    if (claim.record.fingerprint !== identity.fingerprint) {
+      throw new HollowstackError(
+        'key-reused',
+        'the idempotency key was used for a call with other content',
+      );
+    }
+    const outcome =
+      claim.record.outcome ?? (await this.findFirstOutcome(claim, deadlineMs));
+    return match(outcome)
+      .with({type: 'finished'}, ({answer}) => answer)
+      .with({type: 'not-run'}, () =>
+        this.takeOver(claim, identity, deadlineMs, runCall),
+      )
+      .with({type: 'unknown'}, undefined, () => {
+        this.parts.recordUnknown(claim);
+        throw new HollowstackError(
+          'outcome-unknown',
+          `the first call ${claim.record.requestId} has no known outcome`,
+        );
+      })
+      .exhaustive();
+  }
+
+  private async findFirstOutcome(
+    claim: HeldClaim,
+    deadlineMs: number,
+  ): Promise<CallOutcome | undefined> {
+    const {clock, askOutcome, claims} = this.parts;
+    const waitMs = Math.max(0, deadlineMs - clock.getNow() - CLAIM_MARGIN_MS);
+    const {key, record} = claim;
+    const local = this.local.get(key);
+    const told =
+      local?.requestId === record.requestId
+        ? await this.findOutcome(key, record.requestId, waitMs)
+        : await askOutcome(claim, waitMs);
+    if (told) return told;
+    // The holder is gone or knows nothing; it may have recorded the outcome
+    // before it went.
+    const stored = await claims
+      .readClaim(key)
+      .catch((): undefined => undefined);
+    return stored?.record.outcome;
+  }
+
+  private async takeOver(
+    claim: HeldClaim,
+    identity: ClaimIdentity,
+    deadlineMs: number,
+    runCall: () => Promise<CallOutcome>,
+  ): Promise<KeptAnswer | undefined> {
+    const held = await this.parts.claims
+      .replaceClaim(claim, identity)
+      .catch((error: unknown) => {
+        this.recordLocal(identity, Promise.resolve({type: 'not-run'}));
+        throw error;
+      });
+    if (held) return this.runHeld(held, deadlineMs, runCall);
+    throw new HollowstackError(
+      'overloaded',
+      'another resend of the call came first; send it again for its answer',
+    );
+  }
+
+  private recordLocal(
+    {key, requestId}: Pick<ClaimIdentity, 'key' | 'requestId'>,
+    outcome: Promise<CallOutcome>,
+  ): void {
+    this.removeOldCalls();
+    const call: LocalCall = {requestId, outcome, endedAtMs: undefined};
+    this.local.delete(key);
+    this.local.set(key, call);
+    const markEnded = () => {
+      call.endedAtMs = this.parts.clock.getNow();
+    };
+    outcome.then(markEnded, markEnded);
+  }
+
+  private removeOldCalls(): void {
+    const oldestMs = this.parts.clock.getNow() - KEPT_OUTCOME_MS;
+    for (const [key, {endedAtMs}] of this.local) {
+      if (endedAtMs === undefined) continue;
+      if (endedAtMs > oldestMs) return;
+      this.local.delete(key);
+    }
+  }
+
+  private startRecording(claim: HeldClaim, outcome: CallOutcome): void {
+    const recording = this.recordUntilDone(claim, outcome).finally(() =>
+      this.unrecorded.delete(recording),
+    );
+    this.unrecorded.add(recording);
+  }
+
+  private async recordUntilDone(
+    claim: HeldClaim,
+    outcome: CallOutcome,
+  ): Promise<void> {
+    while (true) {
+      try {
+        await this.parts.claims.recordOutcome(claim, outcome);
+        return;
+      } catch (error) {
+        if (!(error instanceof StoreError)) throw error;
+      }
+      await waitFor(this.parts.clock, RECORD_RETRY_MS);
+    }
+  }
+}
--- /dev/null
+++ b/packages/claims/src/index.ts
@@ -0,0 +1,14 @@
+/** At most one run for a call that carries an idempotency key. */
+export {
+  ClaimStore,
+  type ClaimIdentity,
+  type ClaimVerdict,
+  type HeldClaim,
+} from './claim-store.ts';
+export {ClaimedCalls, type ClaimedCallsParts} from './claimed-calls.ts';
+export {
+  CLAIM_PREFIX,
+  claimRecordSchema,
+  createClaimKey,
+  type ClaimRecord,
+} from './claim-record.ts';
--- /dev/null
+++ b/packages/cli/src/commands/config/publish.ts
@@ -0,0 +1,67 @@
+import {randomUUID} from 'node:crypto';
+import {userInfo} from 'node:os';
+import {parseConfigurationToml, type Published} from '@hollowstack/config-log';
+import {Command, Option} from 'clipanion';
+import {OperatorCommand} from '../../operator-command.ts';
+import {readTextFile} from '../../read-text-file.ts';
+
+/** `hollowstack config publish`: adds and replaces objects. */
+export class ConfigPublishCommand extends OperatorCommand {
+  static override paths = [['config', 'publish']];
+  static override usage = Command.Usage({
+    category: 'Configuration',
+    description: 'publish the objects of a file',
+    details: `
+      Objects of the file are added or replaced in one step; others stay. Where
+      another operator has changed one of them since the file's baseRevision,
+      nothing is published and the other change is named.
+
+      Should the answer be lost, run the same command with the change id that
+      was printed: it publishes once, however often it is run.
+    `,
+    examples: [
+      ['Publish a file', 'hollowstack config publish pipelines.toml'],
+      [
+        'Remove an object',
+        'hollowstack config publish pipelines.toml --remove pool/old-encoders',
+      ],
+    ],
+  });
+
+  file = Option.String();
+  removals = Option.Array('--remove', [], {
+    description: 'id of an object to remove, such as pool/encoders',
+  });
+  author = Option.String('--author', {
+    description: 'name for the history; the login name where it is left out',
+  });
+  changeId = Option.String('--change-id', {
+    description: 'id of an earlier try whose answer was lost',
+  });
+
+  protected async runCommand(): Promise<number> {
+    const {objects, baseRevision} = parseConfigurationToml(
+      readTextFile(this.file),
+      this.file,
+    );
+    const changeId = this.changeId ?? randomUUID();
+    if (!this.json) this.print(`change ${changeId}`);
+    const published = (await this.callEntry('POST', 'configuration', {
+      changeId,
+      author: this.author ?? userInfo().username,
+      baseRevision,
+      objects,
+      removals: this.removals,
+    })) as Published;
+    if (this.json) this.print(JSON.stringify(published));
+    else this.print(formatPublished(published));
+    return 0;
+  }
+}
+
+function formatPublished({revision, changed}: Published): string {
+  if (changed.length === 0) {
+    return `nothing to change; revision ${revision} stays in force`;
+  }
+  return `revision ${revision}: ${changed.join(', ')}`;
+}
--- /dev/null
+++ b/packages/cli/src/commands/entry/index.ts
@@ -0,0 +1,105 @@
+import {SystemClock} from '@hollowstack/clock';
+import {
+  createDaemon,
+  removeSecrets,
+  parseSettings,
+  type Daemon,
+  type Settings,
+} from '@hollowstack/entry';
+import {TslogEventLogger} from '@hollowstack/logger';
+import {TcpPeerNetwork} from '@hollowstack/peers';
+import {NodeHttpClient, NodeHttpServer} from '@hollowstack/transport';
+import {Command, Option} from 'clipanion';
+import {stringify} from 'smol-toml';
+import {readTextFile} from '../../read-text-file.ts';
+import {ReportingCommand} from '../../reporting-command.ts';
+
+/** `hollowstack entry`: the daemon. */
+export class EntryCommand extends ReportingCommand {
+  static override paths = [['entry']];
+  static override usage = Command.Usage({
+    description: 'run one instance',
+    details: `
+      Serves callers, operators and probes until it gets SIGTERM or SIGINT, then
+      stops without cutting a request. SIGHUP reads the peer keys of the settings
+      file again.
+    `,
+    examples: [
+      ['Run an instance', 'hollowstack entry --settings entry.toml'],
+      [
+        'Show the settings it would run with',
+        'hollowstack entry --settings entry.toml --check',
+      ],
+    ],
+  });
+
+  settingsPath = Option.String('--settings', {
+    required: true,
+    description: 'settings file in TOML',
+  });
+  check = Option.Boolean('--check', false, {
+    description: 'print the settings in effect and end',
+  });
+
+  protected async runCommand(): Promise<number> {
+    const settings = this.readSettings();
+    if (this.check) {
+      this.print(stringify(removeSecrets(settings)));
+      return 0;
+    }
+    return this.runDaemon(settings);
+  }
+
+  private readSettings(): Settings {
+    return parseSettings(readTextFile(this.settingsPath), this.settingsPath);
+  }
+
+  private async runDaemon(settings: Settings): Promise<number> {
+    const {instance, listen, limits, log} = settings;
+    const client = new NodeHttpClient();
+    const daemon = createDaemon(settings, {
+      clock: new SystemClock(),
+      client,
+      peerNetwork: new TcpPeerNetwork(),
+      logger: new TslogEventLogger(instance.id, log.level, log.format),
+      random: Math.random,
+    });
+    const server = new NodeHttpServer(
+      request => daemon.handle(request),
+      limits,
+    );
+    await daemon.parts.link.listen(listen.peerAddress);
+    const colon = listen.address.lastIndexOf(':');
+    await server.listen(
+      listen.address.slice(0, colon).replace(/^\[|\]$/g, ''),
+      Number(listen.address.slice(colon + 1)),
+    );
+    const stopAsked = this.waitForStop(daemon);
+    void daemon.start();
+    await stopAsked;
+    const isClean = await daemon.drain();
+    await server.close();
+    client.close();
+    return isClean ? 0 : 1;
+  }
+
+  private waitForStop(daemon: Daemon): Promise<void> {
+    process.on('SIGHUP', () => this.refreshKeys(daemon));
+    return new Promise(resolve => {
+      process.once('SIGTERM', resolve);
+      process.once('SIGINT', resolve);
+    });
+  }
+
+  private refreshKeys(daemon: Daemon): void {
+    try {
+      daemon.parts.keys.setKeys(this.readSettings().peers.keys);
+    } catch (error) {
+      // A file that cannot be read must not take a running instance down.
+      const reason = error instanceof Error ? error.message : String(error);
+      daemon.parts.environment.logger.logEvent('entry.keys-unreadable', {
+        reason,
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/cli/src/operator-command.ts
@@ -0,0 +1,81 @@
+import {
+  HollowstackError,
+  type ErrorKind,
+  type Problem,
+  ERROR_KINDS,
+} from '@hollowstack/errors';
+import {
+  NodeHttpClient,
+  TransportError,
+  readBody,
+  type HttpResponse,
+} from '@hollowstack/transport';
+import {Option} from 'clipanion';
+import {ReportingCommand} from './reporting-command.ts';
+
+const DEFAULT_ADDRESS = '127.0.0.1:8080';
+const KEY_VARIABLE = 'HOLLOWSTACK_OPERATOR_KEY';
+const TIMEOUT_MS = 30_000;
+const OK = 200;
+
+/** A command that asks a running instance. */
+export abstract class OperatorCommand extends ReportingCommand {
+  address = Option.String('--entry', DEFAULT_ADDRESS, {
+    description: 'IP number and port of any instance',
+  });
+  key = Option.String('--key', {
+    env: KEY_VARIABLE,
+    description: `operator key; ${KEY_VARIABLE} is taken where it is left out`,
+  });
+  json = Option.Boolean('--json', false, {
+    description: 'print JSON for a script',
+  });
+
+  /** Sends an operator's call and returns its parsed answer. */
+  protected async callEntry(
+    method: string,
+    call: string,
+    body?: unknown,
+  ): Promise<unknown> {
+    const client = new NodeHttpClient();
+    try {
+      const response = await client.send(this.address, {
+        method,
+        path: `/v1/operator/${call}`,
+        headers: {
+          'content-type': 'application/json',
+          authorization: `Bearer ${this.getKey()}`,
+        },
+        body: Buffer.from(body === undefined ? '' : JSON.stringify(body)),
+        signal: AbortSignal.timeout(TIMEOUT_MS),
+      });
+      return await readAnswer(response);
+    } catch (error) {
+      if (!(error instanceof TransportError)) throw error;
+      throw new HollowstackError(
+        'not-ready',
+        `no answer from ${this.address}: ${error.message}; name a running instance with --entry`,
+      );
+    } finally {
+      client.close();
+    }
+  }
+
+  private getKey(): string {
+    if (this.key) return this.key;
+    throw new HollowstackError(
+      'unauthorized',
+      `no operator key: give --key or set ${KEY_VARIABLE}`,
+    );
+  }
+}
+
+async function readAnswer(response: HttpResponse): Promise<unknown> {
+  const text = (await readBody(response.body)).toString('utf8');
+  const answer: unknown = JSON.parse(text);
+  if (response.status === OK) return answer;
+  const problem = answer as Partial<Problem>;
+  const kind: ErrorKind =
+    ERROR_KINDS.find(known => known === problem.kind) ?? 'internal';
+  throw new HollowstackError(kind, problem.detail ?? text);
+}
--- /dev/null
+++ b/packages/cli/src/run-command-line.ts
@@ -0,0 +1,46 @@
+import {Builtins, Cli} from 'clipanion';
+import {ConfigCheckCommand} from './commands/config/check.ts';
+import {ConfigHistoryCommand} from './commands/config/history.ts';
+import {ConfigPublishCommand} from './commands/config/publish.ts';
+import {ConfigRestoreCommand} from './commands/config/restore.ts';
+import {ConfigShowCommand} from './commands/config/show.ts';
+import {DemoCommand} from './commands/demo/index.ts';
+import {EntryCommand} from './commands/entry/index.ts';
+import {
+  StandInEngineCommand,
+  StandInPlatformCommand,
+  StandInPoolCommand,
+  StandInServiceCommand,
+} from './commands/stand-in/index.ts';
+import {StatusCommand} from './commands/status/index.ts';
+import {WhyCommand} from './commands/why/index.ts';
+import {VERSION} from './version.ts';
+
+/** Runs one command line and resolves to its exit code. */
+export function runCommandLine(args: readonly string[]): Promise<number> {
+  const cli = new Cli({
+    binaryName: 'hollowstack',
+    binaryLabel: 'hollowstack: serves multi-stage model pipelines',
+    binaryVersion: VERSION,
+  });
+  cli.register(Builtins.HelpCommand);
+  cli.register(Builtins.VersionCommand);
+  for (const command of [
+    EntryCommand,
+    ConfigCheckCommand,
+    ConfigPublishCommand,
+    ConfigShowCommand,
+    ConfigHistoryCommand,
+    ConfigRestoreCommand,
+    WhyCommand,
+    StatusCommand,
+    DemoCommand,
+    StandInPlatformCommand,
+    StandInEngineCommand,
+    StandInPoolCommand,
+    StandInServiceCommand,
+  ]) {
+    cli.register(command);
+  }
+  return cli.run([...args]);
+}
--- /dev/null
+++ b/packages/clock/src/clock.ts
@@ -0,0 +1,17 @@
+/** A scheduled callback that can be taken back. */
+export interface Timer {
+  /** Takes the callback back; does nothing once it has run. */
+  cancel(): void;
+}
+
+/** Source of time and of delayed callbacks; passed in wherever time matters. */
+export interface Clock {
+  /** Returns milliseconds since the Unix epoch. */
+  getNow(): number;
+  /**
+   * Runs a callback once.
+   *
+   * @param delayMs Milliseconds from now; below zero counts as zero.
+   */
+  schedule(delayMs: number, callback: () => void): Timer;
+}
--- /dev/null
+++ b/packages/clock/src/index.ts
@@ -0,0 +1,5 @@
+/** The clock every other package is given: an interface, a system clock and a manual one. */
+export type {Clock, Timer} from './clock.ts';
+export {SystemClock} from './system-clock.ts';
+export {ManualClock} from './manual-clock.ts';
+export {waitFor, createDeadlineSignal} from './waiting.ts';
--- /dev/null
+++ b/packages/config-log/src/configuration-toml.ts
@@ -0,0 +1,99 @@
+import {HollowstackError} from '@hollowstack/errors';
+import {
+  OBJECT_KINDS,
+  configObjectSchema,
+  type ConfigObject,
+  type ObjectKind,
+} from '@hollowstack/types';
+import {TomlError, parse, stringify} from 'smol-toml';
+import {z} from 'zod';
+
+/** What an operator's file says. */
+export interface ParsedConfiguration {
+  readonly objects: readonly ConfigObject[];
+  /** The revision the file was taken from; absent where it was written afresh. */
+  readonly baseRevision: number | undefined;
+}
+
+const fileSchema = z.strictObject({
+  baseRevision: z.number().int().nonnegative().optional(),
+  template: z.array(z.unknown()).default([]),
+  workspace: z.array(z.unknown()).default([]),
+  pool: z.array(z.unknown()).default([]),
+  service: z.array(z.unknown()).default([]),
+});
+
+/**
+ * Parses an operator's file.
+ *
+ * @param path Shown in errors.
+ * @throws HollowstackError `configuration-invalid` with path, line or place.
+ */
+export function parseConfigurationToml(
+  text: string,
+  path: string,
+): ParsedConfiguration {
+  const file = fileSchema.safeParse(parseToml(text, path));
+  if (!file.success) throw createInvalidError(path, '', file.error);
+  const objects = OBJECT_KINDS.flatMap(kind =>
+    file.data[kind].map((value, index) =>
+      parseObject(kind, value, `${kind}[${index}]`, path),
+    ),
+  );
+  return {objects, baseRevision: file.data.baseRevision};
+}
+
+/** Renders objects as a file that parseConfigurationToml reads. */
+export function renderConfigurationToml(
+  objects: readonly ConfigObject[],
+  baseRevision: number,
+): string {
+  const file: Record<string, unknown> = {baseRevision};
+  for (const kind of OBJECT_KINDS) {
+    const values = objects
+      .filter(object => object.kind === kind)
+      .map(object => object.value);
+    if (values.length > 0) file[kind] = values;
+  }
+  return stringify(file) + '\n';
+}
+
+function parseToml(text: string, path: string): unknown {
+  try {
+    return parse(text);
+  } catch (error) {
+    if (!(error instanceof TomlError)) throw error;
+    const reason = error.message.split('\n')[0];
+    throw new HollowstackError(
+      'configuration-invalid',
+      `${path}:${error.line}:${error.column}: ${reason}`,
+      {cause: error},
+    );
+  }
+}
+
+function parseObject(
+  kind: ObjectKind,
+  value: unknown,
+  place: string,
+  path: string,
+): ConfigObject {
+  const parsed = configObjectSchema.safeParse({kind, value});
+  if (parsed.success) return parsed.data;
+  throw createInvalidError(path, place, parsed.error);
+}
+
+function createInvalidError(
+  path: string,
+  place: string,
+  error: z.ZodError,
+): HollowstackError {
+  const lines = error.issues.map(issue => {
+    const keys = issue.path.filter(key => key !== 'value').join('.');
+    const where = [place, keys].filter(part => part !== '').join('.');
+    return `${path}: ${where || 'top level'}: ${issue.message}`;
+  });
+  return new HollowstackError('configuration-invalid', lines.join('\n'), {
+    cause: error,
+  });
+}
--- /dev/null
+++ b/packages/config-log/src/follower.ts
@@ -0,0 +1,144 @@
+import {waitFor, type Clock} from '@hollowstack/clock';
+import type {EventLogger} from '@hollowstack/logger';
+import {
+  StoreError,
+  createSingleKeyRange,
+  type KeyRange,
+  type PlatformStore,
+  type WatchEvent,
+  type WatchSubscription,
+} from '@hollowstack/platform';
+import type {Head} from '@hollowstack/types';
+import type {ConfigurationHolder} from './holder.ts';
+import {HEAD_KEY} from './keys.ts';
+import {readChangedSnapshot, readHead, readStoredSnapshot} from './reading.ts';
+
+const DEFAULT_POLL_MS = 5000;
+const MAX_READ_ATTEMPTS = 5;
+
+/** Brings each newer configuration from the platform's service to the holder. */
+export class ConfigurationFollower implements WatchSubscription {
+  readonly range: KeyRange = createSingleKeyRange(HEAD_KEY);
+  private readonly store: PlatformStore;
+  private readonly clock: Clock;
+  private readonly holder: ConfigurationHolder;
+  private readonly logger: EventLogger;
+  private readonly random: () => number;
+  private readonly pollMs: number;
+  private readonly controller = new AbortController();
+  private refreshing: Promise<void> | undefined;
+  private isRefreshDue = false;
+  private isStoreDown = false;
+
+  /** @param pollMs Milliseconds between polls, should the watch not work. */
+  constructor(
+    store: PlatformStore,
+    clock: Clock,
+    holder: ConfigurationHolder,
+    logger: EventLogger,
+    random: () => number,
+    pollMs = DEFAULT_POLL_MS,
+  ) {
+    this.store = store;
+    this.clock = clock;
+    this.holder = holder;
+    this.logger = logger;
+    this.random = random;
+    this.pollMs = pollMs;
+  }
+
+  /** Returns whether the last call to the service failed. */
+  isStoreUnavailable(): boolean {
+    return this.isStoreDown;
+  }
+
+  /** Polls until stopped; the watch and peers' hints bring changes sooner. */
+  async start(): Promise<void> {
+    const {signal} = this.controller;
+    while (!signal.aborted) {
+      await this.refresh();
+      const delayMs = this.pollMs * (0.75 + this.random() / 2);
+      await waitFor(this.clock, delayMs, signal).catch(() => {});
+    }
+  }
+
+  stop(): void {
+    this.controller.abort(new Error('stopped'));
+  }
+
+  handleEvents(events: readonly WatchEvent[]): void {
+    if (events.some(event => event.type === 'put')) void this.refresh();
+  }
+
+  handleResync(): void {
+    void this.refresh();
+  }
+
+  /** Takes a peer's word that a revision is out; reads the service if it is news. */
+  handleHint(revision: number): void {
+    if (revision > this.holder.getRevision()) void this.refresh();
+  }
+
+  /** Reads the service once; a call during another one leads to one more read. */
+  refresh(): Promise<void> {
+    this.isRefreshDue = true;
+    this.refreshing ??= this.runRefreshes().finally(() => {
+      this.refreshing = undefined;
+    });
+    return this.refreshing;
+  }
+
+  private async runRefreshes(): Promise<void> {
+    while (this.isRefreshDue) {
+      this.isRefreshDue = false;
+      await this.readOnce();
+    }
+  }
+
+  private async readOnce(): Promise<void> {
+    try {
+      await this.readAndOffer();
+      this.recordStoreState(false);
+    } catch (error) {
+      if (error instanceof StoreError) {
+        this.recordStoreState(true, error.message);
+        return;
+      }
+      const reason = error instanceof Error ? error.message : String(error);
+      this.logger.logEvent('config.unreadable', {reason});
+    }
+  }
+
+  private async readAndOffer(): Promise<void> {
+    for (let attempt = 0; attempt < MAX_READ_ATTEMPTS; attempt++) {
+      const head = await readHead(this.store);
+      if (!head) return;
+      if (!this.isNews(head)) return;
+      const snapshot = await this.readSnapshot(head);
+      if (!snapshot) continue;
+      this.holder.offerSnapshot(snapshot, 'store');
+      return;
+    }
+  }
+
+  // An offer of an older or a forked head is made without its objects: the
+  // holder only looks at the head to refuse it.
+  private isNews(head: Head): boolean {
+    if (head.revision > this.holder.getRevision()) return true;
+    this.holder.offerSnapshot({head, objects: []}, 'store');
+    return false;
+  }
+
+  private async readSnapshot(head: Head) {
+    const known = this.holder.getCurrent();
+    if (known) return readChangedSnapshot(this.store, known.snapshot, head);
+    const {snapshot} = await readStoredSnapshot(this.store);
+    return snapshot;
+  }
+
+  private recordStoreState(isDown: boolean, reason?: string): void {
+    if (isDown === this.isStoreDown) return;
+    this.isStoreDown = isDown;
+    this.logger.logEvent(isDown ? 'store.down' : 'store.back', {reason});
+  }
+}
--- /dev/null
+++ b/packages/config-log/src/publisher.ts
@@ -0,0 +1,180 @@
+import {waitFor, type Clock} from '@hollowstack/clock';
+import {HollowstackError} from '@hollowstack/errors';
+import {
+  StoreError,
+  createSingleKeyRange,
+  type Operation,
+  type PlatformStore,
+} from '@hollowstack/platform';
+import {
+  changeRecordSchema,
+  type ConfigurationSnapshot,
+} from '@hollowstack/types';
+import {HEAD_KEY, getChangeIdKey, getChangeKey, getObjectKey} from './keys.ts';
+import {
+  assemblePublishPlan,
+  assembleRestorePlan,
+  type PublishPlan,
+  type PublishRequest,
+} from './publish-plan.ts';
+import {readStoredSnapshot} from './reading.ts';
+
+/** A change that has taken effect. */
+export interface Published {
+  readonly revision: number;
+  readonly changeId: string;
+  /** Ids of the objects that changed; empty where the file held nothing new. */
+  readonly changed: readonly string[];
+}
+
+// Records older than this many revisions are deleted with each change, so that
+// the store does not grow with the project's age. A day brings 680 changes.
+const KEPT_CHANGES = 1000;
+const MAX_ATTEMPTS = 8;
+const RETRY_MS = 100;
+
+/** Applies publish plans to the platform's service; a lost answer never doubles a change. */
+export class ConfigurationPublisher {
+  private readonly store: PlatformStore;
+  private readonly clock: Clock;
+  private readonly random: () => number;
+
+  constructor(store: PlatformStore, clock: Clock, random: () => number) {
+    this.store = store;
+    this.clock = clock;
+    this.random = random;
+  }
+
+  /**
+   * Publishes a change.
+   *
+   * @param inForceRevision Highest revision known to be in force.
+   * @throws HollowstackError of the plan, or `outcome-unknown` where the service
+   *   never said whether the change took effect.
+   */
+  publish(
+    request: PublishRequest,
+    inForceRevision: number,
+  ): Promise<Published> {
+    return this.publishByPlan(request.changeId, stored =>
+      assemblePublishPlan(
+        stored,
+        request,
+        inForceRevision,
+        this.clock.getNow(),
+      ),
+    );
+  }
+
+  /** Writes the configuration in force back over a store that lost it. */
+  restore(
+    inForce: ConfigurationSnapshot,
+    request: Pick<PublishRequest, 'changeId' | 'author'>,
+  ): Promise<Published> {
+    return this.publishByPlan(request.changeId, stored =>
+      assembleRestorePlan(stored, inForce, request, this.clock.getNow()),
+    );
+  }
+
+  private async publishByPlan(
+    changeId: string,
+    assemblePlan: (stored: ConfigurationSnapshot) => PublishPlan,
+  ): Promise<Published> {
+    let mayHaveTakenEffect = false;
+    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+      try {
+        const published = await this.publishOnce(changeId, assemblePlan);
+        if (published) return published;
+      } catch (error) {
+        if (!(error instanceof StoreError)) throw error;
+        if (error.effect === 'unknown') mayHaveTakenEffect = true;
+      }
+      await waitFor(this.clock, RETRY_MS * (attempt + this.random()));
+    }
+    if (mayHaveTakenEffect) {
+      throw new HollowstackError(
+        'outcome-unknown',
+        `change ${changeId} may or may not be published; see: hollowstack config history`,
+      );
+    }
+    throw new HollowstackError(
+      'store-unavailable',
+      `change ${changeId} was not published`,
+    );
+  }
+
+  // Undefined means that another change came between: plan again on top of it.
+  private async publishOnce(
+    changeId: string,
+    assemblePlan: (stored: ConfigurationSnapshot) => PublishPlan,
+  ): Promise<Published | undefined> {
+    const earlier = await this.findPublished(changeId);
+    if (earlier) return earlier;
+    const stored = await readStoredSnapshot(this.store);
+    const plan = assemblePlan(stored.snapshot);
+    if (plan.isEmpty) {
+      return {revision: stored.snapshot.head.revision, changeId, changed: []};
+    }
+    const result = await this.store.runTransaction({
+      comparisons: [
+        {key: HEAD_KEY, modRevision: stored.headModRevision},
+        {key: getChangeIdKey(changeId), modRevision: 0},
+      ],
+      onSuccess: [
+        ...createWrites(plan),
+        ...(await this.createPruning(plan.head.revision)),
+      ],
+    });
+    if (!result.succeeded) return undefined;
+    const {revision, changed, removed} = plan.record;
+    return {revision, changeId, changed: [...changed, ...removed]};
+  }
+
+  private async findPublished(
+    changeId: string,
+  ): Promise<Published | undefined> {
+    const found = await this.store.readRange(
+      createSingleKeyRange(getChangeIdKey(changeId)),
+    );
+    const keyValue = found.keyValues.at(0);
+    if (!keyValue) return undefined;
+    const record = changeRecordSchema.parse(JSON.parse(keyValue.value));
+    return {
+      revision: record.revision,
+      changeId,
+      changed: [...record.changed, ...record.removed],
+    };
+  }
+
+  private async createPruning(revision: number): Promise<Operation[]> {
+    const oldKey = getChangeKey(revision - KEPT_CHANGES);
+    if (revision <= KEPT_CHANGES) return [];
+    const found = await this.store.readRange(createSingleKeyRange(oldKey));
+    const keyValue = found.keyValues.at(0);
+    if (!keyValue) return [];
+    const {changeId} = changeRecordSchema.parse(JSON.parse(keyValue.value));
+    return [oldKey, getChangeIdKey(changeId)].map(key => ({
+      type: 'delete',
+      range: createSingleKeyRange(key),
+    }));
+  }
+}
+
+function createWrites(plan: PublishPlan): Operation[] {
+  const {head, record, writes, deletions} = plan;
+  const recordText = JSON.stringify(record);
+  return [
+    ...writes.map(object => ({
+      type: 'put' as const,
+      key: getObjectKey(object.kind, object.value.name),
+      value: JSON.stringify(object),
+    })),
+    ...deletions.map(({kind, name}) => ({
+      type: 'delete' as const,
+      range: createSingleKeyRange(getObjectKey(kind, name)),
+    })),
+    {type: 'put', key: HEAD_KEY, value: JSON.stringify(head)},
+    {type: 'put', key: getChangeKey(record.revision), value: recordText},
+    {type: 'put', key: getChangeIdKey(record.changeId), value: recordText},
+  ];
+}
--- /dev/null
+++ b/packages/config-log/src/reading.ts
@@ -0,0 +1,129 @@
+import {
+  createPrefixRange,
+  createSingleKeyRange,
+  type KeyValue,
+  type PlatformStore,
+} from '@hollowstack/platform';
+import {
+  changeRecordSchema,
+  configObjectSchema,
+  headSchema,
+  type ChangeRecord,
+  type ConfigObject,
+  type ConfigurationSnapshot,
+  type Head,
+} from '@hollowstack/types';
+import {createEmptySnapshot, getObjectId} from './configuration.ts';
+import {CHANGE_PREFIX, HEAD_KEY, OBJECT_PREFIX, getObjectKey} from './keys.ts';
+
+/** A snapshot with the store's own revision of the head, for comparisons. */
+export interface StoredSnapshot {
+  readonly snapshot: ConfigurationSnapshot;
+  /** 0 where no head was ever written. */
+  readonly headModRevision: number;
+}
+
+/** Reads head and all objects in one call, so that they belong together. */
+export async function readStoredSnapshot(
+  store: PlatformStore,
+): Promise<StoredSnapshot> {
+  const result = await store.runTransaction({
+    comparisons: [],
+    onSuccess: [
+      {type: 'read', range: createSingleKeyRange(HEAD_KEY)},
+      {type: 'read', range: createPrefixRange(OBJECT_PREFIX)},
+    ],
+  });
+  const [headRead, objectsRead] = result.reads;
+  const headKeyValue = headRead.keyValues.at(0);
+  if (!headKeyValue) {
+    return {snapshot: createEmptySnapshot(), headModRevision: 0};
+  }
+  return {
+    snapshot: {
+      head: parseHead(headKeyValue.value),
+      objects: objectsRead.keyValues.map(parseObject),
+    },
+    headModRevision: headKeyValue.modRevision,
+  };
+}
+
+/**
+ * Reads what has changed since a snapshot, in one call.
+ * Returns undefined where the head has moved on meanwhile; ask again then.
+ */
+export async function readChangedSnapshot(
+  store: PlatformStore,
+  known: ConfigurationSnapshot,
+  head: Head,
+): Promise<ConfigurationSnapshot | undefined> {
+  const knownVersions = new Map(
+    known.head.objects.map(({kind, name, version}) => [
+      getObjectId(kind, name),
+      version,
+    ]),
+  );
+  const changed = head.objects.filter(
+    ({kind, name, version}) =>
+      knownVersions.get(getObjectId(kind, name)) !== version,
+  );
+  const result = await store.runTransaction({
+    comparisons: [],
+    onSuccess: [
+      {type: 'read', range: createSingleKeyRange(HEAD_KEY)},
+      ...changed.map(({kind, name}) => ({
+        type: 'read' as const,
+        range: createSingleKeyRange(getObjectKey(kind, name)),
+      })),
+    ],
+  });
+  const [headRead, ...objectReads] = result.reads;
+  const readHead = headRead.keyValues.at(0);
+  if (!readHead) return undefined;
+  if (parseHead(readHead.value).changeId !== head.changeId) return undefined;
+  const read = objectReads.flatMap(({keyValues}) => keyValues.map(parseObject));
+  if (read.length < changed.length) return undefined;
+  return {head, objects: joinObjects(known.objects, read, head)};
+}
+
+/** Reads the head; undefined where none was ever written. */
+export async function readHead(
+  store: PlatformStore,
+): Promise<Head | undefined> {
+  const found = await store.readRange(createSingleKeyRange(HEAD_KEY));
+  const keyValue = found.keyValues.at(0);
+  return keyValue && parseHead(keyValue.value);
+}
+
+/** Parses a stored head. */
+export function parseHead(value: string): Head {
+  return headSchema.parse(JSON.parse(value));
+}
+
+/** Reads the change records that are kept, the newest first. */
+export async function readChangeRecords(
+  store: PlatformStore,
+): Promise<readonly ChangeRecord[]> {
+  const found = await store.readRange(createPrefixRange(CHANGE_PREFIX));
+  return found.keyValues
+    .map(({value}) => changeRecordSchema.parse(JSON.parse(value)))
+    .reverse();
+}
+
+function parseObject(keyValue: KeyValue): ConfigObject {
+  return configObjectSchema.parse(JSON.parse(keyValue.value));
+}
+
+function joinObjects(
+  known: readonly ConfigObject[],
+  read: readonly ConfigObject[],
+  head: Head,
+): ConfigObject[] {
+  const byId = new Map<string, ConfigObject>();
+  for (const object of [...known, ...read]) {
+    byId.set(getObjectId(object.kind, object.value.name), object);
+  }
+  return head.objects
+    .map(({kind, name}) => byId.get(getObjectId(kind, name)))
+    .filter(object => object !== undefined);
+}
--- /dev/null
+++ b/packages/entry/src/create-daemon.ts
@@ -0,0 +1,252 @@
+import {ClaimStore, ClaimedCalls, type HeldClaim} from '@hollowstack/claims';
+import {
+  ConfigurationFollower,
+  ConfigurationHolder,
+  ConfigurationPublisher,
+} from '@hollowstack/config-log';
+import {DecisionLog} from '@hollowstack/decisions';
+import {MetricsRegistry} from '@hollowstack/metrics';
+import {
+  KeyRing,
+  Membership,
+  PeerLink,
+  RevisionExchange,
+  ShareClient,
+  ShareKeeper,
+} from '@hollowstack/peers';
+import {
+  GroupDirectory,
+  LoadPoller,
+  PipelineRunner,
+  ServiceRunner,
+} from '@hollowstack/pipeline';
+import {
+  BudgetedStore,
+  GatewayStore,
+  InstanceList,
+  WatchHub,
+} from '@hollowstack/platform';
+import {createSelector} from '@hollowstack/routing';
+import type {CallOutcome} from '@hollowstack/types';
+import {Daemon, type DaemonEnvironment} from './daemon.ts';
+import {Front} from './front.ts';
+import {followLeavingUpstreams} from './leaving-upstreams.ts';
+import {Lifecycle} from './lifecycle.ts';
+import {OperatorEndpoint} from './operator-endpoint.ts';
+import {PeerRequests} from './peer-requests.ts';
+import {PipelineEndpoint} from './pipeline-endpoint.ts';
+import {ProbeEndpoint} from './probe-endpoint.ts';
+import {RequestGate} from './request-gate.ts';
+import {RequestIds} from './request-ids.ts';
+import {ServiceEndpoint} from './service-endpoint.ts';
+import type {Settings} from './settings.ts';
+import {StatusReader} from './status-reader.ts';
+import {WhyReader} from './why-reader.ts';
+
+const CALL_BURST_SECONDS = 2;
+
+/** Wires all parts of a daemon; the only place where they are constructed. */
+export function createDaemon(
+  settings: Settings,
+  environment: DaemonEnvironment,
+): Daemon {
+  const {clock, client, logger, random, peerNetwork} = environment;
+  const {id, zone} = settings.instance;
+  const metrics = new MetricsRegistry();
+  const lifecycle = new Lifecycle();
+  const decisionLog = new DecisionLog();
+
+  const store = new BudgetedStore(
+    new GatewayStore(client, clock, settings.platform),
+    clock,
+    {
+      callsPerSecond: settings.platform.callsPerSecond,
+      burst: settings.platform.callsPerSecond * CALL_BURST_SECONDS,
+    },
+  );
+  const holder = new ConfigurationHolder(logger);
+  const follower = new ConfigurationFollower(
+    store,
+    clock,
+    holder,
+    logger,
+    random,
+  );
+  const publisher = new ConfigurationPublisher(store, clock, random);
+  const instanceList = new InstanceList(store, clock, random);
+  const watchHub = new WatchHub(store, clock, random);
+
+  const self = {id, zone, address: settings.listen.peerAddress};
+  const membership = new Membership({self, store, clock, random});
+  const keys = new KeyRing(settings.peers.keys);
+  const link = new PeerLink({
+    identity: {id, zone},
+    network: peerNetwork,
+    keys,
+    clock,
+    logger,
+    metrics,
+  });
+  const shareKeeper = new ShareKeeper(clock);
+  const shares = new ShareClient({
+    link,
+    membership,
+    keeper: shareKeeper,
+    clock,
+    random,
+    getWorkspace: name => holder.getCurrent()?.getWorkspace(name),
+  });
+
+  const groups = new GroupDirectory(clock, logger, {
+    instanceId: id,
+    subsetSize: settings.limits.upstreamSubset,
+    getInstanceCount: () => membership.getLiveCount(),
+  });
+  const poller = new LoadPoller(groups, client, clock, random);
+  const runnerParts = {
+    client,
+    clock,
+    selector: createSelector(settings.policy.selector, random),
+    metrics,
+    logger,
+  };
+
+  const claimedCalls = new ClaimedCalls({
+    claims: new ClaimStore(store, clock),
+    clock,
+    askOutcome: (claim, waitMs) => askOutcome(claim, waitMs, membership, link),
+    recordUnknown: ({record}) =>
+      logger.logEvent('claim.unknown', {requestId: record.requestId}),
+  });
+
+  const peerRequests = new PeerRequests({
+    holder,
+    follower,
+    membership,
+    shareKeeper,
+    claimedCalls,
+    decisionLog,
+  });
+  link.setRequestHandler(request => peerRequests.answerRequest(request));
+  const exchange = new RevisionExchange({
+    link,
+    membership,
+    clock,
+    random,
+    seeds: settings.peers.seeds,
+    getRevision: () => peerRequests.getRevision(),
+    refresh: () => follower.refresh(),
+    offerSnapshot: (snapshot, source) => {
+      const outcome = holder.offerSnapshot(snapshot, source);
+      if (outcome === 'in-force') logger.logEvent('config.from-peer', {source});
+    },
+  });
+
+  const applyConfiguration = () => {
+    const current = holder.getCurrent();
+    if (!current) return;
+    groups.setConfiguration(current.listPools(), current.listServices());
+  };
+  holder.addListener(applyConfiguration);
+  membership.addListener(applyConfiguration);
+  followLeavingUpstreams(instanceList, groups);
+  watchHub.addSubscription(follower);
+  watchHub.addSubscription(instanceList);
+  watchHub.addSubscription(membership);
+
+  const gate = new RequestGate(lifecycle, holder, shares);
+  const front = new Front({
+    clock,
+    logger,
+    lifecycle,
+    requestIds: new RequestIds(id, clock.getNow(), random),
+    endpoints: [
+      new PipelineEndpoint({
+        clock,
+        gate,
+        runner: new PipelineRunner(groups, runnerParts),
+        decisionLog,
+        metrics,
+        jsonDepth: settings.limits.jsonDepth,
+      }),
+      new ServiceEndpoint({
+        clock,
+        instanceId: id,
+        gate,
+        runner: new ServiceRunner(groups, runnerParts),
+        claimedCalls,
+        decisionLog,
+        metrics,
+      }),
+      new ProbeEndpoint(lifecycle, metrics),
+      new OperatorEndpoint({
+        store,
+        holder,
+        follower,
+        publisher,
+        logger,
+        status: new StatusReader({
+          membership,
+          lifecycle,
+          holder,
+          follower,
+          groups,
+          metrics,
+        }),
+        why: new WhyReader(decisionLog, membership, link),
+        keys: settings.operators.keys,
+        jsonDepth: settings.limits.jsonDepth,
+      }),
+    ],
+  });
+
+  metrics.setGauge('hollowstack_configuration_revision', {}, () =>
+    holder.getRevision(),
+  );
+  metrics.setGauge('hollowstack_requests_in_progress', {}, () =>
+    lifecycle.getInProgress(),
+  );
+  metrics.setGauge('hollowstack_store_calls', {}, () => store.getCallCount());
+  metrics.setGauge('hollowstack_store_calls_refused', {}, () =>
+    store.getRefusedCount(),
+  );
+
+  return new Daemon({
+    settings,
+    environment,
+    lifecycle,
+    holder,
+    follower,
+    watchHub,
+    instanceList,
+    membership,
+    link,
+    keys,
+    exchange,
+    shares,
+    poller,
+    claimedCalls,
+    front,
+  });
+}
+
+const LINK_MARGIN_MS = 200;
+
+async function askOutcome(
+  claim: HeldClaim,
+  waitMs: number,
+  membership: Membership,
+  link: PeerLink,
+): Promise<CallOutcome | undefined> {
+  const {key, record} = claim;
+  const peer = membership.findPeer(record.instance);
+  if (!peer) return undefined;
+  const reply = await link
+    .sendRequest(
+      peer.address,
+      {type: 'outcome', claimKey: key, requestId: record.requestId, waitMs},
+      waitMs + LINK_MARGIN_MS,
+    )
+    .catch((): undefined => undefined);
+  return reply?.type === 'outcome' ? reply.outcome : undefined;
+}
--- /dev/null
+++ b/packages/entry/src/daemon.ts
@@ -0,0 +1,141 @@
+import {waitFor, type Clock} from '@hollowstack/clock';
+import type {ClaimedCalls} from '@hollowstack/claims';
+import type {
+  ConfigurationFollower,
+  ConfigurationHolder,
+} from '@hollowstack/config-log';
+import type {EventLogger} from '@hollowstack/logger';
+import type {
+  KeyRing,
+  Membership,
+  PeerLink,
+  PeerNetwork,
+  RevisionExchange,
+  ShareClient,
+} from '@hollowstack/peers';
+import type {LoadPoller} from '@hollowstack/pipeline';
+import type {InstanceList, WatchHub} from '@hollowstack/platform';
+import type {
+  HttpClient,
+  HttpRequest,
+  HttpResponse,
+} from '@hollowstack/transport';
+import type {Front} from './front.ts';
+import type {Lifecycle} from './lifecycle.ts';
+import type {Settings} from './settings.ts';
+
+/** What a daemon needs of the world; tests pass their own. */
+export interface DaemonEnvironment {
+  readonly clock: Clock;
+  /** Towards upstreams and the platform's service. */
+  readonly client: HttpClient;
+  readonly peerNetwork: PeerNetwork;
+  readonly logger: EventLogger;
+  /** Returns numbers from 0 to below 1. */
+  readonly random: () => number;
+}
+
+/** The running parts of a daemon, in the order in which they start. */
+export interface DaemonParts {
+  readonly settings: Settings;
+  readonly environment: DaemonEnvironment;
+  readonly lifecycle: Lifecycle;
+  readonly holder: ConfigurationHolder;
+  readonly follower: ConfigurationFollower;
+  readonly watchHub: WatchHub;
+  readonly instanceList: InstanceList;
+  readonly membership: Membership;
+  readonly link: PeerLink;
+  readonly keys: KeyRing;
+  readonly exchange: RevisionExchange;
+  readonly shares: ShareClient;
+  readonly poller: LoadPoller;
+  readonly claimedCalls: ClaimedCalls;
+  readonly front: Front;
+}
+
+const START_POLL_MS = 50;
+
+/** One instance of the system. */
+export class Daemon {
+  readonly parts: DaemonParts;
+
+  constructor(parts: DaemonParts) {
+    this.parts = parts;
+  }
+
+  /** Answers one request of a caller, operator or probe. */
+  handle(request: HttpRequest): Promise<HttpResponse> {
+    return this.parts.front.handle(request);
+  }
+
+  /** Starts all parts and resolves once a configuration is in force. */
+  async start(): Promise<void> {
+    const {parts} = this;
+    const {clock, logger} = parts.environment;
+    logger.logEvent('entry.starting', {zone: parts.settings.instance.zone});
+    // Peers come before the service's word counts: after a restore of the
+    // service from a backup only they know the newest revision.
+    await parts.membership.refresh();
+    await parts.exchange.runRound();
+    void parts.watchHub.start();
+    void parts.follower.start();
+    void parts.instanceList.start();
+    void parts.membership.start();
+    void parts.exchange.start();
+    void parts.shares.start();
+    void parts.poller.start();
+    while (!parts.holder.getCurrent()) {
+      if (parts.lifecycle.getState() !== 'starting') return;
+      await waitFor(clock, START_POLL_MS);
+    }
+    if (parts.lifecycle.getState() !== 'starting') return;
+    parts.lifecycle.setState('ready');
+    logger.logEvent('entry.ready', {revision: parts.holder.getRevision()});
+  }
+
+  /**
+   * Stops without cutting a request: probes say so at once, requests are
+   * served while the balancer still sends them, and those in progress end.
+   *
+   * @returns Whether every request ended within the settings' time.
+   */
+  async drain(): Promise<boolean> {
+    const {environment, lifecycle, settings, claimedCalls} = this.parts;
+    const {clock, logger} = environment;
+    lifecycle.setState('draining');
+    logger.logEvent('entry.draining', {
+      inProgress: lifecycle.getInProgress(),
+    });
+    await waitFor(clock, settings.drain.graceMs);
+    lifecycle.setState('closing');
+    const isIdle = lifecycle
+      .waitForIdle()
+      .then(() => claimedCalls.waitForRecording())
+      .then(() => true);
+    const isLate = waitFor(clock, settings.drain.limitMs).then(() => false);
+    const isClean = await Promise.race([isIdle, isLate]);
+    if (!isClean) {
+      logger.logEvent('entry.drain-late', {
+        inProgress: lifecycle.getInProgress(),
+      });
+    }
+    await this.stop();
+    return isClean;
+  }
+
+  /** Stops every part at once. */
+  async stop(): Promise<void> {
+    const {parts} = this;
+    parts.lifecycle.setState('closing');
+    parts.poller.stop();
+    parts.shares.stop();
+    parts.exchange.stop();
+    parts.instanceList.stop();
+    parts.follower.stop();
+    parts.watchHub.stop();
+    parts.link.close();
+    await parts.membership.stop();
+    parts.environment.logger.logEvent('entry.stopped');
+  }
+}
--- /dev/null
+++ b/packages/entry/src/endpoint.ts
@@ -0,0 +1,20 @@
+import type {HttpRequest, HttpResponse} from '@hollowstack/transport';
+
+/** One request with what the front knows of it. */
+export interface FrontRequest {
+  readonly http: HttpRequest;
+  readonly requestId: string;
+  /** Parts of the path, decoded, without its query. */
+  readonly segments: readonly string[];
+  /** Milliseconds since the epoch. */
+  readonly arrivedAtMs: number;
+}
+
+/** Answers the requests below one path. */
+export abstract class Endpoint {
+  /** Returns whether the request is this endpoint's. */
+  abstract isFor(request: FrontRequest): boolean;
+
+  /** Answers the request. @throws HollowstackError that becomes a problem. */
+  abstract handle(request: FrontRequest): Promise<HttpResponse>;
+}
--- /dev/null
+++ b/packages/entry/src/operator-endpoint.ts
@@ -0,0 +1,149 @@
+import {createHash, timingSafeEqual} from 'node:crypto';
+import {
+  checkConfiguration,
+  readChangeRecords,
+  type ConfigurationFollower,
+  type ConfigurationHolder,
+  type ConfigurationPublisher,
+} from '@hollowstack/config-log';
+import {HollowstackError} from '@hollowstack/errors';
+import type {EventLogger} from '@hollowstack/logger';
+import type {PlatformStore} from '@hollowstack/platform';
+import {configObjectSchema} from '@hollowstack/types';
+import {createJsonResponse, type HttpResponse} from '@hollowstack/transport';
+import {z} from 'zod';
+import {Endpoint, type FrontRequest} from './endpoint.ts';
+import {readJsonBody} from './json-body.ts';
+import type {StatusReader} from './status-reader.ts';
+import type {WhyReader} from './why-reader.ts';
+
+/** What the endpoint works with. */
+export interface OperatorEndpointParts {
+  readonly store: PlatformStore;
+  readonly holder: ConfigurationHolder;
+  readonly follower: ConfigurationFollower;
+  readonly publisher: ConfigurationPublisher;
+  readonly logger: EventLogger;
+  readonly status: StatusReader;
+  readonly why: WhyReader;
+  /** Bearer tokens that are taken. */
+  readonly keys: readonly string[];
+  readonly jsonDepth: number;
+}
+
+const publishSchema = z.object({
+  changeId: z.string().min(8).max(64),
+  author: z.string().min(1),
+  baseRevision: z.number().int().nonnegative().optional(),
+  objects: z.array(configObjectSchema),
+  removals: z.array(z.string()).default([]),
+});
+
+const restoreSchema = z.object({
+  changeId: z.string().min(8).max(64),
+  author: z.string().min(1),
+});
+
+/** Serves operators' calls below `/v1/operator/`. */
+export class OperatorEndpoint extends Endpoint {
+  private readonly parts: OperatorEndpointParts;
+
+  constructor(parts: OperatorEndpointParts) {
+    super();
+    this.parts = parts;
+  }
+
+  isFor({segments}: FrontRequest): boolean {
+    return segments[0] === 'v1' && segments[1] === 'operator';
+  }
+
+  async handle(request: FrontRequest): Promise<HttpResponse> {
+    this.checkKey(request);
+    const call = [request.http.method, ...request.segments.slice(2, 4)];
+    switch (call.join(' ')) {
+      case 'GET configuration':
+        return createJsonResponse(200, this.getSnapshot());
+      case 'POST configuration':
+        return this.publish(request);
+      case 'POST check':
+        return this.check(request);
+      case 'POST restore':
+        return this.restore(request);
+      case 'GET history':
+        return createJsonResponse(200, {
+          changes: await readChangeRecords(this.parts.store),
+        });
+      case 'GET status':
+        return createJsonResponse(200, this.parts.status.readStatus());
+      case `GET why ${request.segments[3]}`:
+        return createJsonResponse(
+          200,
+          await this.parts.why.readWhy(request.segments[3]),
+        );
+      default:
+        throw new HollowstackError('not-found', 'no such operator call');
+    }
+  }
+
+  // Hashes of both are compared, so that neither length nor content can be
+  // told from the time it takes.
+  private checkKey(request: FrontRequest): void {
+    const header = request.http.headers.authorization ?? '';
+    const given = computeDigest(header.replace(/^Bearer /, ''));
+    const isKnown = this.parts.keys
+      .map(key => timingSafeEqual(computeDigest(key), given))
+      .includes(true);
+    if (!isKnown) {
+      throw new HollowstackError('unauthorized', 'operator key is not known');
+    }
+  }
+
+  private getSnapshot(): object {
+    const configuration = this.parts.holder.getCurrent();
+    if (configuration) return configuration.snapshot;
+    return {head: {revision: 0, changeId: '', objects: []}, objects: []};
+  }
+
+  private async check(request: FrontRequest): Promise<HttpResponse> {
+    const {objects} = readJsonBody(
+      request.http,
+      publishSchema,
+      this.parts.jsonDepth,
+    );
+    return createJsonResponse(200, {findings: checkConfiguration(objects)});
+  }
+
+  private async publish(request: FrontRequest): Promise<HttpResponse> {
+    const {holder, follower, publisher, logger, jsonDepth} = this.parts;
+    const body = readJsonBody(request.http, publishSchema, jsonDepth);
+    await follower.refresh();
+    const inForce = holder.getRevision();
+    const published = await publisher.publish(
+      {...body, baseRevision: body.baseRevision ?? inForce},
+      inForce,
+    );
+    logger.logEvent('config.published', {
+      revision: published.revision,
+      changeId: published.changeId,
+      author: body.author,
+    });
+    await follower.refresh();
+    return createJsonResponse(200, published);
+  }
+
+  private async restore(request: FrontRequest): Promise<HttpResponse> {
+    const {holder, follower, publisher, jsonDepth} = this.parts;
+    const body = readJsonBody(request.http, restoreSchema, jsonDepth);
+    const current = holder.getCurrent();
+    if (!current) {
+      throw new HollowstackError('not-ready', 'nothing is in force here');
+    }
+    const published = await publisher.restore(current.snapshot, body);
+    await follower.refresh();
+    return createJsonResponse(200, published);
+  }
+}
+
+function computeDigest(text: string): Buffer {
+  return createHash('sha256').update(text).digest();
+}
--- /dev/null
+++ b/packages/entry/src/peer-requests.ts
@@ -0,0 +1,103 @@
+import type {ClaimedCalls} from '@hollowstack/claims';
+import type {
+  ConfigurationFollower,
+  ConfigurationHolder,
+} from '@hollowstack/config-log';
+import type {DecisionLog} from '@hollowstack/decisions';
+import type {
+  Membership,
+  PeerReply,
+  PeerRequest,
+  ShareKeeper,
+} from '@hollowstack/peers';
+import {match} from 'ts-pattern';
+
+/** What peers' requests are answered from. */
+export interface PeerRequestParts {
+  readonly holder: ConfigurationHolder;
+  readonly follower: ConfigurationFollower;
+  readonly membership: Membership;
+  readonly shareKeeper: ShareKeeper;
+  readonly claimedCalls: ClaimedCalls;
+  readonly decisionLog: DecisionLog;
+}
+
+type RequestOf<Type extends PeerRequest['type']> = Extract<
+  PeerRequest,
+  {type: Type}
+>;
+
+/** Answers what peers ask. */
+export class PeerRequests {
+  private readonly parts: PeerRequestParts;
+
+  constructor(parts: PeerRequestParts) {
+    this.parts = parts;
+  }
+
+  async answerRequest(request: PeerRequest): Promise<PeerReply> {
+    return match(request)
+      .with({type: 'digest'}, digest => this.answerDigest(digest))
+      .with({type: 'snapshot'}, () => this.answerSnapshot())
+      .with({type: 'members'}, () => this.answerMembers())
+      .with({type: 'demand'}, demand => this.answerDemand(demand))
+      .with({type: 'outcome'}, asked => this.answerOutcome(asked))
+      .with({type: 'why'}, asked => this.answerWhy(asked))
+      .exhaustive();
+  }
+
+  /** Returns the revision in force and the change that made it. */
+  getRevision(): {revision: number; changeId: string} {
+    const current = this.parts.holder.getCurrent();
+    if (!current) return {revision: 0, changeId: ''};
+    const {revision, changeId} = current.snapshot.head;
+    return {revision, changeId};
+  }
+
+  private answerDigest(digest: RequestOf<'digest'>): PeerReply {
+    this.parts.membership.recordHeard(digest.self);
+    this.parts.follower.handleHint(digest.revision);
+    return {type: 'digest', ...this.getRevision()};
+  }
+
+  private answerSnapshot(): PeerReply {
+    const snapshot = this.parts.holder.getCurrent()?.snapshot;
+    return {type: 'snapshot', snapshot};
+  }
+
+  private answerMembers(): PeerReply {
+    const {membership} = this.parts;
+    const members = [membership.getSelf(), ...membership.listPeers()];
+    return {type: 'members', members};
+  }
+
+  private answerDemand(demand: RequestOf<'demand'>): PeerReply {
+    const workspace = this.parts.holder
+      .getCurrent()
+      ?.getWorkspace(demand.workspace);
+    if (!workspace) {
+      return {type: 'failed', message: `no workspace ${demand.workspace}`};
+    }
+    const share = this.parts.shareKeeper.grantShare(
+      demand.workspace,
+      demand.instance,
+      demand,
+      workspace.limits,
+    );
+    return {type: 'share', ...share};
+  }
+
+  private async answerOutcome(asked: RequestOf<'outcome'>): Promise<PeerReply> {
+    const {claimKey, requestId, waitMs} = asked;
+    const outcome = await this.parts.claimedCalls.findOutcome(
+      claimKey,
+      requestId,
+      waitMs,
+    );
+    return {type: 'outcome', outcome};
+  }
+
+  private answerWhy({requestId}: RequestOf<'why'>): PeerReply {
+    return {type: 'why', found: this.parts.decisionLog.getRequest(requestId)};
+  }
+}
--- /dev/null
+++ b/packages/entry/src/request-gate.ts
@@ -0,0 +1,72 @@
+import {HollowstackError} from '@hollowstack/errors';
+import type {Configuration, ConfigurationHolder} from '@hollowstack/config-log';
+import type {ShareClient} from '@hollowstack/peers';
+import type {Workspace} from '@hollowstack/types';
+import type {Lifecycle} from './lifecycle.ts';
+
+/** A request that was let in. */
+export interface AdmittedRequest {
+  /** The configuration the request keeps to its end. */
+  readonly configuration: Configuration;
+  readonly workspace: Workspace;
+  /** To be called when the request is over; further calls do nothing. */
+  end(): void;
+}
+
+/** Lets requests in: the instance must be ready and the workspace within its limits. */
+export class RequestGate {
+  private readonly lifecycle: Lifecycle;
+  private readonly holder: ConfigurationHolder;
+  private readonly shares: ShareClient;
+
+  constructor(
+    lifecycle: Lifecycle,
+    holder: ConfigurationHolder,
+    shares: ShareClient,
+  ) {
+    this.lifecycle = lifecycle;
+    this.holder = holder;
+    this.shares = shares;
+  }
+
+  /** @throws HollowstackError `not-ready`, `draining`, `not-found` or `workspace-limit`. */
+  admitRequest(workspaceName: string): AdmittedRequest {
+    const configuration = this.holder.getCurrent();
+    if (!configuration || this.lifecycle.getState() === 'starting') {
+      throw new HollowstackError('not-ready', 'no configuration is in force');
+    }
+    if (this.lifecycle.getState() === 'closing') {
+      throw new HollowstackError('draining', 'this instance is stopping');
+    }
+    const workspace = configuration.getWorkspace(workspaceName);
+    if (!workspace) {
+      throw new HollowstackError(
+        'not-found',
+        `no workspace ${workspaceName} in revision ${configuration.revision}`,
+      );
+    }
+    this.applyLimits(workspace);
+    let isEnded = false;
+    return {
+      configuration,
+      workspace,
+      end: () => {
+        if (!isEnded) this.shares.endRequest(workspace);
+        isEnded = true;
+      },
+    };
+  }
+
+  private applyLimits(workspace: Workspace): void {
+    const refusal = this.shares.beginRequest(workspace);
+    if (!refusal) return;
+    const waitMs = this.shares.getWaitMs(workspace);
+    throw new HollowstackError(
+      'workspace-limit',
+      refusal === 'requests-per-second'
+        ? `workspace ${workspace.name} is over limits.requestsPerSecond`
+        : `workspace ${workspace.name} is over limits.concurrentRequests`,
+      {retryAfterMs: Math.max(100, Math.ceil(waitMs))},
+    );
+  }
+}
--- /dev/null
+++ b/packages/entry/src/request-ids.ts
@@ -0,0 +1,23 @@
+const SEPARATOR = '.';
+
+/** Makes request ids that name their instance and are never made twice. */
+export class RequestIds {
+  private readonly prefix: string;
+  private nextNumber = 1;
+
+  /** @param startedAtMs Milliseconds since the epoch; sets a restarted instance's ids apart. */
+  constructor(instanceId: string, startedAtMs: number, random: () => number) {
+    const start = Math.floor(startedAtMs).toString(36);
+    const draw = Math.floor(random() * 36 ** 4).toString(36);
+    this.prefix = [instanceId, start + draw].join(SEPARATOR);
+  }
+
+  createId(): string {
+    return `${this.prefix}${SEPARATOR}${(this.nextNumber++).toString(36)}`;
+  }
+}
+
+/** Returns the id of the instance that a request id names. */
+export function getInstanceOfRequest(requestId: string): string {
+  return requestId.split(SEPARATOR)[0];
+}
--- /dev/null
+++ b/packages/entry/src/request-scope.ts
@@ -0,0 +1,83 @@
+import {createDeadlineSignal, type Clock} from '@hollowstack/clock';
+import type {DecisionLog} from '@hollowstack/decisions';
+import {
+  HollowstackError,
+  toHollowstackError,
+  type Ran,
+} from '@hollowstack/errors';
+import {RequestContext, type RequestIdentity} from '@hollowstack/pipeline';
+
+/** A context with what has to be let go of at its end. */
+export interface RequestScope {
+  readonly context: RequestContext;
+  release(): void;
+}
+
+/** Opens the context of a request: its deadline runs and its decisions are kept. */
+export function openRequestScope(
+  identity: RequestIdentity,
+  arrivedAtMs: number,
+  clock: Clock,
+  decisionLog: DecisionLog,
+  callerSignal: AbortSignal | undefined,
+): RequestScope {
+  const {requestId, workspace, target, deadlineMs} = identity;
+  const deadline = createDeadlineSignal(
+    clock,
+    deadlineMs - clock.getNow(),
+    () => new HollowstackError('deadline-exceeded', 'the deadline has passed'),
+    callerSignal,
+  );
+  const record = decisionLog.startRequest(
+    requestId,
+    workspace,
+    target,
+    arrivedAtMs,
+  );
+  const context = new RequestContext(identity, deadline.signal, clock, record);
+  return {context, release: () => deadline.release()};
+}
+
+/**
+ * Returns the error with the truth about whether the request ran: `no` only
+ * where no upstream may have begun any work of it.
+ *
+ * @param ranIfBegun What to say where one may have.
+ */
+export function settleError(
+  thrown: unknown,
+  context: RequestContext,
+  ranIfBegun: Ran,
+): HollowstackError {
+  const error = toHollowstackError(thrown);
+  const {kind, message, retryAfterMs} = error;
+  const ran = context.mayHaveRun() ? ranIfBegun : 'no';
+  context.recordDecision('answer', 'error', `${kind}, ran: ${ran}`, [message]);
+  return new HollowstackError(kind, message, {ran, retryAfterMs, cause: error});
+}
+
+const DEADLINE_HEADER = 'hollowstack-deadline-ms';
+
+/** Returns when a request must be answered; a caller may shorten the time, not lengthen it. */
+export function computeDeadlineMs(
+  arrivedAtMs: number,
+  allowedMs: number,
+  header: string | undefined,
+): number {
+  if (header === undefined) return arrivedAtMs + allowedMs;
+  const wantedMs = Number(header);
+  if (!Number.isFinite(wantedMs) || wantedMs <= 0) {
+    throw new HollowstackError(
+      'bad-request',
+      `${DEADLINE_HEADER}: write milliseconds as a number above 0`,
+    );
+  }
+  return arrivedAtMs + Math.min(allowedMs, wantedMs);
+}
+
+/** Returns the header by which a caller shortens its deadline. */
+export function getDeadlineHeader(
+  headers: Readonly<Record<string, string>>,
+): string | undefined {
+  return headers[DEADLINE_HEADER];
+}
--- /dev/null
+++ b/packages/entry/src/status-reader.ts
@@ -0,0 +1,92 @@
+import type {
+  ConfigurationFollower,
+  ConfigurationHolder,
+} from '@hollowstack/config-log';
+import type {LatencySummary, MetricsRegistry} from '@hollowstack/metrics';
+import type {Membership, PeerRecord} from '@hollowstack/peers';
+import type {GroupDirectory, UpstreamStatus} from '@hollowstack/pipeline';
+import type {Lifecycle, LifecycleState} from './lifecycle.ts';
+
+/** One instance as operators are shown it. */
+export interface InstanceStatus {
+  readonly instance: string;
+  readonly zone: string;
+  readonly state: LifecycleState;
+  readonly revision: number;
+  readonly isStoreDown: boolean;
+  readonly inProgress: number;
+  readonly peers: readonly PeerRecord[];
+  readonly groups: readonly GroupStatus[];
+  readonly latencies: readonly LatencyStatus[];
+}
+
+/** One pool or service as operators are shown it. */
+export interface GroupStatus {
+  readonly name: string;
+  /** Places this instance gives itself. */
+  readonly limit: number;
+  readonly inService: number;
+  readonly upstreams: readonly UpstreamStatus[];
+}
+
+/** Answered requests of one workspace, pipeline and class. */
+export interface LatencyStatus extends LatencySummary {
+  readonly workspace: string;
+  readonly pipeline: string;
+  readonly class: string;
+}
+
+/** What the reader reads from. */
+export interface StatusReaderParts {
+  readonly membership: Membership;
+  readonly lifecycle: Lifecycle;
+  readonly holder: ConfigurationHolder;
+  readonly follower: ConfigurationFollower;
+  readonly groups: GroupDirectory;
+  readonly metrics: MetricsRegistry;
+}
+
+/** Reads the state of this instance for the status command. */
+export class StatusReader {
+  private readonly parts: StatusReaderParts;
+
+  constructor(parts: StatusReaderParts) {
+    this.parts = parts;
+  }
+
+  readStatus(): InstanceStatus {
+    const {membership, lifecycle, holder, follower} = this.parts;
+    const {id, zone} = membership.getSelf();
+    return {
+      instance: id,
+      zone,
+      state: lifecycle.getState(),
+      revision: holder.getRevision(),
+      isStoreDown: follower.isStoreUnavailable(),
+      inProgress: lifecycle.getInProgress(),
+      peers: membership.listPeers(),
+      groups: this.listGroups(),
+      latencies: this.listLatencies(),
+    };
+  }
+
+  private listGroups(): GroupStatus[] {
+    return this.parts.groups.listGroups().map(group => ({
+      name: group.getSettings().name,
+      limit: group.places.getLimit(),
+      inService: group.places.total,
+      upstreams: group.listStatuses(),
+    }));
+  }
+
+  private listLatencies(): LatencyStatus[] {
+    return this.parts.metrics
+      .listHistograms('hollowstack_request_seconds')
+      .map(({labels, histogram}) => ({
+        workspace: labels.workspace,
+        pipeline: labels.pipeline,
+        class: labels.class,
+        ...histogram.getSummary(),
+      }));
+  }
+}
--- /dev/null
+++ b/packages/errors/src/kinds.ts
@@ -0,0 +1,31 @@
+/** Every kind of error that a caller or an operator can be answered with. */
+export const ERROR_KINDS = [
+  'bad-request',
+  'unauthorized',
+  'not-found',
+  'payload-too-large',
+  'key-reused',
+  'answer-not-kept',
+  'configuration-invalid',
+  'configuration-conflict',
+  'configuration-behind',
+  'workspace-limit',
+  'overloaded',
+  'deadline-unreachable',
+  'deadline-exceeded',
+  'draining',
+  'not-ready',
+  'store-unavailable',
+  'upstream-unavailable',
+  'upstream-failed',
+  'outcome-unknown',
+  'caller-gone',
+  'peer-refused',
+  'internal',
+] as const;
+
+/** One kind of the closed list. */
+export type ErrorKind = (typeof ERROR_KINDS)[number];
+
+/** Whether the request ran: `no` is only said where no work of it can have begun. */
+export type Ran = 'no' | 'yes' | 'unknown';
--- /dev/null
+++ b/packages/errors/src/problem.ts
@@ -0,0 +1,37 @@
+import type {HollowstackError} from './hollowstack-error.ts';
+import type {ErrorKind, Ran} from './kinds.ts';
+
+/** Problem details as of RFC 9457, with the fields that hollowstack adds. */
+export interface Problem {
+  readonly type: string;
+  readonly title: string;
+  readonly status: number;
+  readonly detail: string;
+  readonly kind: ErrorKind;
+  readonly ran: Ran;
+  readonly action: string;
+  readonly requestId: string;
+  /** Milliseconds after which to come back. */
+  readonly retryAfterMs?: number;
+}
+
+/** Creates the body of an error answer. */
+export function createProblem(
+  error: HollowstackError,
+  requestId: string,
+): Problem {
+  const answer = error.getAnswer();
+  return {
+    type: `urn:hollowstack:problem:${error.kind}`,
+    title: answer.title,
+    status: answer.status,
+    detail: error.message,
+    kind: error.kind,
+    ran: error.ran,
+    action: answer.action,
+    requestId,
+    ...(error.retryAfterMs === undefined
+      ? {}
+      : {retryAfterMs: error.retryAfterMs}),
+  };
+}
--- /dev/null
+++ b/packages/local-system/src/index.ts
@@ -0,0 +1,17 @@
+/** A whole system in one process: stand-ins and daemons over loopback or an in-memory network. */
+export {SystemNetwork, type NodeEnvironment} from './system-network.ts';
+export {LoopbackNetwork} from './loopback-network.ts';
+export {MemoryNetwork, type MemoryNetworkOptions} from './memory-network.ts';
+export {
+  LocalSystem,
+  type LocalInstance,
+  type LocalSystemOptions,
+  type LocalUpstream,
+} from './local-system.ts';
+export {
+  OPERATOR_KEY,
+  createSampleConfiguration,
+  type SampleUpstreams,
+} from './sample-configuration.ts';
+export {SystemCaller, type CallerAnswer} from './system-caller.ts';
+export {createSeededRandom} from './seeded-random.ts';
--- /dev/null
+++ b/packages/local-system/src/loopback-network.ts
@@ -0,0 +1,57 @@
+import {createServer} from 'node:net';
+import {SystemClock} from '@hollowstack/clock';
+import {TcpPeerNetwork} from '@hollowstack/peers';
+import {
+  NodeHttpClient,
+  NodeHttpServer,
+  type HttpHandler,
+} from '@hollowstack/transport';
+import {SystemNetwork, type NodeEnvironment} from './system-network.ts';
+
+const HOST = '127.0.0.1';
+
+/** Real sockets on the loopback interface and the system's clock. */
+export class LoopbackNetwork extends SystemNetwork {
+  private readonly clock = new SystemClock();
+  private readonly servers = new Map<string, NodeHttpServer>();
+  private readonly clients: NodeHttpClient[] = [];
+
+  createEnvironment(): NodeEnvironment {
+    const client = new NodeHttpClient();
+    this.clients.push(client);
+    return {clock: this.clock, client, peerNetwork: new TcpPeerNetwork()};
+  }
+
+  reserveAddress(): Promise<string> {
+    return new Promise((resolve, reject) => {
+      const server = createServer();
+      server.once('error', reject);
+      server.listen(0, HOST, () => {
+        const bound = server.address();
+        const port = typeof bound === 'object' ? bound?.port : undefined;
+        server.close(() => resolve(`${HOST}:${port}`));
+      });
+    });
+  }
+
+  async serve(
+    _name: string,
+    address: string,
+    handler: HttpHandler,
+  ): Promise<void> {
+    const server = new NodeHttpServer(handler);
+    await server.listen(HOST, Number(address.split(':')[1]));
+    this.servers.set(address, server);
+  }
+
+  async stopServing(address: string): Promise<void> {
+    await this.servers.get(address)?.close();
+    this.servers.delete(address);
+  }
+
+  async close(): Promise<void> {
+    for (const client of this.clients) client.close();
+    for (const server of this.servers.values()) server.closeAllConnections();
+    this.servers.clear();
+  }
+}
--- /dev/null
+++ b/packages/local-system/src/memory-peer-network.ts
@@ -0,0 +1,121 @@
+import {PeerNetwork, type PeerSocket} from '@hollowstack/peers';
+import type {MemoryNetwork} from './memory-network.ts';
+import type {NodeGate} from './node-gate.ts';
+
+/** Who takes peer streams at an address. */
+export interface PeerListener {
+  readonly name: string;
+  readonly gate: NodeGate;
+  readonly handleSocket: (socket: PeerSocket) => void;
+}
+
+/** Peer streams through the in-memory network. */
+export class MemoryPeerNetwork extends PeerNetwork {
+  private readonly network: MemoryNetwork;
+  private readonly name: string;
+  private readonly gate: NodeGate;
+  private address: string | undefined;
+
+  constructor(network: MemoryNetwork, name: string, gate: NodeGate) {
+    super();
+    this.network = network;
+    this.name = name;
+    this.gate = gate;
+  }
+
+  async listen(
+    address: string,
+    handleSocket: (socket: PeerSocket) => void,
+  ): Promise<string> {
+    this.address = address;
+    const {name, gate} = this;
+    this.network.setListener(address, {name, gate, handleSocket});
+    return address;
+  }
+
+  async connect(address: string): Promise<PeerSocket> {
+    await this.gate.waitUntilRunning();
+    const listener = this.network.findListener(address);
+    await this.network.waitLatency();
+    await this.gate.waitUntilRunning();
+    const isReachable =
+      listener &&
+      !listener.gate.isDead() &&
+      !this.network.isCut(this.name, listener.name);
+    if (!isReachable) throw new Error(`${address} refuses connections`);
+    const near = new MemoryPeerSocket(this.network, this.name, this.gate);
+    const far = new MemoryPeerSocket(
+      this.network,
+      listener.name,
+      listener.gate,
+    );
+    near.join(far);
+    far.join(near);
+    listener.gate.deliver(() => listener.handleSocket(far));
+    return near;
+  }
+
+  close(): void {
+    if (this.address) this.network.setListener(this.address, undefined);
+  }
+}
+
+class MemoryPeerSocket implements PeerSocket {
+  private readonly network: MemoryNetwork;
+  private readonly name: string;
+  private readonly gate: NodeGate;
+  private other: MemoryPeerSocket | undefined;
+  private handleData: (bytes: Uint8Array) => void = () => {};
+  private handleClose: () => void = () => {};
+  private isClosed = false;
+  // Bytes of one stream keep their order whatever the latencies are.
+  private lastDelivery: Promise<void> = Promise.resolve();
+
+  constructor(network: MemoryNetwork, name: string, gate: NodeGate) {
+    this.network = network;
+    this.name = name;
+    this.gate = gate;
+    gate.addDeathListener(() => this.close());
+  }
+
+  join(other: MemoryPeerSocket): void {
+    this.other = other;
+  }
+
+  send(bytes: Uint8Array): void {
+    if (this.isClosed || !this.other) return;
+    const {other} = this;
+    if (this.network.isCut(this.name, other.name)) {
+      this.close();
+      return;
+    }
+    const way = this.network.waitLatency();
+    this.lastDelivery = this.lastDelivery.then(async () => {
+      await way;
+      other.handleBytes(bytes);
+    });
+  }
+
+  setDataHandler(handleData: (bytes: Uint8Array) => void): void {
+    this.handleData = handleData;
+  }
+
+  setCloseHandler(handleClose: () => void): void {
+    this.handleClose = handleClose;
+  }
+
+  close(): void {
+    if (this.isClosed) return;
+    this.isClosed = true;
+    this.gate.deliver(() => this.handleClose());
+    const {other} = this;
+    void this.network.waitLatency().then(() => other?.close());
+  }
+
+  private handleBytes(bytes: Uint8Array): void {
+    if (this.isClosed) return;
+    this.gate.deliver(() => {
+      if (!this.isClosed) this.handleData(bytes);
+    });
+  }
+}
--- /dev/null
+++ b/packages/metrics/src/latency-histogram.ts
@@ -0,0 +1,58 @@
+import {build, type Histogram} from 'hdr-histogram-js';
+
+// Microseconds up to ten minutes at two significant digits: 1 % error in a few
+// kilobytes, so that a histogram per workspace and class stays affordable.
+const HIGHEST_MICROSECONDS = 600_000_000;
+
+/** Percentiles of a histogram, in milliseconds. */
+export interface LatencySummary {
+  readonly count: number;
+  readonly meanMs: number;
+  readonly p50Ms: number;
+  readonly p95Ms: number;
+  readonly p99Ms: number;
+  readonly maxMs: number;
+}
+
+/** A histogram of durations given and returned in milliseconds. */
+export class LatencyHistogram {
+  private readonly histogram: Histogram = build({
+    bitBucketSize: 'packed',
+    autoResize: true,
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: 2,
+    numberOfSignificantValueDigits: 2,
+  });
+  private sumMs = 0;
+
+  /** Adds one duration in milliseconds. */
+  recordMs(durationMs: number): void {
+    const microseconds = Math.round(Math.max(0, durationMs) * 1000);
+    this.histogram.recordValue(Math.min(microseconds, HIGHEST_MICROSECONDS));
+    this.sumMs += durationMs;
+  }
+
+  /** Returns the duration in milliseconds below which `percent` of the values lie. */
+  getPercentileMs(percent: number): number {
+    return this.histogram.getValueAtPercentile(percent) / 1000;
+  }
+
+  getCount(): number {
+    return this.histogram.totalCount;
+  }
+
+  getSumMs(): number {
+    return this.sumMs;
+  }
+
+  getSummary(): LatencySummary {
+    return {
+      count: this.getCount(),
+      meanMs: this.getCount() === 0 ? 0 : this.sumMs / this.getCount(),
+      p50Ms: this.getPercentileMs(50),
+      p95Ms: this.getPercentileMs(95),
+      p99Ms: this.getPercentileMs(99),
+      maxMs: this.getPercentileMs(100),
+    };
+  }
+}
--- /dev/null
+++ b/packages/peers/src/frames.ts
@@ -0,0 +1,75 @@
+/** Largest frame that an authenticated peer may send, in bytes. */
+export const MAX_FRAME_BYTES = 8 * 1024 * 1024;
+const LENGTH_BYTES = 4;
+
+/** A frame that cannot be taken. */
+export class FrameError extends Error {
+  constructor(message: string) {
+    super(message);
+    this.name = 'FrameError';
+  }
+}
+
+/** Encodes a frame: its length in four bytes, the highest first, then the payload. */
+export function encodeFrame(payload: Uint8Array): Buffer {
+  const frame = Buffer.allocUnsafe(LENGTH_BYTES + payload.length);
+  frame.writeUInt32BE(payload.length, 0);
+  frame.set(payload, LENGTH_BYTES);
+  return frame;
+}
+
+/** Cuts a byte stream into frames. */
+export class FrameDecoder {
+  private chunks: Buffer[] = [];
+  private length = 0;
+  private maxBytes: number;
+
+  /** @param maxBytes Largest payload that is taken. */
+  constructor(maxBytes: number) {
+    this.maxBytes = maxBytes;
+  }
+
+  setMaxBytes(maxBytes: number): void {
+    this.maxBytes = maxBytes;
+  }
+
+  /**
+   * Takes bytes in and returns the payloads that are whole.
+   *
+   * @throws FrameError for a frame over the limit.
+   */
+  addBytes(bytes: Uint8Array): Buffer[] {
+    this.chunks.push(Buffer.from(bytes));
+    this.length += bytes.length;
+    const payloads: Buffer[] = [];
+    while (this.length >= LENGTH_BYTES) {
+      const size = this.getNextSize();
+      if (this.length < LENGTH_BYTES + size) break;
+      const frame = this.takeBytes(LENGTH_BYTES + size);
+      payloads.push(frame.subarray(LENGTH_BYTES));
+    }
+    return payloads;
+  }
+
+  private getNextSize(): number {
+    if (this.chunks[0].length < LENGTH_BYTES) this.joinChunks();
+    const size = this.chunks[0].readUInt32BE(0);
+    if (size > this.maxBytes) {
+      throw new FrameError(`frame of ${size} bytes is over ${this.maxBytes}`);
+    }
+    return size;
+  }
+
+  private takeBytes(count: number): Buffer {
+    if (this.chunks[0].length < count) this.joinChunks();
+    const taken = this.chunks[0].subarray(0, count);
+    this.chunks[0] = this.chunks[0].subarray(count);
+    this.length -= count;
+    if (this.chunks[0].length === 0) this.chunks.shift();
+    return taken;
+  }
+
+  private joinChunks(): void {
+    this.chunks = [Buffer.concat(this.chunks)];
+  }
+}
--- /dev/null
+++ b/packages/peers/src/membership.ts
@@ -0,0 +1,165 @@
+import {waitFor, type Clock} from '@hollowstack/clock';
+import {
+  createPrefixRange,
+  type KeyRange,
+  type PlatformStore,
+  type WatchEvent,
+  type WatchSubscription,
+} from '@hollowstack/platform';
+import {peerRecordSchema, type PeerRecord} from './messages.ts';
+
+/** Prefix of the instances that have registered themselves. */
+export const PEER_PREFIX = 'hollowstack/instances/';
+
+const LEASE_MS = 30_000;
+const RENEW_MS = 10_000;
+const RETRY_MS = 2000;
+/** Milliseconds for which a peer counts as live after it was heard of directly. */
+const HEARD_MS = 15_000;
+
+/** What membership works with. */
+export interface MembershipParts {
+  readonly self: PeerRecord;
+  readonly store: PlatformStore;
+  readonly clock: Clock;
+  readonly random: () => number;
+}
+
+/**
+ * Who the live instances are: those registered in the platform's service and
+ * those heard of directly, so that an outage of the service hides nobody.
+ */
+export class Membership implements WatchSubscription {
+  readonly range: KeyRange = createPrefixRange(PEER_PREFIX);
+  private readonly parts: MembershipParts;
+  private readonly registered = new Map<string, PeerRecord>();
+  private readonly heard = new Map<
+    string,
+    {record: PeerRecord; atMs: number}
+  >();
+  private readonly listeners: Array<() => void> = [];
+  private readonly controller = new AbortController();
+  private leaseId: string | undefined;
+
+  constructor(parts: MembershipParts) {
+    this.parts = parts;
+  }
+
+  getSelf(): PeerRecord {
+    return this.parts.self;
+  }
+
+  /** Returns the live peers, this instance left out. */
+  listPeers(): PeerRecord[] {
+    const peers = new Map(this.registered);
+    const freshMs = this.parts.clock.getNow() - HEARD_MS;
+    for (const [id, {record, atMs}] of this.heard) {
+      if (atMs >= freshMs) peers.set(id, record);
+    }
+    peers.delete(this.parts.self.id);
+    return [...peers.values()];
+  }
+
+  /** Returns how many instances are live, this one counted. */
+  getLiveCount(): number {
+    return this.listPeers().length + 1;
+  }
+
+  findPeer(id: string): PeerRecord | undefined {
+    return this.listPeers().find(peer => peer.id === id);
+  }
+
+  /** Notes that a peer was heard of just now. */
+  recordHeard(record: PeerRecord): void {
+    const isNew = !this.heard.has(record.id) && !this.registered.has(record.id);
+    this.heard.set(record.id, {record, atMs: this.parts.clock.getNow()});
+    if (isNew) this.callListeners();
+  }
+
+  /** Notes that a peer does not answer; the list alone decides about it again. */
+  recordUnreachable(id: string): void {
+    this.heard.delete(id);
+  }
+
+  /** Adds a function that is called after each change. */
+  addListener(listener: () => void): void {
+    this.listeners.push(listener);
+  }
+
+  /** Registers this instance and renews it until stopped. */
+  async start(): Promise<void> {
+    const {clock, random} = this.parts;
+    const {signal} = this.controller;
+    while (!signal.aborted) {
+      const isRegistered = await this.renew().catch(() => false);
+      const delayMs = isRegistered ? RENEW_MS : RETRY_MS;
+      await waitFor(clock, delayMs * (0.75 + random() / 2), signal).catch(
+        () => {},
+      );
+    }
+  }
+
+  /** Stops renewing and takes this instance off the list. */
+  async stop(): Promise<void> {
+    this.controller.abort(new Error('stopped'));
+    if (this.leaseId === undefined) return;
+    await this.parts.store.revokeLease(this.leaseId).catch(() => {});
+  }
+
+  handleEvents(events: readonly WatchEvent[]): void {
+    for (const event of events) {
+      const id = event.key.slice(PEER_PREFIX.length);
+      if (event.type === 'delete') this.registered.delete(id);
+      else this.setRegistered(id, event.value);
+    }
+    this.callListeners();
+  }
+
+  handleResync(): void {
+    void this.refresh();
+  }
+
+  /** Reads the whole list; an outage leaves the last one standing. */
+  async refresh(): Promise<void> {
+    const found = await this.parts.store
+      .readRange(this.range)
+      .catch(() => undefined);
+    if (!found) return;
+    this.registered.clear();
+    for (const {key, value} of found.keyValues) {
+      this.setRegistered(key.slice(PEER_PREFIX.length), value);
+    }
+    this.callListeners();
+  }
+
+  private async renew(): Promise<boolean> {
+    const {store, self} = this.parts;
+    if (this.leaseId !== undefined && (await store.renewLease(this.leaseId))) {
+      return true;
+    }
+    this.leaseId = undefined;
+    const lease = await store.grantLease(LEASE_MS);
+    await store.runTransaction({
+      comparisons: [],
+      onSuccess: [
+        {
+          type: 'put',
+          key: PEER_PREFIX + self.id,
+          value: JSON.stringify(self),
+          leaseId: lease.id,
+        },
+      ],
+    });
+    this.leaseId = lease.id;
+    return true;
+  }
+
+  private setRegistered(id: string, value: string): void {
+    const record = peerRecordSchema.safeParse(JSON.parse(value));
+    if (record.success) this.registered.set(id, record.data);
+  }
+
+  private callListeners(): void {
+    for (const listener of this.listeners) listener();
+  }
+}
--- /dev/null
+++ b/packages/peers/src/messages.ts
@@ -0,0 +1,115 @@
+import {
+  callOutcomeSchema,
+  configurationSnapshotSchema,
+  decisionSchema,
+} from '@hollowstack/types';
+import {z} from 'zod';
+
+const peerRecordSchema = z.object({
+  id: z.string(),
+  /** Address of the peer link. */
+  address: z.string(),
+  zone: z.string(),
+});
+/** One instance as its peers know it. */
+export type PeerRecord = z.infer<typeof peerRecordSchema>;
+export {peerRecordSchema};
+
+/** What one instance asks another. */
+export const peerRequestSchema = z.discriminatedUnion('type', [
+  z.object({
+    type: z.literal('digest'),
+    self: peerRecordSchema,
+    revision: z.number(),
+    changeId: z.string(),
+  }),
+  z.object({type: z.literal('snapshot')}),
+  z.object({type: z.literal('members')}),
+  z.object({
+    type: z.literal('demand'),
+    instance: z.string(),
+    workspace: z.string(),
+    requestsPerSecond: z.number(),
+    inFlight: z.number(),
+  }),
+  z.object({
+    type: z.literal('outcome'),
+    claimKey: z.string(),
+    requestId: z.string(),
+    /** Milliseconds that the asked instance may wait for the call's end. */
+    waitMs: z.number(),
+  }),
+  z.object({type: z.literal('why'), requestId: z.string()}),
+]);
+/** What one instance asks another. */
+export type PeerRequest = z.infer<typeof peerRequestSchema>;
+
+/** What the other answers. */
+export const peerReplySchema = z.discriminatedUnion('type', [
+  z.object({
+    type: z.literal('digest'),
+    revision: z.number(),
+    changeId: z.string(),
+  }),
+  z.object({
+    type: z.literal('snapshot'),
+    snapshot: configurationSnapshotSchema.optional(),
+  }),
+  z.object({type: z.literal('members'), members: z.array(peerRecordSchema)}),
+  z.object({
+    type: z.literal('share'),
+    requestsPerSecond: z.number(),
+    concurrentRequests: z.number(),
+  }),
+  z.object({
+    type: z.literal('outcome'),
+    /** Undefined where the instance knows nothing of the call. */
+    outcome: callOutcomeSchema.optional(),
+  }),
+  z.object({
+    type: z.literal('why'),
+    found: z
+      .object({
+        requestId: z.string(),
+        workspace: z.string(),
+        target: z.string(),
+        arrivedAtMs: z.number(),
+        decisions: z.array(decisionSchema),
+      })
+      .optional(),
+  }),
+  z.object({type: z.literal('failed'), message: z.string()}),
+]);
+/** What the other answers. */
+export type PeerReply = z.infer<typeof peerReplySchema>;
+
+/** The first frames of a stream, before either side trusts the other. */
+export const handshakeSchema = z.discriminatedUnion('type', [
+  z.object({
+    type: z.literal('hello'),
+    keyId: z.string().max(64),
+    instance: z.string().max(64),
+    nonce: z.string().length(32),
+  }),
+  z.object({
+    type: z.literal('welcome'),
+    instance: z.string().max(64),
+    nonce: z.string().length(32),
+    proof: z.string().length(64),
+  }),
+  z.object({type: z.literal('proof'), proof: z.string().length(64)}),
+]);
+/** One frame of the handshake. */
+export type Handshake = z.infer<typeof handshakeSchema>;
+
+/** A frame of an open stream. */
+export const envelopeSchema = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('request'),
+    id: z.number(),
+    request: peerRequestSchema,
+  }),
+  z.object({kind: z.literal('reply'), id: z.number(), reply: peerReplySchema}),
+]);
+/** A frame of an open stream. */
+export type Envelope = z.infer<typeof envelopeSchema>;
--- /dev/null
+++ b/packages/peers/src/revision-exchange.ts
@@ -0,0 +1,138 @@
+import {waitFor, type Clock} from '@hollowstack/clock';
+import type {ConfigurationSnapshot} from '@hollowstack/types';
+import type {Membership} from './membership.ts';
+import type {PeerRecord, PeerReply} from './messages.ts';
+import type {PeerLink} from './peer-link.ts';
+
+/** What the exchange works with. */
+export interface RevisionExchangeParts {
+  readonly link: PeerLink;
+  readonly membership: Membership;
+  readonly clock: Clock;
+  readonly random: () => number;
+  /** Addresses to ask where no peer is known yet. */
+  readonly seeds: readonly string[];
+  /** Returns the revision in force and the change that made it. */
+  readonly getRevision: () => {revision: number; changeId: string};
+  /** Called where a peer has a newer revision, to read it from the service. */
+  readonly refresh: () => Promise<void>;
+  readonly offerSnapshot: (
+    snapshot: ConfigurationSnapshot,
+    source: string,
+  ) => void;
+}
+
+const ROUND_MS = 1000;
+/** Peers asked in a round: the cost of an instance does not grow with the fleet. */
+const FAN_OUT = 3;
+const TIMEOUT_MS = 1500;
+
+/** Tells a few peers a second which revision is in force, and learns of newer ones. */
+export class RevisionExchange {
+  private readonly parts: RevisionExchangeParts;
+  private readonly controller = new AbortController();
+
+  constructor(parts: RevisionExchangeParts) {
+    this.parts = parts;
+  }
+
+  /** Exchanges until stopped. */
+  async start(): Promise<void> {
+    const {clock, random} = this.parts;
+    const {signal} = this.controller;
+    while (!signal.aborted) {
+      await this.runRound();
+      const delayMs = ROUND_MS * (0.75 + random() / 2);
+      await waitFor(clock, delayMs, signal).catch(() => {});
+    }
+  }
+
+  stop(): void {
+    this.controller.abort(new Error('stopped'));
+  }
+
+  /** Asks a few peers once; the daemon does so before it is ready. */
+  async runRound(): Promise<void> {
+    const addresses = this.choosePeers();
+    await Promise.all(addresses.map(address => this.exchangeWith(address)));
+  }
+
+  private choosePeers(): string[] {
+    const {membership, seeds, random} = this.parts;
+    const peers = membership.listPeers();
+    if (peers.length === 0) return [...seeds].slice(0, FAN_OUT);
+    return choosePeersOverZones(peers, FAN_OUT, random).map(
+      ({address}) => address,
+    );
+  }
+
+  private async exchangeWith(address: string): Promise<void> {
+    const {link, membership, getRevision} = this.parts;
+    const reply = await link
+      .sendRequest(
+        address,
+        {type: 'digest', self: membership.getSelf(), ...getRevision()},
+        TIMEOUT_MS,
+      )
+      .catch((): undefined => undefined);
+    if (reply?.type !== 'digest') {
+      this.recordUnreachable(address);
+      return;
+    }
+    if (reply.revision > getRevision().revision) await this.followPeer(address);
+    if (membership.listPeers().length === 0) await this.askMembers(address);
+  }
+
+  // The service comes first, since it holds the truth; the peer's copy serves
+  // where the service is down or behind.
+  private async followPeer(address: string): Promise<void> {
+    const {link, refresh, getRevision, offerSnapshot} = this.parts;
+    const before = getRevision().revision;
+    await refresh();
+    if (getRevision().revision > before) return;
+    const reply = await link
+      .sendRequest(address, {type: 'snapshot'}, TIMEOUT_MS)
+      .catch((): undefined => undefined);
+    if (reply?.type !== 'snapshot' || !reply.snapshot) return;
+    offerSnapshot(reply.snapshot, `peer ${address}`);
+  }
+
+  private async askMembers(address: string): Promise<void> {
+    const {link, membership} = this.parts;
+    const reply: PeerReply | undefined = await link
+      .sendRequest(address, {type: 'members'}, TIMEOUT_MS)
+      .catch((): undefined => undefined);
+    if (reply?.type !== 'members') return;
+    for (const member of reply.members) membership.recordHeard(member);
+  }
+
+  private recordUnreachable(address: string): void {
+    const {membership} = this.parts;
+    const peer = membership
+      .listPeers()
+      .find(candidate => candidate.address === address);
+    if (peer) membership.recordUnreachable(peer.id);
+  }
+}
+
+/** Chooses peers at random, each failure domain in its turn. */
+export function choosePeersOverZones(
+  peers: readonly PeerRecord[],
+  count: number,
+  random: () => number,
+): PeerRecord[] {
+  const shuffled = peers
+    .map(peer => ({peer, draw: random()}))
+    .sort((left, right) => left.draw - right.draw)
+    .map(({peer}) => peer);
+  const chosen: PeerRecord[] = [];
+  const usedZones = new Set<string>();
+  for (const peer of shuffled) {
+    if (chosen.length === count) return chosen;
+    if (usedZones.has(peer.zone)) continue;
+    usedZones.add(peer.zone);
+    chosen.push(peer);
+  }
+  const rest = shuffled.filter(peer => !chosen.includes(peer));
+  return [...chosen, ...rest].slice(0, count);
+}
--- /dev/null
+++ b/packages/peers/src/share-client.ts
@@ -0,0 +1,218 @@
+import {waitFor, type Clock} from '@hollowstack/clock';
+import {listByRendezvous} from '@hollowstack/routing';
+import type {Workspace} from '@hollowstack/types';
+import {TokenBucket} from '@hollowstack/token-bucket';
+import type {Membership} from './membership.ts';
+import type {PeerLink} from './peer-link.ts';
+import type {GrantedShare, ShareKeeper} from './share-keeper.ts';
+
+/** What the client works with. */
+export interface ShareClientParts {
+  readonly link: PeerLink;
+  readonly membership: Membership;
+  readonly keeper: ShareKeeper;
+  readonly clock: Clock;
+  readonly random: () => number;
+  readonly getWorkspace: (name: string) => Workspace | undefined;
+}
+
+/** What this instance has of one workspace's limits now. */
+export interface WorkspaceShare extends GrantedShare {
+  /** Requests of the workspace in progress here. */
+  readonly inFlight: number;
+}
+
+/** Why a request of a workspace may not begin. */
+export type ShareRefusal = 'requests-per-second' | 'concurrent-requests';
+
+interface WorkspaceUse {
+  readonly bucket: TokenBucket;
+  share: GrantedShare;
+  grantedAtMs: number;
+  inFlight: number;
+  peakInFlight: number;
+  /** Requests asked for since the last round, admitted or not. */
+  asked: number;
+  askedPerSecond: number;
+  lastAskedAtMs: number;
+}
+
+const ROUND_MS = 1000;
+const TIMEOUT_MS = 800;
+const SHARE_VALID_MS = 3500;
+const FORGET_MS = 10_000;
+/** What is asked for beyond the present use, so that a share can grow. */
+const HEADROOM = 1.25;
+
+/**
+ * Keeps this instance within its share of each workspace's limits. Which
+ * instance keeps a workspace's shares follows from its name and the live
+ * instances; where the keeper cannot be asked, an even part holds.
+ */
+export class ShareClient {
+  private readonly parts: ShareClientParts;
+  private readonly uses = new Map<string, WorkspaceUse>();
+  private readonly controller = new AbortController();
+
+  constructor(parts: ShareClientParts) {
+    this.parts = parts;
+  }
+
+  /** Takes a request in, or says which limit is used up. */
+  beginRequest(workspace: Workspace): ShareRefusal | undefined {
+    const use = this.getUse(workspace);
+    use.asked += 1;
+    use.lastAskedAtMs = this.parts.clock.getNow();
+    this.applyFallback(use, workspace);
+    if (use.inFlight + 1 > Math.max(1, use.share.concurrentRequests)) {
+      return 'concurrent-requests';
+    }
+    if (!use.bucket.acquire()) return 'requests-per-second';
+    use.inFlight += 1;
+    use.peakInFlight = Math.max(use.peakInFlight, use.inFlight);
+    return undefined;
+  }
+
+  /** A request that was taken in has ended. */
+  endRequest(workspace: Workspace): void {
+    this.getUse(workspace).inFlight -= 1;
+  }
+
+  getShare(workspace: string): WorkspaceShare | undefined {
+    const use = this.uses.get(workspace);
+    return use && {...use.share, inFlight: use.inFlight};
+  }
+
+  /** Returns milliseconds until the workspace's next request may begin. */
+  getWaitMs(workspace: Workspace): number {
+    return this.getUse(workspace).bucket.getWaitMs();
+  }
+
+  /** Reports demands and takes shares until stopped. */
+  async start(): Promise<void> {
+    const {clock, random} = this.parts;
+    const {signal} = this.controller;
+    while (!signal.aborted) {
+      const delayMs = ROUND_MS * (0.9 + random() / 5);
+      await waitFor(clock, delayMs, signal).catch(() => {});
+      if (!signal.aborted) await this.runRound(delayMs);
+    }
+  }
+
+  stop(): void {
+    this.controller.abort(new Error('stopped'));
+  }
+
+  private async runRound(elapsedMs: number): Promise<void> {
+    const nowMs = this.parts.clock.getNow();
+    const asking: Array<Promise<void>> = [];
+    for (const [name, use] of this.uses) {
+      use.askedPerSecond = (use.asked * 1000) / elapsedMs;
+      use.asked = 0;
+      const isIdle =
+        use.inFlight === 0 && nowMs - use.lastAskedAtMs > FORGET_MS;
+      if (isIdle) this.uses.delete(name);
+      else asking.push(this.askShare(name, use));
+    }
+    await Promise.all(asking);
+  }
+
+  private async askShare(name: string, use: WorkspaceUse): Promise<void> {
+    const workspace = this.parts.getWorkspace(name);
+    if (!workspace) return;
+    const demand = {
+      requestsPerSecond: use.askedPerSecond * HEADROOM,
+      inFlight: use.peakInFlight * HEADROOM,
+    };
+    use.peakInFlight = use.inFlight;
+    const share = await this.askKeeper(workspace, demand);
+    if (!share) return;
+    this.setShare(use, share);
+    use.grantedAtMs = this.parts.clock.getNow();
+  }
+
+  private async askKeeper(
+    workspace: Workspace,
+    demand: {requestsPerSecond: number; inFlight: number},
+  ): Promise<GrantedShare | undefined> {
+    const {link, membership, keeper} = this.parts;
+    const self = membership.getSelf();
+    const peers = membership.listPeers();
+    const ids = [self.id, ...peers.map(({id}) => id)];
+    const keeperId = listByRendezvous(workspace.name, ids)[0];
+    const address = peers.find(({id}) => id === keeperId)?.address;
+    if (address === undefined) {
+      return keeper.grantShare(
+        workspace.name,
+        self.id,
+        demand,
+        workspace.limits,
+      );
+    }
+    const reply = await link
+      .sendRequest(
+        address,
+        {
+          type: 'demand',
+          instance: self.id,
+          workspace: workspace.name,
+          ...demand,
+        },
+        TIMEOUT_MS,
+      )
+      .catch((): undefined => undefined);
+    return reply?.type === 'share' ? reply : undefined;
+  }
+
+  private getUse(workspace: Workspace): WorkspaceUse {
+    const known = this.uses.get(workspace.name);
+    if (known) return known;
+    const {clock} = this.parts;
+    const share = this.computeEvenPart(workspace);
+    const use: WorkspaceUse = {
+      bucket: new TokenBucket(
+        clock,
+        share.requestsPerSecond,
+        getBurst(share.requestsPerSecond),
+      ),
+      share,
+      grantedAtMs: clock.getNow(),
+      inFlight: 0,
+      peakInFlight: 0,
+      asked: 0,
+      askedPerSecond: 0,
+      lastAskedAtMs: clock.getNow(),
+    };
+    this.uses.set(workspace.name, use);
+    return use;
+  }
+
+  private applyFallback(use: WorkspaceUse, workspace: Workspace): void {
+    const ageMs = this.parts.clock.getNow() - use.grantedAtMs;
+    if (ageMs <= SHARE_VALID_MS) return;
+    this.setShare(use, this.computeEvenPart(workspace));
+    use.grantedAtMs = this.parts.clock.getNow();
+  }
+
+  private setShare(use: WorkspaceUse, share: GrantedShare): void {
+    use.share = share;
+    use.bucket.setRate(
+      share.requestsPerSecond,
+      getBurst(share.requestsPerSecond),
+    );
+  }
+
+  private computeEvenPart({limits}: Workspace): GrantedShare {
+    const count = this.parts.membership.getLiveCount();
+    return {
+      requestsPerSecond: limits.requestsPerSecond / count,
+      concurrentRequests: limits.concurrentRequests / count,
+    };
+  }
+}
+
+// Half a second's worth: enough for an uneven balancer, and small against what
+// a limit is there to keep off.
+function getBurst(requestsPerSecond: number): number {
+  return Math.max(1, requestsPerSecond / 2);
+}
--- /dev/null
+++ b/packages/peers/src/tcp-peer-network.ts
@@ -0,0 +1,85 @@
+import {
+  connect,
+  createServer,
+  type AddressInfo,
+  type Server,
+  type Socket,
+} from 'node:net';
+import {PeerNetwork, type PeerSocket} from './peer-network.ts';
+
+const CONNECT_TIMEOUT_MS = 1000;
+
+/** Streams over TCP. */
+export class TcpPeerNetwork extends PeerNetwork {
+  private server: Server | undefined;
+
+  listen(
+    address: string,
+    handleSocket: (socket: PeerSocket) => void,
+  ): Promise<string> {
+    const {host, port} = splitAddress(address);
+    const server = createServer({noDelay: true}, socket =>
+      handleSocket(new TcpPeerSocket(socket)),
+    );
+    this.server = server;
+    return new Promise((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(port, host, () => {
+        const bound = server.address() as AddressInfo;
+        resolve(`${host}:${bound.port}`);
+      });
+    });
+  }
+
+  connect(address: string): Promise<PeerSocket> {
+    const {host, port} = splitAddress(address);
+    return new Promise((resolve, reject) => {
+      const socket = connect({host, port, noDelay: true});
+      socket.setTimeout(CONNECT_TIMEOUT_MS, () =>
+        socket.destroy(new Error('connecting took too long')),
+      );
+      socket.once('error', reject);
+      socket.once('connect', () => {
+        socket.setTimeout(0);
+        socket.off('error', reject);
+        resolve(new TcpPeerSocket(socket));
+      });
+    });
+  }
+
+  close(): void {
+    this.server?.close();
+  }
+}
+
+class TcpPeerSocket implements PeerSocket {
+  private readonly socket: Socket;
+
+  constructor(socket: Socket) {
+    this.socket = socket;
+    // An error is followed by the close, which is what the link acts on.
+    socket.on('error', () => {});
+  }
+
+  send(bytes: Uint8Array): void {
+    if (this.socket.writable) this.socket.write(bytes);
+  }
+
+  setDataHandler(handleData: (bytes: Uint8Array) => void): void {
+    this.socket.on('data', handleData);
+  }
+
+  setCloseHandler(handleClose: () => void): void {
+    this.socket.once('close', handleClose);
+  }
+
+  close(): void {
+    this.socket.destroy();
+  }
+}
+
+function splitAddress(address: string): {host: string; port: number} {
+  const colon = address.lastIndexOf(':');
+  const host = address.slice(0, colon).replace(/^\[|\]$/g, '');
+  return {host, port: Number(address.slice(colon + 1))};
+}
--- /dev/null
+++ b/packages/pipeline/src/attempt.ts
@@ -0,0 +1,146 @@
+import type {Clock, Timer} from '@hollowstack/clock';
+import {
+  TransportError,
+  type HttpClient,
+  type HttpHeaders,
+  type HttpResponse,
+} from '@hollowstack/transport';
+import {AttemptError} from './attempt-error.ts';
+
+/** One call to an upstream, ready to be sent. */
+export interface UpstreamCall {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: HttpHeaders;
+  readonly body: Uint8Array;
+}
+
+/** Header that carries the attempt's id; an upstream that echoes it is checked. */
+export const ATTEMPT_ID_HEADER = 'x-attempt-id';
+/** Header that carries the request's id. */
+export const REQUEST_ID_HEADER = 'x-request-id';
+/** Header by which an upstream says that it did not run what it refuses. */
+const NOT_RUN_HEADER = 'x-not-run';
+
+const TOO_MANY_REQUESTS = 429;
+const SERVICE_UNAVAILABLE = 503;
+
+/** One attempt: sends a call and passes its answer on, unless the upstream falls silent. */
+export class Attempt {
+  private readonly client: HttpClient;
+  private readonly clock: Clock;
+  private readonly attemptId: string;
+  private readonly silenceMs: number;
+  private readonly controller = new AbortController();
+  private readonly parent: AbortSignal;
+  private readonly followParent = () =>
+    this.cancelAttempt('given-up', 'stopped');
+  private failure: AttemptError | undefined;
+  private lastByteAtMs: number;
+  private timer: Timer;
+
+  /**
+   * @param silenceMs Milliseconds without a byte after which to give up.
+   * @param parent Gives the attempt up when it aborts.
+   */
+  constructor(
+    client: HttpClient,
+    clock: Clock,
+    attemptId: string,
+    silenceMs: number,
+    parent: AbortSignal,
+  ) {
+    this.client = client;
+    this.clock = clock;
+    this.attemptId = attemptId;
+    this.silenceMs = silenceMs;
+    this.parent = parent;
+    this.lastByteAtMs = clock.getNow();
+    this.timer = this.scheduleCheck(silenceMs);
+    parent.addEventListener('abort', this.followParent, {once: true});
+    if (parent.aborted) this.followParent();
+  }
+
+  /** Sends the call; resolves with an answer whose body fails with AttemptError too. */
+  async send(address: string, call: UpstreamCall): Promise<HttpResponse> {
+    try {
+      const response = await this.client.send(address, {
+        ...call,
+        headers: {...call.headers, [ATTEMPT_ID_HEADER]: this.attemptId},
+        signal: this.controller.signal,
+      });
+      this.lastByteAtMs = this.clock.getNow();
+      this.checkHead(response);
+      return {...response, body: this.followBody(response.body)};
+    } catch (error) {
+      throw this.toAttemptError(error);
+    }
+  }
+
+  /** Ends the attempt; an answer still under way is cut off. */
+  close(): void {
+    this.timer.cancel();
+    this.parent.removeEventListener('abort', this.followParent);
+    this.controller.abort(new Error('attempt closed'));
+  }
+
+  private checkHead(response: HttpResponse): void {
+    const echo = response.headers[ATTEMPT_ID_HEADER];
+    if (echo !== undefined && echo !== this.attemptId) {
+      throw new AttemptError('crossed', `answer belongs to attempt ${echo}`);
+    }
+    const {status, headers} = response;
+    const isRefusal =
+      status === SERVICE_UNAVAILABLE || status === TOO_MANY_REQUESTS;
+    if (isRefusal && headers[NOT_RUN_HEADER] !== undefined) {
+      throw new AttemptError('not-run', `upstream refused with ${status}`);
+    }
+  }
+
+  private async *followBody(
+    body: AsyncIterable<Uint8Array>,
+  ): AsyncGenerator<Uint8Array> {
+    try {
+      for await (const chunk of body) {
+        if (this.failure) throw this.failure;
+        this.lastByteAtMs = this.clock.getNow();
+        yield chunk;
+      }
+    } catch (error) {
+      throw this.toAttemptError(error);
+    }
+    if (this.failure) throw this.failure;
+  }
+
+  // One timer per attempt that looks at the time of the last byte; one per
+  // chunk would cost more than the relay of the chunk itself.
+  private scheduleCheck(delayMs: number): Timer {
+    return this.clock.schedule(delayMs, () => {
+      const silentMs = this.clock.getNow() - this.lastByteAtMs;
+      if (silentMs >= this.silenceMs) {
+        this.cancelAttempt('silent', `no byte for ${Math.round(silentMs)} ms`);
+        return;
+      }
+      this.timer = this.scheduleCheck(this.silenceMs - silentMs);
+    });
+  }
+
+  private cancelAttempt(failure: 'silent' | 'given-up', message: string): void {
+    this.failure ??= new AttemptError(failure, message);
+    this.controller.abort(this.failure);
+  }
+
+  private toAttemptError(error: unknown): AttemptError {
+    const neverLeft =
+      error instanceof TransportError && error.progress === 'none';
+    if (neverLeft) {
+      const failure =
+        this.failure?.failure === 'given-up' ? 'given-up' : 'refused';
+      return new AttemptError(failure, error.message, error, true);
+    }
+    if (this.failure) return this.failure;
+    if (error instanceof AttemptError) return error;
+    const message = error instanceof Error ? error.message : String(error);
+    return new AttemptError('broken', message, error);
+  }
+}
--- /dev/null
+++ b/packages/pipeline/src/group-directory.ts
@@ -0,0 +1,116 @@
+import type {Clock} from '@hollowstack/clock';
+import type {EventLogger} from '@hollowstack/logger';
+import {
+  DEFAULT_HEALTH_POLICY,
+  chooseSubset,
+  type HealthPolicy,
+} from '@hollowstack/routing';
+import type {Pool, Service} from '@hollowstack/types';
+import {UpstreamGroup, type GroupSettings} from './upstream-group.ts';
+
+/** What the directory needs to know beside the configuration. */
+export interface GroupDirectoryOptions {
+  readonly instanceId: string;
+  /** Most upstreams of one pool that this instance uses. */
+  readonly subsetSize: number;
+  /** Returns how many instances are live, this one counted. */
+  readonly getInstanceCount: () => number;
+  readonly healthPolicy?: HealthPolicy;
+}
+
+/** All pools and services, by name; outlives each single configuration. */
+export class GroupDirectory {
+  private readonly clock: Clock;
+  private readonly logger: EventLogger;
+  private readonly options: GroupDirectoryOptions;
+  private readonly pools = new Map<string, UpstreamGroup>();
+  private readonly services = new Map<string, UpstreamGroup>();
+
+  constructor(
+    clock: Clock,
+    logger: EventLogger,
+    options: GroupDirectoryOptions,
+  ) {
+    this.clock = clock;
+    this.logger = logger;
+    this.options = options;
+  }
+
+  /** Takes the pools and services of a newer configuration. */
+  setConfiguration(pools: readonly Pool[], services: readonly Service[]): void {
+    this.setGroups(this.pools, pools.map(createPoolSettings));
+    this.setGroups(this.services, services.map(createServiceSettings));
+  }
+
+  getPool(name: string): UpstreamGroup | undefined {
+    return this.pools.get(name);
+  }
+
+  getService(name: string): UpstreamGroup | undefined {
+    return this.services.get(name);
+  }
+
+  listPools(): UpstreamGroup[] {
+    return [...this.pools.values()];
+  }
+
+  listGroups(): UpstreamGroup[] {
+    return [...this.pools.values(), ...this.services.values()];
+  }
+
+  private setGroups(
+    groups: Map<string, UpstreamGroup>,
+    wanted: readonly GroupSettings[],
+  ): void {
+    const names = new Set(wanted.map(({name}) => name));
+    for (const name of groups.keys()) {
+      if (!names.has(name)) groups.delete(name);
+    }
+    for (const settings of wanted) this.setGroup(groups, settings);
+  }
+
+  private setGroup(
+    groups: Map<string, UpstreamGroup>,
+    settings: GroupSettings,
+  ): void {
+    const {instanceId, subsetSize, getInstanceCount} = this.options;
+    const policy = this.options.healthPolicy ?? DEFAULT_HEALTH_POLICY;
+    const upstreams = chooseSubset(instanceId, settings.upstreams, subsetSize);
+    const own = {...settings, upstreams};
+    const known = groups.get(settings.name);
+    if (known) {
+      known.setSettings(own, getInstanceCount());
+      return;
+    }
+    groups.set(
+      settings.name,
+      new UpstreamGroup(
+        own,
+        getInstanceCount(),
+        this.clock,
+        this.logger,
+        policy,
+      ),
+    );
+  }
+}
+
+function createPoolSettings(pool: Pool): GroupSettings {
+  return {
+    name: pool.name,
+    upstreams: pool.upstreams,
+    slots: pool.concurrencyPerUpstream,
+    expectedMs: pool.expectedMs,
+    silenceMs: pool.silenceMs,
+  };
+}
+
+function createServiceSettings(service: Service): GroupSettings {
+  return {
+    name: service.name,
+    upstreams: service.upstreams,
+    slots: service.concurrencyPerUpstream,
+    expectedMs: service.expectedMs,
+    silenceMs: service.deadlineMs,
+  };
+}
--- /dev/null
+++ b/packages/pipeline/src/group-runner.ts
@@ -0,0 +1,397 @@
+import {judgeDeadline, judgeRetry} from '@hollowstack/admission';
+import type {Clock} from '@hollowstack/clock';
+import {HollowstackError} from '@hollowstack/errors';
+import type {EventLogger} from '@hollowstack/logger';
+import type {MetricsRegistry} from '@hollowstack/metrics';
+import type {Choice, UpstreamSelector} from '@hollowstack/routing';
+import type {HttpClient} from '@hollowstack/transport';
+import {match} from 'ts-pattern';
+import {AttemptError} from './attempt-error.ts';
+import {Attempt, REQUEST_ID_HEADER} from './attempt.ts';
+import type {Place} from './place-queue.ts';
+import type {RequestContext} from './request-context.ts';
+import type {StageCall} from './stage-call.ts';
+import type {UpstreamGroup} from './upstream-group.ts';
+
+/** What a runner works with. */
+export interface GroupRunnerParts {
+  readonly client: HttpClient;
+  readonly clock: Clock;
+  readonly selector: UpstreamSelector;
+  readonly metrics: MetricsRegistry;
+  readonly logger: EventLogger;
+}
+
+/** One piece of work for a group. */
+export interface GroupWork {
+  readonly stage: string;
+  readonly call: StageCall;
+  readonly isRepeatable: boolean;
+  /** Predicted milliseconds of the stages behind this one. */
+  readonly laterMs: number;
+}
+
+/** How a piece of work was done. */
+export interface GroupOutcome {
+  readonly upstream: string;
+  readonly attempts: number;
+  readonly waitedMs: number;
+}
+
+/** How far a request's attempts go, by what its workspace weighs more. */
+interface Effort {
+  readonly maxAttempts: number;
+  /** Share of a predicted duration that must fit into the time left. */
+  readonly confidence: number;
+}
+
+// Attainment tries a request that will probably be late; cost spends nothing
+// on one that is not likely to make it.
+const EFFORTS: Readonly<Record<'attainment' | 'cost', Effort>> = {
+  attainment: {maxAttempts: 3, confidence: 0.7},
+  cost: {maxAttempts: 2, confidence: 0.95},
+};
+/** Multiple of the usual time to the first byte after which silence is a failure. */
+const SILENCE_FACTOR = 4;
+const MIN_SILENCE_MS = 100;
+
+/** Runs a piece of work at one upstream after the other until it is whole. */
+export class GroupRunner {
+  private readonly parts: GroupRunnerParts;
+
+  constructor(parts: GroupRunnerParts) {
+    this.parts = parts;
+  }
+
+  /** @throws HollowstackError that ends the request. */
+  async runWork(
+    group: UpstreamGroup,
+    work: GroupWork,
+    context: RequestContext,
+  ): Promise<GroupOutcome> {
+    const tried = new Set<string>();
+    let waitedMs = 0;
+    group.retryBudget.recordRequest();
+    for (let attempts = 1; ; attempts++) {
+      this.checkDeadline(group, work, context);
+      const place = await this.acquirePlace(group, work, context);
+      waitedMs += place.waitedMs;
+      try {
+        const upstream = await this.attemptOnce(group, work, context, tried);
+        return {upstream, attempts, waitedMs};
+      } catch (error) {
+        if (!(error instanceof AttemptError)) throw error;
+        this.checkRetry(group, work, context, error, attempts);
+      } finally {
+        place.release();
+      }
+    }
+  }
+
+  private checkDeadline(
+    group: UpstreamGroup,
+    work: GroupWork,
+    context: RequestContext,
+  ): void {
+    const {identity, clock} = context;
+    const bestMs = group.predictBestMs(work.call.getWork());
+    if (bestMs === undefined)
+      throw this.createUnavailable(group, work, context);
+    const ahead = group.places.countAhead(identity.priority);
+    const verdict = judgeDeadline({
+      nowMs: clock.getNow(),
+      deadlineMs: identity.deadlineMs,
+      waitMs: (ahead * bestMs) / group.places.getLimit(),
+      remainingMs: bestMs + work.laterMs,
+      confidence: EFFORTS[identity.objective].confidence,
+    });
+    if (verdict.isReachable) return;
+    const {leftMs, neededMs, retryAfterMs} = verdict;
+    context.recordDecision(
+      work.stage,
+      'deadline',
+      'refused: the predicted finish lies behind the deadline',
+      [
+        `left ${leftMs.toFixed(0)} ms, needed ${neededMs.toFixed(0)} ms`,
+        `${ahead} ahead, ${work.laterMs.toFixed(0)} ms for later stages`,
+      ],
+      `pipelines.${identity.target}.deadlineMs of workspace ${identity.workspace}`,
+    );
+    throw new HollowstackError(
+      'deadline-unreachable',
+      `stage ${work.stage} needs about ${neededMs.toFixed(0)} ms, ${leftMs.toFixed(0)} ms are left`,
+      {retryAfterMs},
+    );
+  }
+
+  private async acquirePlace(
+    group: UpstreamGroup,
+    work: GroupWork,
+    context: RequestContext,
+  ): Promise<Place> {
+    const {identity, signal} = context;
+    const bestMs = group.predictBestMs(work.call.getWork()) ?? 0;
+    const {confidence} = EFFORTS[identity.objective];
+    const neededMs = (bestMs + work.laterMs) * confidence;
+    try {
+      return await group.places.acquirePlace(
+        {
+          workspace: identity.workspace,
+          priority: identity.priority,
+          deadlineMs: identity.deadlineMs,
+          latestStartMs: identity.deadlineMs - neededMs,
+        },
+        signal,
+      );
+    } catch (error) {
+      if (error instanceof HollowstackError) {
+        context.recordDecision(
+          work.stage,
+          'queue',
+          `refused: ${error.message}`,
+          [
+            `limit ${group.places.getLimit()}, in service ${group.places.total}`,
+          ],
+          `concurrencyPerUpstream of ${group.getSettings().name}`,
+        );
+      }
+      throw error;
+    }
+  }
+
+  private async attemptOnce(
+    group: UpstreamGroup,
+    work: GroupWork,
+    context: RequestContext,
+    tried: Set<string>,
+  ): Promise<string> {
+    const choice = this.chooseUpstream(group, work, context, tried);
+    const upstream = group.getUpstream(choice.id)!;
+    const units = work.call.getWork();
+    const startedAtMs = this.parts.clock.getNow();
+    const attempt = new Attempt(
+      this.parts.client,
+      this.parts.clock,
+      context.createAttemptId(),
+      this.computeSilenceMs(group, work, context),
+      context.signal,
+    );
+    tried.add(choice.id);
+    group.recordDispatch(choice.id);
+    try {
+      const call = work.call.createCall();
+      const headers = {
+        ...call.headers,
+        [REQUEST_ID_HEADER]: context.identity.requestId,
+        'x-priority': String(context.identity.priority),
+      };
+      const response = await attempt.send(upstream.address, {...call, headers});
+      context.recordMayHaveRun();
+      group.durations.recordMs(
+        getFirstByteKey(work, context),
+        this.parts.clock.getNow() - startedAtMs,
+      );
+      await work.call.readResponse(response);
+      const durationMs = this.parts.clock.getNow() - startedAtMs;
+      group.places.recordSlowdown(this.getSlowdown(group, units, durationMs));
+      group.recordSuccess(choice.id, durationMs, units);
+      return choice.id;
+    } catch (error) {
+      const failure = toAttemptError(error);
+      if (failure.mayHaveRun()) context.recordMayHaveRun();
+      this.recordFailure(group, work, context, choice.id, failure);
+      throw failure;
+    } finally {
+      attempt.close();
+      this.recordBusy(group, work, context, startedAtMs);
+    }
+  }
+
+  private chooseUpstream(
+    group: UpstreamGroup,
+    work: GroupWork,
+    context: RequestContext,
+    tried: ReadonlySet<string>,
+  ): Choice {
+    const {call} = work;
+    const prompt = call.getPrompt();
+    const candidates = group.listCandidates(
+      call.getWork(),
+      call.getModel(),
+      prompt,
+      tried,
+    );
+    const choice = this.parts.selector.chooseUpstream({
+      candidates,
+      affinityKey: prompt === undefined ? undefined : getAffinityKey(prompt),
+    });
+    if (!choice) throw this.createUnavailable(group, work, context);
+    const compared = candidates.filter(({id}) => choice.compared.includes(id));
+    context.recordDecision(
+      work.stage,
+      'upstream',
+      `${choice.id}: ${choice.reason}`,
+      compared.map(
+        ({id, ownInFlight, predictedMs}) =>
+          `${id}: predicted ${predictedMs.toFixed(1)} ms, ${ownInFlight} in flight`,
+      ),
+    );
+    return choice;
+  }
+
+  private createUnavailable(
+    group: UpstreamGroup,
+    work: GroupWork,
+    context: RequestContext,
+  ): HollowstackError {
+    const {name} = group.getSettings();
+    const states = group.listStatuses().map(({id, state}) => `${id}: ${state}`);
+    context.recordDecision(
+      work.stage,
+      'candidates',
+      `refused: no upstream of ${name} can take the work`,
+      states,
+      `upstreams of ${name}`,
+    );
+    return new HollowstackError(
+      'upstream-unavailable',
+      `no upstream of ${name} can take the work`,
+    );
+  }
+
+  private recordFailure(
+    group: UpstreamGroup,
+    work: GroupWork,
+    context: RequestContext,
+    upstream: string,
+    error: AttemptError,
+  ): void {
+    context.recordDecision(
+      work.stage,
+      'attempt',
+      `${upstream}: ${error.message}`,
+    );
+    const {name} = group.getSettings();
+    this.parts.metrics.addToCounter('hollowstack_attempt_failures_total', {
+      pool: name,
+      upstream,
+      failure: error.failure,
+    });
+    match(error.failure)
+      .with('given-up', () => group.recordGivenUp(upstream))
+      .with('not-run', () => group.recordNotRun(upstream))
+      .with('refused', () => group.recordFailure(upstream, 'refused'))
+      .with('crossed', () => {
+        this.parts.logger.logEvent('upstream.crossed-answer', {
+          pool: name,
+          upstream,
+          requestId: context.identity.requestId,
+        });
+        group.recordFailure(upstream, 'broken');
+      })
+      .with('silent', 'broken', () => group.recordFailure(upstream, 'broken'))
+      .exhaustive();
+  }
+
+  private checkRetry(
+    group: UpstreamGroup,
+    work: GroupWork,
+    context: RequestContext,
+    error: AttemptError,
+    attempts: number,
+  ): void {
+    if (context.signal.aborted) throw context.signal.reason;
+    const {maxAttempts} = EFFORTS[context.identity.objective];
+    const verdict = judgeRetry({
+      attempts,
+      maxAttempts,
+      mayHaveRun: error.mayHaveRun(),
+      isRepeatable: work.isRepeatable,
+      leftMs: context.getLeftMs(),
+      predictedMs: group.predictBestMs(work.call.getWork()) ?? 0,
+    });
+    const isAllowed = verdict === 'retry' && group.retryBudget.acquireRetry();
+    context.recordDecision(
+      work.stage,
+      'retry',
+      verdict === 'retry' && !isAllowed ? 'retry budget used up' : verdict,
+      [`attempt ${attempts} of ${maxAttempts}: ${error.failure}`],
+    );
+    if (isAllowed) return;
+    throw this.createFinalError(work, error);
+  }
+
+  private createFinalError(
+    work: GroupWork,
+    error: AttemptError,
+  ): HollowstackError {
+    const message = `stage ${work.stage}: ${error.message}`;
+    if (!error.mayHaveRun()) {
+      return new HollowstackError('upstream-unavailable', message, {
+        cause: error,
+      });
+    }
+    const kind = work.isRepeatable ? 'upstream-failed' : 'outcome-unknown';
+    return new HollowstackError(kind, message, {cause: error});
+  }
+
+  // A wedged upstream is found by how long others took, well before the pool's
+  // own bound, or no time would be left to go elsewhere.
+  private computeSilenceMs(
+    group: UpstreamGroup,
+    work: GroupWork,
+    context: RequestContext,
+  ): number {
+    const {silenceMs} = group.getSettings();
+    if (!work.isRepeatable) return silenceMs;
+    const usualMs = group.durations.getMeanMs(
+      getFirstByteKey(work, context),
+      silenceMs,
+    );
+    return Math.min(
+      silenceMs,
+      Math.max(MIN_SILENCE_MS, usualMs * SILENCE_FACTOR),
+    );
+  }
+
+  private getSlowdown(
+    group: UpstreamGroup,
+    units: number,
+    durationMs: number,
+  ): number {
+    const emptyMs = group.predictEmptyMs(units);
+    return emptyMs === 0 ? 0 : durationMs / emptyMs;
+  }
+
+  private recordBusy(
+    group: UpstreamGroup,
+    work: GroupWork,
+    context: RequestContext,
+    startedAtMs: number,
+  ): void {
+    const {workspace} = context.identity;
+    this.parts.metrics.recordLatency(
+      'hollowstack_upstream_seconds',
+      {workspace, stage: work.stage, pool: group.getSettings().name},
+      this.parts.clock.getNow() - startedAtMs,
+    );
+  }
+}
+
+const AFFINITY_CHARACTERS = 128;
+
+// Prompts that begin alike share cache blocks; what differs comes later.
+function getAffinityKey(prompt: string): string {
+  return prompt.slice(0, AFFINITY_CHARACTERS);
+}
+
+function getFirstByteKey(work: GroupWork, context: RequestContext): string {
+  const {workspace, target} = context.identity;
+  return `${workspace}/${target}/${work.stage}/first-byte`;
+}
+
+function toAttemptError(error: unknown): AttemptError {
+  if (error instanceof AttemptError) return error;
+  const message = error instanceof Error ? error.message : String(error);
+  return new AttemptError('broken', `unreadable answer: ${message}`, error);
+}
--- /dev/null
+++ b/packages/pipeline/src/index.ts
@@ -0,0 +1,21 @@
+/** Runs requests: pipelines through their stages, and calls of plain services. */
+export {PipelineRunner, type PipelineRequest} from './pipeline-runner.ts';
+export {
+  ServiceRunner,
+  type ServiceAnswer,
+  type ServiceCallRequest,
+} from './service-runner.ts';
+export {RequestContext, type RequestIdentity} from './request-context.ts';
+export {
+  UpstreamGroup,
+  type GroupSettings,
+  type UpstreamStatus,
+} from './upstream-group.ts';
+export {GroupDirectory, type GroupDirectoryOptions} from './group-directory.ts';
+export {LoadPoller} from './load-poller.ts';
+export {
+  ResultSink,
+  CollectingSink,
+  type PipelineResult,
+  type StageTiming,
+} from './result.ts';
--- /dev/null
+++ b/packages/pipeline/src/load-poller.ts
@@ -0,0 +1,105 @@
+import {createDeadlineSignal, waitFor, type Clock} from '@hollowstack/clock';
+import {readJson, type HttpClient} from '@hollowstack/transport';
+import {
+  cacheEventSchema,
+  loadReportSchema,
+  type Upstream,
+} from '@hollowstack/types';
+import {z} from 'zod';
+import type {GroupDirectory} from './group-directory.ts';
+import type {UpstreamGroup} from './upstream-group.ts';
+
+const POLL_MS = 1000;
+const TIMEOUT_MS = 800;
+const OK = 200;
+
+const cacheEventsSchema = z.object({events: z.array(cacheEventSchema)});
+
+/** Reads load reports and cache events from this instance's upstreams. */
+export class LoadPoller {
+  private readonly groups: GroupDirectory;
+  private readonly client: HttpClient;
+  private readonly clock: Clock;
+  private readonly random: () => number;
+  private readonly controller = new AbortController();
+
+  constructor(
+    groups: GroupDirectory,
+    client: HttpClient,
+    clock: Clock,
+    random: () => number,
+  ) {
+    this.groups = groups;
+    this.client = client;
+    this.clock = clock;
+    this.random = random;
+  }
+
+  /** Polls until stopped. */
+  async start(): Promise<void> {
+    const {signal} = this.controller;
+    while (!signal.aborted) {
+      await this.pollAll();
+      const delayMs = POLL_MS * (0.75 + this.random() / 2);
+      await waitFor(this.clock, delayMs, signal).catch(() => {});
+    }
+  }
+
+  stop(): void {
+    this.controller.abort(new Error('stopped'));
+  }
+
+  private async pollAll(): Promise<void> {
+    const polls = this.groups
+      .listGroups()
+      .flatMap(group =>
+        group
+          .getSettings()
+          .upstreams.map(upstream => this.pollUpstream(group, upstream)),
+      );
+    await Promise.all(polls);
+  }
+
+  // Services need not report; an upstream that does not answer is judged by
+  // the work it fails, not by its reports.
+  private async pollUpstream(
+    group: UpstreamGroup,
+    upstream: Upstream,
+  ): Promise<void> {
+    const report = loadReportSchema.safeParse(
+      await this.readPath(upstream, '/load'),
+    );
+    if (report.success) group.recordReport(upstream.id, report.data);
+    if (!report.data?.tokensPerSecond) return;
+    const after = group.getLastCacheSequence(upstream.id);
+    const events = cacheEventsSchema.safeParse(
+      await this.readPath(upstream, `/cache-events?after=${after}`),
+    );
+    if (events.success)
+      group.recordCacheEvents(upstream.id, events.data.events);
+  }
+
+  private async readPath(upstream: Upstream, path: string): Promise<unknown> {
+    const deadline = createDeadlineSignal(
+      this.clock,
+      TIMEOUT_MS,
+      () => new Error('report is late'),
+      this.controller.signal,
+    );
+    try {
+      const response = await this.client.send(upstream.address, {
+        method: 'GET',
+        path,
+        headers: {},
+        body: new Uint8Array(0),
+        signal: deadline.signal,
+      });
+      const answer = await readJson(response);
+      return response.status === OK ? answer : undefined;
+    } catch {
+      return undefined;
+    } finally {
+      deadline.release();
+    }
+  }
+}
--- /dev/null
+++ b/packages/pipeline/src/pipeline-runner.ts
@@ -0,0 +1,128 @@
+import {HollowstackError} from '@hollowstack/errors';
+import type {Stage, Template, WorkspacePipeline} from '@hollowstack/types';
+import type {GroupDirectory} from './group-directory.ts';
+import {GroupRunner, type GroupRunnerParts} from './group-runner.ts';
+import type {RequestContext} from './request-context.ts';
+import type {PipelineResult, ResultSink, StageTiming} from './result.ts';
+import {
+  TOKENS_PER_WORK,
+  createStageCall,
+  type StageState,
+} from './stage-calls.ts';
+import type {UpstreamGroup} from './upstream-group.ts';
+
+/** What a pipeline is asked for. */
+export interface PipelineRequest {
+  readonly template: Template;
+  readonly pipeline: WorkspacePipeline;
+  readonly input: string;
+}
+
+/** Runs a request through the stages of its template. */
+export class PipelineRunner {
+  private readonly groups: GroupDirectory;
+  private readonly runner: GroupRunner;
+  private readonly parts: GroupRunnerParts;
+
+  constructor(groups: GroupDirectory, parts: GroupRunnerParts) {
+    this.groups = groups;
+    this.parts = parts;
+    this.runner = new GroupRunner(parts);
+  }
+
+  /**
+   * Runs all stages; generated text goes to the sink as it comes.
+   *
+   * @throws HollowstackError that ends the request.
+   */
+  async runPipeline(
+    request: PipelineRequest,
+    context: RequestContext,
+    sink: ResultSink,
+  ): Promise<PipelineResult> {
+    const state: StageState = {input: request.input};
+    const timings: StageTiming[] = [];
+    for (const [index, stage] of request.template.stages.entries()) {
+      const laterStages = request.template.stages.slice(index + 1);
+      const laterMs = this.predictStagesMs(laterStages, request, context);
+      timings.push(
+        await this.runStage(stage, laterMs, request, context, state, sink),
+      );
+    }
+    const last = request.template.stages.at(-1)!.kind;
+    return {
+      ...(last === 'encode' ? {embedding: state.embedding} : {}),
+      ...(last === 'retrieve' || last === 'rerank'
+        ? {documents: state.documents}
+        : {}),
+      stages: timings,
+    };
+  }
+
+  private async runStage(
+    stage: Stage,
+    laterMs: number,
+    request: PipelineRequest,
+    context: RequestContext,
+    state: StageState,
+    sink: ResultSink,
+  ): Promise<StageTiming> {
+    const {clock, metrics} = this.parts;
+    const group = this.getGroup(stage);
+    const startedAtMs = clock.getNow();
+    const {priority} = context.identity;
+    const call = createStageCall(
+      stage,
+      request.pipeline,
+      state,
+      priority,
+      sink,
+    );
+    const work = {stage: stage.name, call, isRepeatable: true, laterMs};
+    const outcome = await this.runner.runWork(group, work, context);
+    const durationMs = clock.getNow() - startedAtMs;
+    const {workspace, target} = context.identity;
+    group.durations.recordMs(getStageKey(stage, context), durationMs);
+    metrics.recordLatency(
+      'hollowstack_stage_seconds',
+      {workspace, pipeline: target, stage: stage.name},
+      durationMs,
+    );
+    return {stage: stage.name, pool: stage.pool, durationMs, ...outcome};
+  }
+
+  private predictStagesMs(
+    stages: readonly Stage[],
+    request: PipelineRequest,
+    context: RequestContext,
+  ): number {
+    let totalMs = 0;
+    for (const stage of stages) {
+      const group = this.getGroup(stage);
+      const {expectedMs} = group.getSettings();
+      const work =
+        stage.kind === 'generate'
+          ? request.pipeline.maxTokens / TOKENS_PER_WORK
+          : 1;
+      totalMs += group.durations.getMeanMs(
+        getStageKey(stage, context),
+        expectedMs * work,
+      );
+    }
+    return totalMs;
+  }
+
+  private getGroup(stage: Stage): UpstreamGroup {
+    const group = this.groups.getPool(stage.pool);
+    if (group) return group;
+    throw new HollowstackError(
+      'upstream-unavailable',
+      `pool ${stage.pool} is no longer in the configuration`,
+    );
+  }
+}
+
+function getStageKey(stage: Stage, context: RequestContext): string {
+  const {workspace, target} = context.identity;
+  return `${workspace}/${target}/${stage.name}`;
+}
--- /dev/null
+++ b/packages/pipeline/src/place-queue.ts
@@ -0,0 +1,198 @@
+import {
+  AdaptiveLimit,
+  DEFAULT_QUEUE_POLICY,
+  chooseNextWaiting,
+  type AdaptiveLimitOptions,
+  type InServiceCount,
+  type WaitingWork,
+} from '@hollowstack/admission';
+import type {Clock, Timer} from '@hollowstack/clock';
+import {HollowstackError} from '@hollowstack/errors';
+
+/** A place in a pool; to be released once the attempt is over. */
+export interface Place {
+  /** Milliseconds that the work waited for it. */
+  readonly waitedMs: number;
+  release(): void;
+}
+
+/** Work that asks for a place. */
+export interface PlaceRequest extends WaitingWork {
+  /** Milliseconds since the epoch after which beginning makes no sense. */
+  readonly latestStartMs: number;
+}
+
+interface Waiter extends PlaceRequest {
+  readonly askedAtMs: number;
+  readonly grant: (place: Place) => void;
+  readonly reject: (error: HollowstackError) => void;
+  timer: Timer | undefined;
+}
+
+const SAMPLE_INTERVAL_MS = 200;
+const MAX_WAITING = 2000;
+
+/** Gives out the places that this instance has in one pool. */
+export class PlaceQueue implements InServiceCount {
+  private readonly clock: Clock;
+  private readonly limit: AdaptiveLimit;
+  private readonly waiting: Waiter[] = [];
+  private readonly counts = new Map<string, number>();
+  private inService = 0;
+  private sampledAtMs = 0;
+  private wasFull = false;
+  private wasRefused = false;
+  private slowdownSum = 0;
+  private slowdownCount = 0;
+
+  constructor(clock: Clock, options: AdaptiveLimitOptions) {
+    this.clock = clock;
+    this.limit = new AdaptiveLimit(options);
+  }
+
+  get total(): number {
+    return this.inService;
+  }
+
+  getCount(workspace: string): number {
+    return this.counts.get(workspace) ?? 0;
+  }
+
+  getLimit(): number {
+    return this.limit.getLimit();
+  }
+
+  /** Returns how many waiting pieces of work go before one of this priority. */
+  countAhead(priority: number): number {
+    return this.waiting.filter(waiter => waiter.priority <= priority).length;
+  }
+
+  setBounds(options: AdaptiveLimitOptions): void {
+    this.limit.setBounds(options);
+    this.grantPlaces();
+  }
+
+  /**
+   * Waits for a place.
+   *
+   * @throws HollowstackError `overloaded` where too many wait, or
+   *   `deadline-unreachable` once the latest start has passed.
+   */
+  acquirePlace(request: PlaceRequest, signal: AbortSignal): Promise<Place> {
+    if (signal.aborted) return Promise.reject(signal.reason);
+    if (this.waiting.length >= MAX_WAITING) {
+      return Promise.reject(
+        new HollowstackError('overloaded', `${MAX_WAITING} requests wait`),
+      );
+    }
+    return new Promise((resolve, reject) => {
+      const stopWaiting = () => {
+        this.removeWaiter(waiter);
+        reject(signal.reason);
+      };
+      const waiter: Waiter = {
+        ...request,
+        askedAtMs: this.clock.getNow(),
+        grant: place => {
+          signal.removeEventListener('abort', stopWaiting);
+          resolve(place);
+        },
+        reject: error => {
+          signal.removeEventListener('abort', stopWaiting);
+          reject(error);
+        },
+        timer: undefined,
+      };
+      signal.addEventListener('abort', stopWaiting, {once: true});
+      this.waiting.push(waiter);
+      this.grantPlaces();
+      if (this.waiting.includes(waiter)) this.scheduleRefusal(waiter);
+    });
+  }
+
+  /** Tells how a piece of work went against its prediction. */
+  recordSlowdown(slowdown: number): void {
+    this.slowdownSum += slowdown;
+    this.slowdownCount += 1;
+  }
+
+  /** Tells that an upstream refused work as overloaded. */
+  recordRefusal(): void {
+    this.wasRefused = true;
+  }
+
+  private scheduleRefusal(waiter: Waiter): void {
+    const delayMs = waiter.latestStartMs - this.clock.getNow();
+    waiter.timer = this.clock.schedule(delayMs, () => {
+      this.removeWaiter(waiter);
+      const waitedMs = Math.round(this.clock.getNow() - waiter.askedAtMs);
+      waiter.reject(
+        new HollowstackError(
+          'deadline-unreachable',
+          `no place after ${waitedMs} ms, too late to begin now`,
+        ),
+      );
+    });
+  }
+
+  private removeWaiter(waiter: Waiter): void {
+    waiter.timer?.cancel();
+    const index = this.waiting.indexOf(waiter);
+    if (index >= 0) this.waiting.splice(index, 1);
+  }
+
+  private grantPlaces(): void {
+    while (this.waiting.length > 0) {
+      const index = chooseNextWaiting(
+        this.waiting,
+        this,
+        this.getLimit(),
+        DEFAULT_QUEUE_POLICY,
+      );
+      if (index < 0) {
+        this.wasFull = true;
+        return;
+      }
+      this.grantPlace(this.waiting[index]);
+    }
+  }
+
+  private grantPlace(waiter: Waiter): void {
+    this.removeWaiter(waiter);
+    this.addInService(waiter.workspace, 1);
+    let isReleased = false;
+    waiter.grant({
+      waitedMs: this.clock.getNow() - waiter.askedAtMs,
+      release: () => {
+        if (isReleased) return;
+        isReleased = true;
+        this.addInService(waiter.workspace, -1);
+        this.recordSample();
+        this.grantPlaces();
+      },
+    });
+  }
+
+  private addInService(workspace: string, change: number): void {
+    this.inService += change;
+    const count = this.getCount(workspace) + change;
+    if (count === 0) this.counts.delete(workspace);
+    else this.counts.set(workspace, count);
+  }
+
+  private recordSample(): void {
+    const nowMs = this.clock.getNow();
+    if (nowMs - this.sampledAtMs < SAMPLE_INTERVAL_MS) return;
+    this.sampledAtMs = nowMs;
+    this.limit.applySample({
+      wasFull: this.wasFull,
+      wasRefused: this.wasRefused,
+      slowdown:
+        this.slowdownCount === 0 ? 0 : this.slowdownSum / this.slowdownCount,
+    });
+    this.wasFull = false;
+    this.wasRefused = false;
+    this.slowdownSum = 0;
+    this.slowdownCount = 0;
+  }
+}
--- /dev/null
+++ b/packages/pipeline/src/service-runner.ts
@@ -0,0 +1,98 @@
+import {HollowstackError} from '@hollowstack/errors';
+import {
+  readBody,
+  type HttpHeaders,
+  type HttpResponse,
+} from '@hollowstack/transport';
+import type {UpstreamCall} from './attempt.ts';
+import type {GroupDirectory} from './group-directory.ts';
+import {GroupRunner, type GroupRunnerParts} from './group-runner.ts';
+import type {RequestContext} from './request-context.ts';
+import {StageCall} from './stage-call.ts';
+import {AttemptError} from './attempt-error.ts';
+
+/** A call of a plain service. */
+export interface ServiceCallRequest {
+  readonly service: string;
+  readonly call: UpstreamCall;
+  readonly isRepeatable: boolean;
+}
+
+/** A plain service's answer, read to its end. */
+export interface ServiceAnswer {
+  readonly status: number;
+  readonly headers: HttpHeaders;
+  readonly body: Buffer;
+  readonly upstream: string;
+}
+
+const FIRST_SERVER_ERROR = 500;
+
+/** Runs calls of plain services. */
+export class ServiceRunner {
+  private readonly groups: GroupDirectory;
+  private readonly runner: GroupRunner;
+
+  constructor(groups: GroupDirectory, parts: GroupRunnerParts) {
+    this.groups = groups;
+    this.runner = new GroupRunner(parts);
+  }
+
+  /** @throws HollowstackError that ends the request. */
+  async runCall(
+    request: ServiceCallRequest,
+    context: RequestContext,
+  ): Promise<ServiceAnswer> {
+    const group = this.groups.getService(request.service);
+    if (!group) {
+      throw new HollowstackError('not-found', `no service ${request.service}`);
+    }
+    const call = new PlainCall(request.call, request.isRepeatable);
+    const {upstream} = await this.runner.runWork(
+      group,
+      {
+        stage: 'service',
+        call,
+        isRepeatable: request.isRepeatable,
+        laterMs: 0,
+      },
+      context,
+    );
+    return {...call.getAnswer(), upstream};
+  }
+}
+
+class PlainCall extends StageCall {
+  private readonly call: UpstreamCall;
+  private readonly isRepeatable: boolean;
+  private answer: Omit<ServiceAnswer, 'upstream'> | undefined;
+
+  constructor(call: UpstreamCall, isRepeatable: boolean) {
+    super();
+    this.call = call;
+    this.isRepeatable = isRepeatable;
+  }
+
+  createCall(): UpstreamCall {
+    return this.call;
+  }
+
+  async readResponse(response: HttpResponse): Promise<void> {
+    const {status, headers} = response;
+    const body = await readBody(response.body);
+    // The service's own word on a call that must not be repeated is the
+    // caller's to read, failures as well.
+    if (status >= FIRST_SERVER_ERROR && this.isRepeatable) {
+      throw new AttemptError('broken', `status ${status}`);
+    }
+    this.answer = {status, headers, body};
+  }
+
+  getWork(): number {
+    return 1;
+  }
+
+  getAnswer(): Omit<ServiceAnswer, 'upstream'> {
+    return this.answer!;
+  }
+}
--- /dev/null
+++ b/packages/pipeline/src/upstream-group.ts
@@ -0,0 +1,345 @@
+import {DurationEstimator, RetryBudget} from '@hollowstack/admission';
+import type {Clock} from '@hollowstack/clock';
+import type {EventLogger} from '@hollowstack/logger';
+import {
+  CacheIndex,
+  DEFAULT_HEALTH_POLICY,
+  createHealthyState,
+  createLoadState,
+  predictOtherLoad,
+  getStartFactor,
+  isCandidate,
+  predictDurationMs,
+  recordDispatch,
+  recordDuration,
+  recordEnd,
+  recordFailure,
+  recordLeaving,
+  recordLive,
+  recordReport,
+  recordSuccess,
+  recordTrial,
+  type Candidate,
+  type FailureKind,
+  type HealthPolicy,
+  type HealthState,
+  type LoadState,
+} from '@hollowstack/routing';
+import type {CacheEvent, LoadReport, Upstream} from '@hollowstack/types';
+import {PlaceQueue} from './place-queue.ts';
+
+/** What the configuration says of a pool or service. */
+export interface GroupSettings {
+  readonly name: string;
+  readonly upstreams: readonly Upstream[];
+  /** Requests that one upstream works on at the same time. */
+  readonly slots: number;
+  /** Milliseconds one unit of work is expected to take. */
+  readonly expectedMs: number;
+  /** Milliseconds without a byte after which an attempt is given up at the latest. */
+  readonly silenceMs: number;
+}
+
+/** One upstream as operators are shown it. */
+export interface UpstreamStatus {
+  readonly id: string;
+  readonly address: string;
+  readonly zone: string;
+  readonly state: HealthState['state'];
+  readonly ownInFlight: number;
+  readonly unitMs: number;
+}
+
+interface TrackedUpstream {
+  upstream: Upstream;
+  health: HealthState;
+  load: LoadState;
+  models: readonly string[] | undefined;
+  /** Whether the platform's list says that it is leaving. */
+  isListedLeaving: boolean;
+  readonly cache: CacheIndex;
+}
+
+/** Characters that one block of an engine's prefix cache covers. */
+const CACHE_BLOCK_CHARACTERS = 64;
+/** Milliseconds that a report without a time of its own may lag. */
+const ASSUMED_LAG_MS = 5000;
+/** Share of a request's time that a wholly cached prompt saves. */
+const CACHE_SAVING = 0.5;
+
+/** The upstreams of one pool or service with all that this instance knows of them. */
+export class UpstreamGroup {
+  readonly places: PlaceQueue;
+  readonly retryBudget = new RetryBudget();
+  readonly durations = new DurationEstimator();
+  private readonly clock: Clock;
+  private readonly logger: EventLogger;
+  private readonly policy: HealthPolicy;
+  private readonly tracked = new Map<string, TrackedUpstream>();
+  private settings: GroupSettings;
+
+  constructor(
+    settings: GroupSettings,
+    instanceCount: number,
+    clock: Clock,
+    logger: EventLogger,
+    policy: HealthPolicy = DEFAULT_HEALTH_POLICY,
+  ) {
+    this.settings = settings;
+    this.clock = clock;
+    this.logger = logger;
+    this.policy = policy;
+    this.places = new PlaceQueue(clock, createBounds(settings, instanceCount));
+    this.setSettings(settings, instanceCount);
+  }
+
+  getSettings(): GroupSettings {
+    return this.settings;
+  }
+
+  /** Takes a newer configuration; what is known of upstreams that stay is kept. */
+  setSettings(settings: GroupSettings, instanceCount: number): void {
+    this.settings = settings;
+    const wanted = new Set(settings.upstreams.map(({id}) => id));
+    for (const id of this.tracked.keys()) {
+      if (!wanted.has(id)) this.tracked.delete(id);
+    }
+    for (const upstream of settings.upstreams) this.addUpstream(upstream);
+    this.places.setBounds(createBounds(settings, instanceCount));
+  }
+
+  getUpstream(id: string): Upstream | undefined {
+    return this.tracked.get(id)?.upstream;
+  }
+
+  listStatuses(): UpstreamStatus[] {
+    return [...this.tracked.values()].map(({upstream, health, load}) => ({
+      id: upstream.id,
+      address: upstream.address,
+      zone: upstream.zone,
+      state: health.state,
+      ownInFlight: load.ownInFlight,
+      unitMs: load.unitMs,
+    }));
+  }
+
+  /**
+   * Lists the upstreams that may take a piece of work.
+   *
+   * @param work Its size in units.
+   * @param excluded Ids that were tried before; they count again where no other is left.
+   */
+  listCandidates(
+    work: number,
+    model: string | undefined,
+    prompt: string | undefined,
+    excluded: ReadonlySet<string>,
+  ): Candidate[] {
+    const nowMs = this.clock.getNow();
+    const able = [...this.tracked.values()].filter(
+      ({health, models}) =>
+        isCandidate(health, nowMs) && hasModel(models, model),
+    );
+    const untried = able.filter(({upstream}) => !excluded.has(upstream.id));
+    const chosen = untried.length > 0 ? untried : able;
+    return chosen.map(tracked => ({
+      id: tracked.upstream.id,
+      ownInFlight: tracked.load.ownInFlight,
+      predictedMs: this.predictMs(tracked, work, prompt, nowMs),
+    }));
+  }
+
+  /** Predicts the shortest time for a piece of work; undefined where no upstream is left. */
+  predictBestMs(work: number): number | undefined {
+    const candidates = this.listCandidates(
+      work,
+      undefined,
+      undefined,
+      new Set(),
+    );
+    if (candidates.length === 0) return undefined;
+    return Math.min(...candidates.map(({predictedMs}) => predictedMs));
+  }
+
+  /** Predicts the time for a piece of work at an average upstream without other load. */
+  predictEmptyMs(work: number): number {
+    const known = [...this.tracked.values()].filter(
+      ({load}) => load.samples > 0,
+    );
+    if (known.length === 0) return this.settings.expectedMs * work;
+    const sum = known.reduce((total, {load}) => total + load.unitMs, 0);
+    return (sum / known.length) * work;
+  }
+
+  /** Work is sent to an upstream. */
+  recordDispatch(id: string): void {
+    this.applyChange(id, tracked => {
+      tracked.load = recordDispatch(tracked.load);
+      tracked.health = recordTrial(tracked.health);
+    });
+  }
+
+  /** Work was finished by an upstream. */
+  recordSuccess(id: string, durationMs: number, work: number): void {
+    this.applyChange(id, tracked => {
+      const nowMs = this.clock.getNow();
+      const {slots} = this.settings;
+      tracked.load = recordEnd(tracked.load);
+      const others =
+        tracked.load.ownInFlight + predictOtherLoad(tracked.load, nowMs);
+      tracked.load = recordDuration(
+        tracked.load,
+        durationMs,
+        work,
+        others / slots,
+      );
+      tracked.health = recordSuccess(tracked.health, nowMs);
+    });
+  }
+
+  /** Work failed at an upstream. */
+  recordFailure(id: string, kind: FailureKind): void {
+    this.applyChange(id, tracked => {
+      tracked.load = recordEnd(tracked.load);
+      tracked.health = recordFailure(
+        tracked.health,
+        kind,
+        this.policy,
+        this.clock.getNow(),
+      );
+    });
+  }
+
+  /** Work was stopped by this side, which says nothing of the upstream. */
+  recordGivenUp(id: string): void {
+    this.applyChange(id, tracked => {
+      tracked.load = recordEnd(tracked.load);
+      // A trial that was stopped has shown nothing: the next work is one again.
+      if (tracked.health.state === 'trial') {
+        tracked.health = {...tracked.health, state: 'out'};
+      }
+    });
+  }
+
+  /** An upstream refused work because it is leaving or full. */
+  recordNotRun(id: string): void {
+    this.applyChange(id, tracked => {
+      tracked.load = recordEnd(tracked.load);
+      tracked.health = recordLeaving(tracked.health, this.clock.getNow());
+    });
+  }
+
+  /** The platform's list says whether an upstream is leaving. */
+  recordListed(id: string, isLeaving: boolean): void {
+    this.applyChange(id, tracked => {
+      tracked.isListedLeaving = isLeaving;
+      if (!isLeaving) return;
+      tracked.health = recordLeaving(tracked.health, this.clock.getNow());
+    });
+  }
+
+  /** A load report arrived. */
+  recordReport(id: string, report: LoadReport): void {
+    this.applyChange(id, tracked => {
+      const nowMs = this.clock.getNow();
+      tracked.load = recordReport(tracked.load, report, nowMs);
+      if (report.models.length > 0) tracked.models = report.models;
+      const isLeaving = report.state === 'leaving' || tracked.isListedLeaving;
+      const reportAtMs = report.atMs ?? nowMs - ASSUMED_LAG_MS;
+      tracked.health = isLeaving
+        ? recordLeaving(tracked.health, nowMs)
+        : recordLive(tracked.health, this.policy, reportAtMs, nowMs);
+    });
+  }
+
+  /** Cache events arrived. */
+  recordCacheEvents(id: string, events: readonly CacheEvent[]): void {
+    this.tracked.get(id)?.cache.applyEvents(events);
+  }
+
+  /** Returns the number of the last cache event seen from an upstream. */
+  getLastCacheSequence(id: string): number {
+    return this.tracked.get(id)?.cache.getLastSequence() ?? 0;
+  }
+
+  private addUpstream(upstream: Upstream): void {
+    const known = this.tracked.get(upstream.id);
+    if (known && known.upstream.address === upstream.address) {
+      known.upstream = upstream;
+      return;
+    }
+    this.tracked.set(upstream.id, {
+      upstream,
+      health: createHealthyState(),
+      load: createLoadState(),
+      models: undefined,
+      isListedLeaving: false,
+      cache: new CacheIndex(),
+    });
+  }
+
+  private predictMs(
+    tracked: TrackedUpstream,
+    work: number,
+    prompt: string | undefined,
+    nowMs: number,
+  ): number {
+    const {slots, expectedMs} = this.settings;
+    const {load, health, cache} = tracked;
+    const loadedMs = predictDurationMs(load, work, slots, expectedMs, nowMs);
+    const startFactor = getStartFactor(health, this.policy, nowMs);
+    if (prompt === undefined || prompt.length === 0) {
+      return loadedMs / startFactor;
+    }
+    const cached = cache.predictCachedCharacters(
+      prompt,
+      CACHE_BLOCK_CHARACTERS,
+    );
+    const saving = CACHE_SAVING * (cached / prompt.length);
+    return (loadedMs * (1 - saving)) / startFactor;
+  }
+
+  private applyChange(
+    id: string,
+    change: (tracked: TrackedUpstream) => void,
+  ): void {
+    const tracked = this.tracked.get(id);
+    if (!tracked) return;
+    const before = tracked.health.state;
+    change(tracked);
+    this.logTransition(id, before, tracked.health.state);
+  }
+
+  private logTransition(
+    id: string,
+    before: HealthState['state'],
+    after: HealthState['state'],
+  ): void {
+    if (before === after) return;
+    const pool = this.settings.name;
+    if (after === 'healthy') {
+      this.logger.logEvent('upstream.back', {pool, upstream: id});
+    } else if (before === 'healthy') {
+      this.logger.logEvent('upstream.out', {pool, upstream: id, state: after});
+    }
+  }
+}
+
+function hasModel(
+  models: readonly string[] | undefined,
+  model: string | undefined,
+): boolean {
+  return model === undefined || models === undefined || models.includes(model);
+}
+
+// Each instance begins with one and a half even parts of the pool, since
+// callers rarely spread evenly; the adaptive limit corrects it from there.
+function createBounds(settings: GroupSettings, instanceCount: number) {
+  const places = settings.upstreams.length * settings.slots;
+  const evenPart = places / Math.max(1, instanceCount);
+  return {
+    initial: Math.max(1, Math.ceil(evenPart * 1.5)),
+    min: Math.max(1, Math.floor(evenPart / 4)),
+    max: Math.max(1, places),
+  };
+}
--- /dev/null
+++ b/packages/platform/src/budgeted-store.ts
@@ -0,0 +1,90 @@
+import type {Clock} from '@hollowstack/clock';
+import {
+  PlatformStore,
+  StoreError,
+  type KeyRange,
+  type Lease,
+  type RangeResult,
+  type Transaction,
+  type TransactionResult,
+  type WatchEvent,
+} from './platform-store.ts';
+import {TokenBucket} from '@hollowstack/token-bucket';
+
+/** How many calls an instance may make. */
+export interface CallBudgetOptions {
+  readonly callsPerSecond: number;
+  readonly burst: number;
+}
+
+/** Keeps one instance's calls within its share of the service's rate. */
+export class BudgetedStore extends PlatformStore {
+  private readonly store: PlatformStore;
+  private readonly bucket: TokenBucket;
+  private callCount = 0;
+  private refusedCount = 0;
+
+  constructor(store: PlatformStore, clock: Clock, options: CallBudgetOptions) {
+    super();
+    this.store = store;
+    this.bucket = new TokenBucket(clock, options.callsPerSecond, options.burst);
+  }
+
+  /** Returns how many calls went out. */
+  getCallCount(): number {
+    return this.callCount;
+  }
+
+  /** Returns how many calls the budget refused. */
+  getRefusedCount(): number {
+    return this.refusedCount;
+  }
+
+  async readRange(
+    range: KeyRange,
+    minModRevision?: number,
+  ): Promise<RangeResult> {
+    this.takeCall();
+    return this.store.readRange(range, minModRevision);
+  }
+
+  async runTransaction(transaction: Transaction): Promise<TransactionResult> {
+    this.takeCall();
+    return this.store.runTransaction(transaction);
+  }
+
+  async grantLease(ttlMs: number): Promise<Lease> {
+    this.takeCall();
+    return this.store.grantLease(ttlMs);
+  }
+
+  async renewLease(leaseId: string): Promise<boolean> {
+    this.takeCall();
+    return this.store.renewLease(leaseId);
+  }
+
+  async revokeLease(leaseId: string): Promise<void> {
+    this.takeCall();
+    return this.store.revokeLease(leaseId);
+  }
+
+  async *watchRanges(
+    ranges: readonly KeyRange[],
+    fromRevision: number,
+    signal: AbortSignal,
+  ): AsyncIterable<readonly WatchEvent[]> {
+    this.takeCall();
+    yield* this.store.watchRanges(ranges, fromRevision, signal);
+  }
+
+  private takeCall(): void {
+    if (!this.bucket.acquire()) {
+      this.refusedCount += 1;
+      throw new StoreError(
+        'the call budget of this instance is used up',
+        'none',
+      );
+    }
+    this.callCount += 1;
+  }
+}
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,29 @@
+/** The platform's key-value service: an abstract store, its HTTP adapter and a call budget. */
+export {
+  PlatformStore,
+  StoreError,
+  createPrefixRange,
+  createSingleKeyRange,
+  type Comparison,
+  type KeyRange,
+  type KeyValue,
+  type Lease,
+  type Operation,
+  type RangeResult,
+  type StoreEffect,
+  type Transaction,
+  type TransactionResult,
+  type WatchEvent,
+} from './platform-store.ts';
+export {GatewayStore, type GatewayStoreOptions} from './gateway-store.ts';
+export {BudgetedStore, type CallBudgetOptions} from './budgeted-store.ts';
+export {
+  WatchHub,
+  type WatchHubOptions,
+  type WatchSubscription,
+} from './watch-hub.ts';
+export {
+  INSTANCE_LIST_PREFIX,
+  InstanceList,
+  getInstanceKey,
+} from './instance-list.ts';
--- /dev/null
+++ b/packages/platform/src/instance-list.ts
@@ -0,0 +1,129 @@
+import {waitFor, type Clock} from '@hollowstack/clock';
+import {instanceRecordSchema, type InstanceRecord} from '@hollowstack/types';
+import {
+  createPrefixRange,
+  type KeyRange,
+  type KeyValue,
+  type PlatformStore,
+  type WatchEvent,
+} from './platform-store.ts';
+import type {WatchSubscription} from './watch-hub.ts';
+
+/** Prefix of the platform's list; below it stand `<group>/<id>`. */
+export const INSTANCE_LIST_PREFIX = 'platform/instances/';
+
+/** Returns the key of one instance in the platform's list. */
+export function getInstanceKey(group: string, id: string): string {
+  return `${INSTANCE_LIST_PREFIX}${group}/${id}`;
+}
+
+const DEFAULT_POLL_MS = 15_000;
+
+/** Follows the platform's lagging list of instances; keeps the last one through an outage. */
+export class InstanceList implements WatchSubscription {
+  readonly range: KeyRange = createPrefixRange(INSTANCE_LIST_PREFIX);
+  private readonly store: PlatformStore;
+  private readonly clock: Clock;
+  private readonly random: () => number;
+  private readonly pollMs: number;
+  private readonly records = new Map<string, InstanceRecord>();
+  private readonly listeners: Array<() => void> = [];
+  private readonly controller = new AbortController();
+  private isLoaded = false;
+
+  constructor(
+    store: PlatformStore,
+    clock: Clock,
+    random: () => number,
+    pollMs = DEFAULT_POLL_MS,
+  ) {
+    this.store = store;
+    this.clock = clock;
+    this.random = random;
+    this.pollMs = pollMs;
+  }
+
+  /** Returns whether the list was read at least once. */
+  hasLoaded(): boolean {
+    return this.isLoaded;
+  }
+
+  /** Returns the instances of a group. */
+  listGroup(group: string): readonly InstanceRecord[] {
+    const prefix = getInstanceKey(group, '');
+    const found: InstanceRecord[] = [];
+    for (const [key, record] of this.records) {
+      if (key.startsWith(prefix)) found.push(record);
+    }
+    return found;
+  }
+
+  /** Returns one instance, or undefined where the list does not have it. */
+  getInstance(group: string, id: string): InstanceRecord | undefined {
+    return this.records.get(getInstanceKey(group, id));
+  }
+
+  /** Adds a function that is called after each change. */
+  addListener(listener: () => void): void {
+    this.listeners.push(listener);
+  }
+
+  /** Polls until stopped; the watch brings changes sooner. */
+  async start(): Promise<void> {
+    const {signal} = this.controller;
+    while (!signal.aborted) {
+      await this.refresh();
+      const delayMs = this.pollMs * (0.75 + this.random() / 2);
+      await waitFor(this.clock, delayMs, signal).catch(() => {});
+    }
+  }
+
+  stop(): void {
+    this.controller.abort(new Error('stopped'));
+  }
+
+  handleEvents(events: readonly WatchEvent[]): void {
+    for (const event of events) {
+      if (event.type === 'delete') this.records.delete(event.key);
+      else this.setRecord(event.key, event.value);
+    }
+    this.callListeners();
+  }
+
+  handleResync(): void {
+    void this.refresh();
+  }
+
+  /** Reads the whole list; an outage leaves the last one standing. */
+  async refresh(): Promise<void> {
+    const found = await this.store.readRange(this.range).catch(() => undefined);
+    if (!found) return;
+    this.replaceRecords(found.keyValues);
+    this.isLoaded = true;
+    this.callListeners();
+  }
+
+  private replaceRecords(keyValues: readonly KeyValue[]): void {
+    this.records.clear();
+    for (const {key, value} of keyValues) this.setRecord(key, value);
+  }
+
+  // The list is the platform's: a row that cannot be read is passed over
+  // rather than taking the readable ones with it.
+  private setRecord(key: string, value: string): void {
+    const parsed = parseRecord(value);
+    if (parsed) this.records.set(key, parsed);
+  }
+
+  private callListeners(): void {
+    for (const listener of this.listeners) listener();
+  }
+}
+
+function parseRecord(value: string): InstanceRecord | undefined {
+  try {
+    return instanceRecordSchema.safeParse(JSON.parse(value)).data;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/platform/src/platform-store.ts
@@ -0,0 +1,131 @@
+import {HollowstackError} from '@hollowstack/errors';
+
+/** A key with its value and the revisions at which the store saw them. */
+export interface KeyValue {
+  readonly key: string;
+  readonly value: string;
+  /** Store revision of the last change. */
+  readonly modRevision: number;
+  /** Store revision at which the key came to be. */
+  readonly createRevision: number;
+}
+
+/** A half-open range of keys. */
+export interface KeyRange {
+  readonly start: string;
+  /** First key behind the range; absent for the one key `start`. */
+  readonly end?: string;
+}
+
+/** What a read found. */
+export interface RangeResult {
+  /** Store revision at which the read was true. */
+  readonly storeRevision: number;
+  readonly keyValues: readonly KeyValue[];
+}
+
+/** A condition of a transaction. A modRevision of 0 means that the key must not exist. */
+export interface Comparison {
+  readonly key: string;
+  readonly modRevision: number;
+}
+
+/** One step of a transaction. */
+export type Operation =
+  | {
+      readonly type: 'put';
+      readonly key: string;
+      readonly value: string;
+      readonly leaseId?: string;
+    }
+  | {readonly type: 'delete'; readonly range: KeyRange}
+  | {readonly type: 'read'; readonly range: KeyRange};
+
+/** Steps taken together where every comparison holds, others where one does not. */
+export interface Transaction {
+  readonly comparisons: readonly Comparison[];
+  readonly onSuccess: readonly Operation[];
+  readonly onFailure?: readonly Operation[];
+}
+
+/** What a transaction did. */
+export interface TransactionResult {
+  readonly succeeded: boolean;
+  readonly storeRevision: number;
+  /** Results of the read steps, in their order. */
+  readonly reads: readonly RangeResult[];
+}
+
+/** A lease that the service ends when it is not renewed in time. */
+export interface Lease {
+  readonly id: string;
+  readonly ttlMs: number;
+}
+
+/** One change that a watch tells of. */
+export interface WatchEvent {
+  readonly type: 'put' | 'delete';
+  readonly key: string;
+  /** Empty for a deletion. */
+  readonly value: string;
+  readonly modRevision: number;
+}
+
+/** Whether a failed call may still have changed the store. */
+export type StoreEffect = 'none' | 'unknown';
+
+/** The service did not answer, or not in time. */
+export class StoreError extends HollowstackError {
+  readonly effect: StoreEffect;
+
+  constructor(message: string, effect: StoreEffect, cause?: unknown) {
+    super('store-unavailable', message, {cause});
+    this.name = 'StoreError';
+    this.effect = effect;
+  }
+}
+
+/** The platform's key-value service. Every method throws StoreError when it does not answer. */
+export abstract class PlatformStore {
+  /** Reads a range; `minModRevision` leaves out what has not changed since. */
+  abstract readRange(
+    range: KeyRange,
+    minModRevision?: number,
+  ): Promise<RangeResult>;
+
+  /** Runs a transaction. */
+  abstract runTransaction(transaction: Transaction): Promise<TransactionResult>;
+
+  /** Grants a lease of `ttlMs` milliseconds, rounded up to whole seconds. */
+  abstract grantLease(ttlMs: number): Promise<Lease>;
+
+  /** Renews a lease; resolves to false where it has already ended. */
+  abstract renewLease(leaseId: string): Promise<boolean>;
+
+  /** Ends a lease and deletes the keys under it. */
+  abstract revokeLease(leaseId: string): Promise<void>;
+
+  /**
+   * Watches ranges over one call until the signal aborts.
+   * It yields an empty list once the watch stands.
+   *
+   * @param fromRevision First store revision whose changes are told.
+   */
+  abstract watchRanges(
+    ranges: readonly KeyRange[],
+    fromRevision: number,
+    signal: AbortSignal,
+  ): AsyncIterable<readonly WatchEvent[]>;
+}
+
+/** Creates the range of all keys that begin with a prefix. */
+export function createPrefixRange(prefix: string): KeyRange {
+  const last = prefix.charCodeAt(prefix.length - 1);
+  const end = prefix.slice(0, -1) + String.fromCharCode(last + 1);
+  return {start: prefix, end};
+}
+
+/** Creates the range of one key. */
+export function createSingleKeyRange(key: string): KeyRange {
+  return {start: key};
+}
--- /dev/null
+++ b/packages/process-fleet/src/process-fleet.ts
@@ -0,0 +1,207 @@
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {
+  LoopbackNetwork,
+  OPERATOR_KEY,
+  SystemCaller,
+  createSampleConfiguration,
+  type SampleUpstreams,
+} from '@hollowstack/local-system';
+import type {ConfigObject, Upstream} from '@hollowstack/types';
+import {ChildProcess} from './child-process.ts';
+
+/** How many processes of each kind there are. */
+export interface FleetOptions {
+  readonly entries: number;
+  readonly encoders: number;
+  readonly retrievers: number;
+  readonly rerankers: number;
+  readonly engines: number;
+}
+
+/** One daemon of the fleet. */
+export interface EntryProcess {
+  readonly id: string;
+  readonly process: ChildProcess;
+  readonly caller: SystemCaller;
+}
+
+/** One stand-in of the fleet. */
+export interface UpstreamProcess {
+  readonly process: ChildProcess;
+  readonly upstream: Upstream;
+  readonly control: SystemCaller;
+}
+
+const READY_EVENT = '"name":"entry.ready"';
+const ZONES = ['zone-a', 'zone-b', 'zone-c'];
+
+/** A whole system of separate processes on the loopback interface. */
+export class ProcessFleet {
+  readonly entries: EntryProcess[] = [];
+  readonly engines: UpstreamProcess[] = [];
+  readonly bookings: UpstreamProcess[] = [];
+  private readonly network = new LoopbackNetwork();
+  private readonly client = this.network.createEnvironment().client;
+  private readonly folder = mkdtempSync(join(tmpdir(), 'hollowstack-'));
+  private readonly processes: ChildProcess[] = [];
+  private readonly options: FleetOptions;
+  private platform: UpstreamProcess | undefined;
+  private upstreams: SampleUpstreams | undefined;
+  private nextEntry = 1;
+
+  constructor(options: FleetOptions) {
+    this.options = options;
+  }
+
+  /** Starts all processes, publishes the sample and waits until all are ready. */
+  async start(): Promise<void> {
+    const {encoders, retrievers, rerankers, engines, entries} = this.options;
+    this.platform = await this.startStandIn('platform', 'platform');
+    const [encode, retrieve, rerank, engine, service] = await Promise.all([
+      this.startUpstreams('pool', 'encoder', encoders),
+      this.startUpstreams('pool', 'retriever', retrievers),
+      this.startUpstreams('pool', 'reranker', rerankers),
+      this.startUpstreams('engine', 'engine', engines),
+      this.startUpstreams('service', 'booking', 1),
+    ]);
+    this.engines.push(...engine);
+    this.bookings.push(...service);
+    this.upstreams = {
+      encode: listUpstreams(encode),
+      retrieve: listUpstreams(retrieve),
+      rerank: listUpstreams(rerank),
+      generate: listUpstreams(engine),
+      booking: listUpstreams(service),
+    };
+    await Promise.all(Array.from({length: entries}, () => this.startEntry()));
+    await this.publish(createSampleConfiguration(this.upstreams), 0);
+    await Promise.all(
+      this.entries.map(({process}) => this.waitUntilReady(process)),
+    );
+  }
+
+  /** Starts one more daemon; it may not be ready yet. */
+  async startEntry(): Promise<EntryProcess> {
+    const id = `entry-${this.nextEntry++}`;
+    const address = await this.network.reserveAddress();
+    const path = join(this.folder, `${id}.toml`);
+    writeFileSync(path, await this.formatSettings(id, address));
+    const process = this.startProcess(['entry', '--settings', path]);
+    const caller = new SystemCaller(this.client, address);
+    const entry = {id, process, caller};
+    await process.waitForLine(line => line.includes('"name":"entry.starting"'));
+    this.entries.push(entry);
+    return entry;
+  }
+
+  /** Resolves once a daemon takes requests. */
+  async waitUntilReady(process: ChildProcess): Promise<void> {
+    await process.waitForLine(line => line.includes(READY_EVENT));
+  }
+
+  /** Publishes objects through the first daemon; resolves to the revision. */
+  async publish(
+    objects: readonly ConfigObject[],
+    baseRevision?: number,
+  ): Promise<number> {
+    const answer = await this.entries[0].caller.callOperator(
+      'POST',
+      'configuration',
+      {
+        changeId: `change-${Date.now()}-${Math.random()}`,
+        author: 'fleet',
+        baseRevision,
+        objects,
+      },
+    );
+    if (answer.status !== 200) throw new Error(JSON.stringify(answer.body));
+    return (answer.body as {revision: number}).revision;
+  }
+
+  /** Returns the upstreams that the sample configuration names. */
+  getUpstreams(): SampleUpstreams {
+    return this.upstreams!;
+  }
+
+  /** Switches faults of the platform's stand-in. */
+  async setPlatformFaults(faults: object): Promise<void> {
+    await this.platform!.control.send('POST', '/stand-in/faults', faults);
+  }
+
+  /** Kills every process that is left. */
+  async stop(): Promise<void> {
+    for (const process of this.processes) {
+      process.send('SIGCONT');
+      process.send('SIGKILL');
+    }
+    await Promise.all(this.processes.map(({exited}) => exited));
+    await this.network.close();
+    rmSync(this.folder, {recursive: true, force: true});
+  }
+
+  private startUpstreams(
+    kind: string,
+    name: string,
+    count: number,
+  ): Promise<UpstreamProcess[]> {
+    const started = Array.from({length: count}, (_, index) =>
+      this.startStandIn(kind, `${name}-${index + 1}`),
+    );
+    return Promise.all(started);
+  }
+
+  private async startStandIn(
+    kind: string,
+    id: string,
+  ): Promise<UpstreamProcess> {
+    const process = this.startProcess(['stand-in', kind]);
+    const line = await process.waitForLine(text => text.includes('listening'));
+    const {listening} = JSON.parse(line) as {listening: string};
+    const zone = ZONES[this.processes.length % ZONES.length];
+    return {
+      process,
+      upstream: {id, address: listening, zone, checksFence: false},
+      control: new SystemCaller(this.client, listening),
+    };
+  }
+
+  private startProcess(args: readonly string[]): ChildProcess {
+    const process = new ChildProcess(args);
+    this.processes.push(process);
+    return process;
+  }
+
+  private async formatSettings(id: string, address: string): Promise<string> {
+    const peerAddress = await this.network.reserveAddress();
+    return `
+[instance]
+id = "${id}"
+zone = "${ZONES[this.nextEntry % ZONES.length]}"
+
+[listen]
+address = "${address}"
+peerAddress = "${peerAddress}"
+
+[platform]
+address = "${this.platform!.upstream.address}"
+timeoutMs = 1000
+
+[peers]
+seeds = []
+keys = [{id = "test", secret = "peer-secret-for-tests"}]
+
+[operators]
+keys = ["${OPERATOR_KEY}"]
+
+[drain]
+graceMs = 300
+limitMs = 20000
+`;
+  }
+}
+
+function listUpstreams(processes: readonly UpstreamProcess[]): Upstream[] {
+  return processes.map(({upstream}) => upstream);
+}
--- /dev/null
+++ b/packages/routing/src/health.ts
@@ -0,0 +1,146 @@
+/** What is known of one upstream's health; a plain value that transitions replace. */
+export interface HealthState {
+  readonly state: 'healthy' | 'out' | 'trial' | 'leaving';
+  /** Failures in a row of real work; only a success of real work clears it. */
+  readonly failureStreak: number;
+  /** How often it was taken out since its last success. */
+  readonly outCount: number;
+  /** Milliseconds since the epoch; when a trial may be made. */
+  readonly trialAtMs: number;
+  /** When it last came back, for the slow start; 0 for never. */
+  readonly backAtMs: number;
+  /** When it was last said to be leaving. */
+  readonly leavingAtMs: number;
+}
+
+/** Thresholds and times of the health decisions. */
+export interface HealthPolicy {
+  /** Failures in a row after which an upstream is taken out. */
+  readonly failuresToOut: number;
+  /** Milliseconds before the first trial; doubled with each failed one. */
+  readonly trialAfterMs: number;
+  readonly maxTrialAfterMs: number;
+  /** Milliseconds over which an upstream that came back gets its full share. */
+  readonly slowStartMs: number;
+  /** Whether an answered load report brings an upstream back; a baseline. */
+  readonly reportRestores: boolean;
+}
+
+/** The policy that the daemon uses. */
+export const DEFAULT_HEALTH_POLICY: HealthPolicy = {
+  failuresToOut: 3,
+  trialAfterMs: 1000,
+  maxTrialAfterMs: 30_000,
+  slowStartMs: 5000,
+  reportRestores: false,
+};
+
+/**
+ * How a piece of work failed. `refused`: the connection was refused, which
+ * proves at once that nobody serves there; `broken`: anything else.
+ */
+export type FailureKind = 'refused' | 'broken';
+
+/** Returns the state of an upstream that nothing is known against. */
+export function createHealthyState(): HealthState {
+  return {
+    state: 'healthy',
+    failureStreak: 0,
+    outCount: 0,
+    trialAtMs: 0,
+    backAtMs: 0,
+    leavingAtMs: 0,
+  };
+}
+
+/** Returns whether new work may go to the upstream now. */
+export function isCandidate(health: HealthState, nowMs: number): boolean {
+  if (health.state === 'healthy') return true;
+  return health.state === 'out' && nowMs >= health.trialAtMs;
+}
+
+/** Work that goes to an upstream which is out is its trial: one at a time. */
+export function recordTrial(health: HealthState): HealthState {
+  if (health.state !== 'out') return health;
+  return {...health, state: 'trial'};
+}
+
+/** Real work succeeded. A leaving upstream that finishes its work stays leaving. */
+export function recordSuccess(health: HealthState, nowMs: number): HealthState {
+  if (health.state === 'leaving') return {...health, failureStreak: 0};
+  const isBack = health.state !== 'healthy';
+  return {
+    ...createHealthyState(),
+    backAtMs: isBack ? nowMs : health.backAtMs,
+  };
+}
+
+/** Real work failed. */
+export function recordFailure(
+  health: HealthState,
+  kind: FailureKind,
+  policy: HealthPolicy,
+  nowMs: number,
+): HealthState {
+  const failureStreak = health.failureStreak + 1;
+  if (health.state === 'leaving') return {...health, failureStreak};
+  const isTrial = health.state === 'trial';
+  const isOut =
+    isTrial || kind === 'refused' || failureStreak >= policy.failuresToOut;
+  if (!isOut) return {...health, failureStreak};
+  // Work that was under way when the upstream went out tells nothing new, and
+  // must not push the trial further off.
+  if (health.state === 'out') return {...health, failureStreak};
+  const delayMs = Math.min(
+    policy.maxTrialAfterMs,
+    policy.trialAfterMs * 2 ** health.outCount,
+  );
+  return {
+    ...health,
+    state: 'out',
+    failureStreak,
+    outCount: health.outCount + 1,
+    trialAtMs: nowMs + delayMs,
+  };
+}
+
+/** The upstream or the platform says that it is leaving. */
+export function recordLeaving(health: HealthState, nowMs: number): HealthState {
+  return {...health, state: 'leaving', leavingAtMs: nowMs};
+}
+
+// Clocks of upstreams and instances differ by less than this.
+const CLOCK_SKEW_MS = 500;
+
+/**
+ * A report says that the upstream was live at a time. One that was leaving
+ * becomes a candidate again by way of a trial, if the report is fresher than
+ * the word that it leaves; one that is out stays out, because a wedged
+ * upstream answers its reports as well.
+ */
+export function recordLive(
+  health: HealthState,
+  policy: HealthPolicy,
+  reportAtMs: number,
+  nowMs: number,
+): HealthState {
+  if (health.state === 'leaving') {
+    const isFresh = reportAtMs > health.leavingAtMs + CLOCK_SKEW_MS;
+    return isFresh ? {...health, state: 'out', trialAtMs: nowMs} : health;
+  }
+  if (policy.reportRestores && health.state === 'out') {
+    return {...createHealthyState(), backAtMs: nowMs};
+  }
+  return health;
+}
+
+/** Returns the share of its full work that an upstream gets, from 0.2 up to 1. */
+export function getStartFactor(
+  health: HealthState,
+  policy: HealthPolicy,
+  nowMs: number,
+): number {
+  if (health.backAtMs === 0) return 1;
+  const grown = (nowMs - health.backAtMs) / policy.slowStartMs;
+  return Math.min(1, 0.2 + 0.8 * Math.max(0, grown));
+}
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,40 @@
+/** Pure decisions about upstreams: health, load, candidates and the choice among them. */
+export {
+  createHealthyState,
+  getStartFactor,
+  isCandidate,
+  recordFailure,
+  recordLeaving,
+  recordLive,
+  recordSuccess,
+  recordTrial,
+  DEFAULT_HEALTH_POLICY,
+  type FailureKind,
+  type HealthPolicy,
+  type HealthState,
+} from './health.ts';
+export {
+  createLoadState,
+  predictOtherLoad,
+  predictDurationMs,
+  recordDispatch,
+  recordDuration,
+  recordEnd,
+  recordReport,
+  type LoadState,
+} from './load.ts';
+export {
+  LeastInFlightSelector,
+  PredictedFinishSelector,
+  RandomSelector,
+  RoundRobinSelector,
+  UpstreamSelector,
+  createSelector,
+  SELECTOR_NAMES,
+  type Candidate,
+  type Choice,
+  type ChoiceInput,
+  type SelectorName,
+} from './selectors.ts';
+export {CacheIndex} from './cache-index.ts';
+export {chooseSubset, listByRendezvous} from './rendezvous.ts';
--- /dev/null
+++ b/packages/routing/src/rendezvous.ts
@@ -0,0 +1,62 @@
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
+
+/** Ranks ids for a key, the best first; each id's place depends on it and the key alone. */
+export function listByRendezvous(
+  key: string,
+  ids: readonly string[],
+): string[] {
+  return ids
+    .map(id => ({id, weight: computeWeight(key, id)}))
+    .sort((left, right) => right.weight - left.weight)
+    .map(({id}) => id);
+}
+
+/**
+ * Chooses the upstreams that one instance uses of a large pool, so that
+ * connections and reports per instance do not grow with the pool. Each failure
+ * domain is represented as evenly as it can be.
+ */
+export function chooseSubset<Item extends {id: string; zone: string}>(
+  instanceId: string,
+  upstreams: readonly Item[],
+  size: number,
+): Item[] {
+  if (upstreams.length <= size) return [...upstreams];
+  const byId = new Map(upstreams.map(upstream => [upstream.id, upstream]));
+  const ranked = listByRendezvous(instanceId, [...byId.keys()]);
+  const queues = new Map<string, Item[]>();
+  for (const id of ranked) {
+    const upstream = byId.get(id)!;
+    const queue = queues.get(upstream.zone) ?? [];
+    queue.push(upstream);
+    queues.set(upstream.zone, queue);
+  }
+  return chooseInTurn([...queues.values()], size);
+}
+
+function chooseInTurn<Item>(queues: Item[][], size: number): Item[] {
+  const taken: Item[] = [];
+  for (let round = 0; taken.length < size; round++) {
+    for (const queue of queues) {
+      if (taken.length === size) break;
+      if (round < queue.length) taken.push(queue[round]);
+    }
+  }
+  return taken;
+}
+
+function computeWeight(key: string, id: string): number {
+  let hash = FNV_OFFSET;
+  const text = `${key}\0${id}`;
+  for (let index = 0; index < text.length; index++) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
+  }
+  // FNV's high bits hardly move for short texts that differ at their end; a
+  // final mix spreads them.
+  hash ^= hash >>> 16;
+  hash = Math.imul(hash, 0x85ebca6b);
+  hash ^= hash >>> 13;
+  hash = Math.imul(hash, 0xc2b2ae35);
+  return (hash ^ (hash >>> 16)) >>> 0;
+}
--- /dev/null
+++ b/packages/stand-ins/src/fault-switch.ts
@@ -0,0 +1,30 @@
+import {z} from 'zod';
+
+/** How a stand-in behaves. */
+export const faultSettingSchema = z.object({
+  /**
+   * ok: as it should; failing: answers 500; wedged: takes work and never ends
+   * it; leaving: refuses new work with 503; crossed: answers with another
+   * request's identity; cutting: breaks answers off half way.
+   */
+  mode: z
+    .enum(['ok', 'failing', 'wedged', 'leaving', 'crossed', 'cutting'])
+    .default('ok'),
+  /** Factor on every duration. */
+  slowFactor: z.number().positive().default(1),
+});
+/** How a stand-in behaves. */
+export type FaultSetting = z.infer<typeof faultSettingSchema>;
+
+/** Holds the fault that is switched on. */
+export class FaultSwitch {
+  private setting: FaultSetting = faultSettingSchema.parse({});
+
+  getSetting(): FaultSetting {
+    return this.setting;
+  }
+
+  setSetting(setting: Partial<FaultSetting>): void {
+    this.setting = {...this.setting, ...setting};
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/key-value-state.ts
@@ -0,0 +1,78 @@
+/** A stored value with the store revisions that touched it. */
+export interface StoredValue {
+  readonly value: string;
+  readonly createRevision: number;
+  readonly modRevision: number;
+  readonly leaseId: string | undefined;
+}
+
+/** One change to a key, as watches tell it. */
+export interface StoredChange {
+  readonly key: string;
+  /** Undefined for a deletion. */
+  readonly stored: StoredValue | undefined;
+  readonly revision: number;
+}
+
+/** Keys with their values at one store revision. */
+export class KeyValueState {
+  private values = new Map<string, StoredValue>();
+  private currentRevision = 1;
+
+  get revision(): number {
+    return this.currentRevision;
+  }
+
+  getValue(key: string): StoredValue | undefined {
+    return this.values.get(key);
+  }
+
+  /** Returns the keys from start to before end, in order; without an end the one key. */
+  listRange(start: string, end: string | undefined): string[] {
+    if (end === undefined) return this.values.has(start) ? [start] : [];
+    return [...this.values.keys()]
+      .filter(key => key >= start && key < end)
+      .sort();
+  }
+
+  /** Returns the keys under a lease. */
+  listLeaseKeys(leaseId: string): string[] {
+    return [...this.values]
+      .filter(([, stored]) => stored.leaseId === leaseId)
+      .map(([key]) => key);
+  }
+
+  /** Begins a new store revision. */
+  advanceRevision(): number {
+    this.currentRevision += 1;
+    return this.currentRevision;
+  }
+
+  /** Writes a key under the present revision. */
+  putValue(key: string, value: string, leaseId?: string): StoredChange {
+    const revision = this.currentRevision;
+    const createRevision = this.values.get(key)?.createRevision ?? revision;
+    const stored: StoredValue = {
+      value,
+      createRevision,
+      modRevision: revision,
+      leaseId,
+    };
+    this.values.set(key, stored);
+    return {key, stored, revision};
+  }
+
+  /** Deletes a key under the present revision. */
+  removeValue(key: string): StoredChange {
+    this.values.delete(key);
+    return {key, stored: undefined, revision: this.currentRevision};
+  }
+
+  /** Creates a copy that later changes leave alone. */
+  createCopy(): KeyValueState {
+    const copy = new KeyValueState();
+    copy.values = new Map(this.values);
+    copy.currentRevision = this.currentRevision;
+    return copy;
+  }
+}
--- /dev/null
+++ b/packages/token-bucket/src/index.ts
@@ -0,0 +1,2 @@
+/** A token bucket over a clock. */
+export {TokenBucket} from './token-bucket.ts';
--- /dev/null
+++ b/packages/token-bucket/src/token-bucket.ts
@@ -0,0 +1,48 @@
+import type {Clock} from '@hollowstack/clock';
+
+/** A token bucket: `perSecond` on average, `burst` at once. */
+export class TokenBucket {
+  private readonly clock: Clock;
+  private perSecond: number;
+  private burst: number;
+  private tokens: number;
+  private filledAtMs: number;
+
+  constructor(clock: Clock, perSecond: number, burst: number) {
+    this.clock = clock;
+    this.perSecond = perSecond;
+    this.burst = burst;
+    this.tokens = burst;
+    this.filledAtMs = clock.getNow();
+  }
+
+  /** Takes one token; returns false where none is left. */
+  acquire(): boolean {
+    this.addEarnedTokens();
+    if (this.tokens < 1) return false;
+    this.tokens -= 1;
+    return true;
+  }
+
+  /** Returns milliseconds until a token is there. */
+  getWaitMs(): number {
+    this.addEarnedTokens();
+    if (this.tokens >= 1) return 0;
+    return ((1 - this.tokens) / this.perSecond) * 1000;
+  }
+
+  /** Sets a new rate; tokens over the new burst are lost. */
+  setRate(perSecond: number, burst: number): void {
+    this.addEarnedTokens();
+    this.perSecond = perSecond;
+    this.burst = burst;
+    this.tokens = Math.min(this.tokens, burst);
+  }
+
+  private addEarnedTokens(): void {
+    const nowMs = this.clock.getNow();
+    const gained = ((nowMs - this.filledAtMs) / 1000) * this.perSecond;
+    this.tokens = Math.min(this.burst, this.tokens + gained);
+    this.filledAtMs = nowMs;
+  }
+}
--- /dev/null
+++ b/packages/transport/src/index.ts
@@ -0,0 +1,24 @@
+/** HTTP requests and answers as data, a client and a server over Node's http. */
+export {
+  HttpClient,
+  TransportError,
+  createTextBody,
+  readBody,
+  readJson,
+  sendJson,
+  createJsonResponse,
+  type HttpHandler,
+  type HttpHeaders,
+  type HttpRequest,
+  type HttpResponse,
+  type SendProgress,
+} from './http-exchange.ts';
+export {NodeHttpClient} from './node-http-client.ts';
+export {
+  NodeHttpServer,
+  DEFAULT_SERVER_LIMITS,
+  type HttpServerLimits,
+} from './node-http-server.ts';
+export {readServerSentEvents, encodeServerSentEvent} from './event-stream.ts';
+export {readLines} from './line-stream.ts';
+export {AsyncQueue} from './async-queue.ts';
--- /dev/null
+++ b/packages/transport/src/node-http-client.ts
@@ -0,0 +1,104 @@
+import {Agent, request as startRequest, type IncomingMessage} from 'node:http';
+import {
+  HttpClient,
+  TransportError,
+  type HttpHeaders,
+  type HttpRequest,
+  type HttpResponse,
+  type SendProgress,
+} from './http-exchange.ts';
+
+/** The client over Node's http, with connections kept alive. */
+export class NodeHttpClient extends HttpClient {
+  private readonly agent = new Agent({
+    keepAlive: true,
+    maxSockets: Infinity,
+    maxFreeSockets: 64,
+    timeout: 0,
+    scheduling: 'lifo',
+  });
+
+  send(address: string, request: HttpRequest): Promise<HttpResponse> {
+    return new Promise((resolve, reject) => {
+      if (request.signal.aborted) {
+        reject(new TransportError('given up before sending', 'none'));
+        return;
+      }
+      const {host, port} = splitAddress(address);
+      let progress: SendProgress = 'none';
+      const outgoing = startRequest({
+        host,
+        port,
+        method: request.method,
+        path: request.path,
+        headers: {...request.headers, 'content-length': request.body.length},
+        agent: this.agent,
+      });
+      const cancelRequest = () => outgoing.destroy(new Error('given up'));
+      const stopListening = () =>
+        request.signal.removeEventListener('abort', cancelRequest);
+      request.signal.addEventListener('abort', cancelRequest, {once: true});
+      // A socket that is still connecting has taken no byte; one that was
+      // connected before, or is now, may have.
+      outgoing.once('socket', socket => {
+        socket.setNoDelay(true);
+        if (!socket.connecting) progress = 'some';
+        else socket.once('connect', () => (progress = 'some'));
+      });
+      outgoing.once('error', error => {
+        stopListening();
+        reject(new TransportError(error.message, progress, error));
+      });
+      outgoing.once('response', incoming => {
+        incoming.once('close', stopListening);
+        incoming.on('error', () => {});
+        resolve(createResponse(incoming));
+      });
+      outgoing.end(request.body);
+    });
+  }
+
+  /** Closes idle connections. */
+  close(): void {
+    this.agent.destroy();
+  }
+}
+
+function createResponse(incoming: IncomingMessage): HttpResponse {
+  return {
+    status: incoming.statusCode ?? 0,
+    headers: joinHeaders(incoming.headers),
+    body: readIncoming(incoming),
+  };
+}
+
+async function* readIncoming(
+  incoming: IncomingMessage,
+): AsyncGenerator<Uint8Array> {
+  try {
+    for await (const chunk of incoming) yield chunk;
+  } catch (error) {
+    throw new TransportError('the answer broke off', 'some', error);
+  }
+  if (!incoming.complete) {
+    throw new TransportError('the answer broke off', 'some');
+  }
+}
+
+/** Joins repeated headers, so that each name has one value. */
+export function joinHeaders(
+  headers: NodeJS.Dict<string | string[]>,
+): HttpHeaders {
+  const flat: Record<string, string> = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (value === undefined) continue;
+    flat[name] = Array.isArray(value) ? value.join(', ') : value;
+  }
+  return flat;
+}
+
+function splitAddress(address: string): {host: string; port: number} {
+  const colon = address.lastIndexOf(':');
+  const host = address.slice(0, colon).replace(/^\[|\]$/g, '');
+  return {host, port: Number(address.slice(colon + 1))};
+}
