--- /dev/null
+++ b/packages/transport/src/node-http-server.ts
@@ -0,0 +1,169 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {HollowstackError} from '@hollowstack/errors';
+import {
+  readBody,
+  type HttpHandler,
+  type HttpRequest,
+  type HttpResponse,
+} from './http-exchange.ts';
+import {joinHeaders} from './node-http-client.ts';
+
+/** Bounds on what a caller may send. */
+export interface HttpServerLimits {
+  /** Largest request body in bytes. */
+  readonly bodyBytes: number;
+  /** Largest head in bytes. */
+  readonly headerBytes: number;
+  /** Milliseconds within which a request must have arrived whole. */
+  readonly receiveMs: number;
+}
+
+/** Limits for callers that are known and trusted, such as stand-ins' clients. */
+export const DEFAULT_SERVER_LIMITS: HttpServerLimits = {
+  bodyBytes: 16 * 1024 * 1024,
+  headerBytes: 16 * 1024,
+  receiveMs: 30_000,
+};
+
+const KEEP_ALIVE_MS = 60_000;
+
+/** Serves a handler over Node's http. */
+export class NodeHttpServer {
+  private readonly server: Server;
+  private readonly handler: HttpHandler;
+  private readonly limits: HttpServerLimits;
+
+  constructor(
+    handler: HttpHandler,
+    limits: HttpServerLimits = DEFAULT_SERVER_LIMITS,
+  ) {
+    this.handler = handler;
+    this.limits = limits;
+    this.server = createServer(
+      {
+        maxHeaderSize: limits.headerBytes,
+        requestTimeout: limits.receiveMs,
+        headersTimeout: limits.receiveMs,
+        connectionsCheckingInterval: Math.min(1000, limits.receiveMs),
+        keepAliveTimeout: KEEP_ALIVE_MS,
+        noDelay: true,
+      },
+      (incoming, outgoing) => {
+        this.handleExchange(incoming, outgoing).catch(() => outgoing.destroy());
+      },
+    );
+  }
+
+  /** Starts listening; resolves to the address with the port in use. */
+  listen(host: string, port: number): Promise<string> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, () => {
+        this.server.off('error', reject);
+        const address = this.server.address() as AddressInfo;
+        const shownHost =
+          address.family === 'IPv6' ? `[${address.address}]` : address.address;
+        resolve(`${shownHost}:${address.port}`);
+      });
+    });
+  }
+
+  /** Closes connections that carry no request; the others close after their answer. */
+  closeIdleConnections(): void {
+    this.server.closeIdleConnections();
+  }
+
+  /** Stops listening and resolves once every connection is closed. */
+  close(): Promise<void> {
+    return new Promise(resolve => {
+      this.server.close(() => resolve());
+      this.server.closeIdleConnections();
+    });
+  }
+
+  /** Cuts every connection at once. */
+  closeAllConnections(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private async handleExchange(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+  ): Promise<void> {
+    const controller = new AbortController();
+    outgoing.once('close', () => {
+      if (!outgoing.writableFinished) {
+        controller.abort(new HollowstackError('caller-gone', 'caller is gone'));
+      }
+    });
+    const body = await this.readRequestBody(incoming, outgoing);
+    if (body === undefined) return;
+    const request: HttpRequest = {
+      method: incoming.method ?? 'GET',
+      path: incoming.url ?? '/',
+      headers: joinHeaders(incoming.headers),
+      body,
+      signal: controller.signal,
+    };
+    const response = await this.handler(request);
+    await writeResponse(outgoing, response, controller.signal);
+  }
+
+  private async readRequestBody(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+  ): Promise<Uint8Array | undefined> {
+    try {
+      return await readBody(incoming, this.limits.bodyBytes);
+    } catch (error) {
+      if (!(error instanceof HollowstackError)) throw error;
+      outgoing.writeHead(413, {
+        'content-type': 'application/problem+json',
+        connection: 'close',
+      });
+      outgoing.end(
+        JSON.stringify({
+          kind: error.kind,
+          status: 413,
+          detail: error.message,
+          ran: 'no',
+          action: error.getAnswer().action,
+        }),
+      );
+      return undefined;
+    }
+  }
+}
+
+async function writeResponse(
+  outgoing: ServerResponse,
+  response: HttpResponse,
+  signal: AbortSignal,
+): Promise<void> {
+  outgoing.writeHead(response.status, response.headers);
+  outgoing.flushHeaders();
+  for await (const chunk of response.body) {
+    if (signal.aborted) return;
+    if (!outgoing.write(chunk)) await waitForDrain(outgoing);
+  }
+  outgoing.end();
+}
+
+function waitForDrain(outgoing: ServerResponse): Promise<void> {
+  return new Promise(resolve => {
+    const stopWaiting = () => {
+      outgoing.off('drain', stopWaiting);
+      outgoing.off('close', stopWaiting);
+      resolve();
+    };
+    outgoing.once('drain', stopWaiting);
+    outgoing.once('close', stopWaiting);
+  });
+}
--- /dev/null
+++ b/packages/types/src/index.ts
@@ -0,0 +1,48 @@
+/** Schemas of configuration, settings-independent reports and records; types are inferred. */
+export {
+  STAGE_KINDS,
+  poolSchema,
+  serviceSchema,
+  stageSchema,
+  templateSchema,
+  workspaceSchema,
+  workspacePipelineSchema,
+  upstreamSchema,
+  type Pool,
+  type Service,
+  type ServiceOperation,
+  type Stage,
+  type StageKind,
+  type Template,
+  type Upstream,
+  type Workspace,
+  type WorkspacePipeline,
+} from './objects.ts';
+export {
+  OBJECT_KINDS,
+  changeRecordSchema,
+  configObjectSchema,
+  configurationSnapshotSchema,
+  headSchema,
+  type ChangeRecord,
+  type ConfigObject,
+  type ConfigurationSnapshot,
+  type Head,
+  type ObjectKind,
+  type ObjectVersion,
+} from './configuration.ts';
+export {
+  loadReportSchema,
+  cacheEventSchema,
+  instanceRecordSchema,
+  type LoadReport,
+  type CacheEvent,
+  type InstanceRecord,
+} from './reports.ts';
+export {decisionSchema, type Decision} from './decision.ts';
+export {
+  callOutcomeSchema,
+  keptAnswerSchema,
+  type CallOutcome,
+  type KeptAnswer,
+} from './outcome.ts';
--- /dev/null
+++ b/packages/types/src/objects.ts
@@ -0,0 +1,129 @@
+import {z} from 'zod';
+
+/** The kinds of stage a template can have, in the order a request meets them. */
+export const STAGE_KINDS = [
+  'encode',
+  'retrieve',
+  'rerank',
+  'generate',
+] as const;
+/** One kind of stage. */
+export type StageKind = (typeof STAGE_KINDS)[number];
+
+const nameSchema = z
+  .string()
+  .regex(
+    /^[a-z0-9][a-z0-9-]{0,62}$/,
+    'use 1 to 63 small letters, digits and dashes',
+  );
+
+const addressSchema = z
+  .string()
+  .regex(
+    /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$/,
+    'write an IP number and a port, such as 10.0.0.7:8080',
+  );
+
+/** One upstream of a pool or service. */
+export const upstreamSchema = z.strictObject({
+  id: nameSchema,
+  address: addressSchema,
+  /** Failure domain. */
+  zone: nameSchema,
+  /** Whether it compares the fencing token of an order. */
+  checksFence: z.boolean().default(false),
+});
+/** One upstream of a pool or service. */
+export type Upstream = z.infer<typeof upstreamSchema>;
+
+/** A pool of like upstreams that serve one kind of stage. */
+export const poolSchema = z.strictObject({
+  name: nameSchema,
+  stage: z.enum(STAGE_KINDS),
+  upstreams: z.array(upstreamSchema).min(1),
+  /** Most requests in progress at one upstream. */
+  concurrencyPerUpstream: z.number().int().positive().default(16),
+  /** Milliseconds a request is expected to take before any was measured. */
+  expectedMs: z.number().positive().default(50),
+  /** Milliseconds without any answer byte after which an attempt counts as failed. */
+  silenceMs: z.number().positive().default(2000),
+  /** The models that the pool's engines hold between them. */
+  models: z.array(nameSchema).default([]),
+});
+/** A pool of like upstreams that serve one kind of stage. */
+export type Pool = z.infer<typeof poolSchema>;
+
+/** One stage of a template. */
+export const stageSchema = z.strictObject({
+  name: nameSchema,
+  kind: z.enum(STAGE_KINDS),
+  pool: nameSchema,
+  /** Documents to fetch or to keep, for retrieve and rerank. */
+  top: z.number().int().positive().max(1000).default(8),
+});
+/** One stage of a template. */
+export type Stage = z.infer<typeof stageSchema>;
+
+/** A pipeline's template: its stages in order. */
+export const templateSchema = z.strictObject({
+  name: nameSchema,
+  stages: z.array(stageSchema).min(1).max(16),
+});
+/** A pipeline's template: its stages in order. */
+export type Template = z.infer<typeof templateSchema>;
+
+/** A workspace's own parameters for one pipeline. */
+export const workspacePipelineSchema = z.strictObject({
+  template: nameSchema,
+  /** Milliseconds from arrival to the whole answer. */
+  deadlineMs: z.number().int().positive().max(600_000),
+  /** 0 goes first, 9 last. */
+  priority: z.number().int().min(0).max(9).default(5),
+  model: nameSchema,
+  adapter: nameSchema.optional(),
+  maxTokens: z.number().int().positive().max(100_000).default(64),
+});
+/** A workspace's own parameters for one pipeline. */
+export type WorkspacePipeline = z.infer<typeof workspacePipelineSchema>;
+
+/** A workspace with its pipelines and limits. */
+export const workspaceSchema = z.strictObject({
+  name: nameSchema,
+  /** What to weigh more where both cannot be had. */
+  objective: z.enum(['attainment', 'cost']).default('attainment'),
+  pipelines: z.record(nameSchema, workspacePipelineSchema).default({}),
+  services: z.array(nameSchema).default([]),
+  limits: z
+    .strictObject({
+      /** Requests a second over all instances together. */
+      requestsPerSecond: z.number().positive().default(1000),
+      /** Requests in progress over all instances together. */
+      concurrentRequests: z.number().int().positive().default(1000),
+    })
+    .prefault({}),
+});
+/** A workspace with its pipelines and limits. */
+export type Workspace = z.infer<typeof workspaceSchema>;
+
+const serviceOperationSchema = z.strictObject({
+  method: z.enum(['GET', 'POST', 'PUT', 'PATCH', 'DELETE']),
+  /** Path below the service; a trailing star stands for any rest. */
+  path: z.string().startsWith('/'),
+  /** Whether the call may be sent a second time. */
+  repeatable: z.boolean(),
+});
+/** One kind of call of a plain service. */
+export type ServiceOperation = z.infer<typeof serviceOperationSchema>;
+
+/** A plain service. A call that no operation names is not repeatable. */
+export const serviceSchema = z.strictObject({
+  name: nameSchema,
+  upstreams: z.array(upstreamSchema).min(1),
+  operations: z.array(serviceOperationSchema).default([]),
+  /** Milliseconds a call may take. */
+  deadlineMs: z.number().int().positive().default(5000),
+  concurrencyPerUpstream: z.number().int().positive().default(64),
+  expectedMs: z.number().positive().default(20),
+});
+/** A plain service. */
+export type Service = z.infer<typeof serviceSchema>;
--- /dev/null
+++ b/packages/types/src/reports.ts
@@ -0,0 +1,35 @@
+import {z} from 'zod';
+
+/** What an upstream says of its load; it lags behind the truth. */
+export const loadReportSchema = z.object({
+  running: z.number().nonnegative(),
+  queued: z.number().nonnegative(),
+  /** Tokens generated a second by one sequence at the current batch. */
+  tokensPerSecond: z.number().nonnegative().optional(),
+  state: z.enum(['live', 'leaving']).default('live'),
+  models: z.array(z.string()).default([]),
+  /** Milliseconds since the epoch at which the report was true. */
+  atMs: z.number().optional(),
+});
+/** What an upstream says of its load. */
+export type LoadReport = z.infer<typeof loadReportSchema>;
+
+/** An engine's word that it holds, or no longer holds, a prompt prefix. */
+export const cacheEventSchema = z.object({
+  /** Counts up by one an event; a jump means that events were lost. */
+  sequence: z.number().int(),
+  kind: z.enum(['stored', 'evicted']),
+  prefix: z.string(),
+});
+/** An engine's word on its prefix cache. */
+export type CacheEvent = z.infer<typeof cacheEventSchema>;
+
+/** One row of the platform's lagging list of instances. */
+export const instanceRecordSchema = z.object({
+  id: z.string(),
+  address: z.string(),
+  zone: z.string(),
+  state: z.enum(['live', 'leaving']),
+});
+/** One row of the platform's lagging list of instances. */
+export type InstanceRecord = z.infer<typeof instanceRecordSchema>;
--- /dev/null
+++ b/scripts/build-binary.ts
@@ -0,0 +1,54 @@
+import {execFileSync} from 'node:child_process';
+import {
+  chmodSync,
+  copyFileSync,
+  mkdirSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from 'node:fs';
+import {fileURLToPath} from 'node:url';
+import {build} from 'esbuild';
+import {inject} from 'postject';
+
+// Builds dist/hollowstack: one bundle, put into a copy of the Node that runs
+// this script. The fuse is the marker that Node's single executables carry.
+const SENTINEL_FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
+const root = fileURLToPath(new URL('..', import.meta.url));
+const dist = `${root}dist`;
+
+rmSync(dist, {recursive: true, force: true});
+mkdirSync(dist);
+await build({
+  entryPoints: [`${root}packages/cli/src/main.ts`],
+  bundle: true,
+  platform: 'node',
+  target: 'node24',
+  format: 'cjs',
+  outfile: `${dist}/hollowstack.cjs`,
+  // Top-level await has no place in a CommonJS bundle, and the native speed-up
+  // of cbor-x cannot be carried in one file.
+  external: ['cbor-extract'],
+  logLevel: 'warning',
+});
+writeFileSync(
+  `${dist}/sea-config.json`,
+  JSON.stringify({
+    main: `${dist}/hollowstack.cjs`,
+    output: `${dist}/hollowstack.blob`,
+    disableExperimentalSEAWarning: true,
+  }),
+);
+execFileSync(process.execPath, [
+  '--experimental-sea-config',
+  `${dist}/sea-config.json`,
+]);
+copyFileSync(process.execPath, `${dist}/hollowstack`);
+chmodSync(`${dist}/hollowstack`, 0o755);
+await inject(
+  `${dist}/hollowstack`,
+  'NODE_SEA_BLOB',
+  readFileSync(`${dist}/hollowstack.blob`),
+  {sentinelFuse: SENTINEL_FUSE},
+);
+console.log(`built ${dist}/hollowstack`);
--- /dev/null
+++ b/scripts/postject.d.ts
@@ -0,0 +1,9 @@
+declare module 'postject' {
+  /** Puts a resource into an executable file. */
+  export function inject(
+    filename: string,
+    resourceName: string,
+    resourceData: Uint8Array,
+    options: {sentinelFuse: string},
+  ): Promise<void>;
+}
