Fuzz the whole system in process, and refuse claims on a restored store

Cause: nothing proved the promises.

Ruled out: noticing the restore by a store revision that falls, since an instance that was behind sees it rise. Keeping claims among the peers would be a replicated store of our own.

Change: the store's own id (cluster_id of the gateway's header) is kept under a key; where they differ, keyed calls and publishes are refused with store-restored, ran: no, until an operator runs config restore. The publishing instance puts its change in force without reading it back, so peers have it.

--- a/packages/claims/src/claim-store.ts
+++ b/packages/claims/src/claim-store.ts
@@ -2,6 +2,7 @@
 import {
   StoreError,
   createSingleKeyRange,
+  StoreIdentity,
   type KeyValue,
   type PlatformStore,
 } from '@hollowstack/platform';
@@ -39,19 +40,22 @@
 export class ClaimStore {
   private readonly store: PlatformStore;
   private readonly clock: Clock;
+  private readonly identity: StoreIdentity;
   private retentionLease: {id: string; grantedAtMs: number} | undefined;
 
-  constructor(store: PlatformStore, clock: Clock) {
+  constructor(store: PlatformStore, clock: Clock, identity: StoreIdentity) {
     this.store = store;
     this.clock = clock;
+    this.identity = identity;
   }
 
   /**
    * Asks for a claim until it is granted, taken or the time is up.
    *
    * @param giveUpAtMs Milliseconds since the epoch.
-   * @throws StoreError where it is still not known whether the claim is held;
-   *   the caller must not run the call then.
+   * @throws StoreError where it is still not known whether the claim is held,
+   *   or HollowstackError `store-restored` where claims may have been lost; the
+   *   caller must not run the call then.
    */
   async acquireClaim(
     identity: ClaimIdentity,
@@ -118,6 +122,7 @@
       ],
       onFailure: [{type: 'read', range: createSingleKeyRange(identity.key)}],
     });
+    await this.identity.checkStore(result.storeId);
     if (result.succeeded) {
       const modRevision = result.storeRevision;
       return {
--- a/packages/claims/src/claimed-calls.ts
+++ b/packages/claims/src/claimed-calls.ts
@@ -91,12 +91,12 @@
       const giveUpAtMs = deadlineMs - CLAIM_MARGIN_MS;
       return (await claims.acquireClaim(identity, giveUpAtMs)).claim;
     } catch (error) {
-      if (!(error instanceof StoreError)) throw error;
+      if (!(error instanceof HollowstackError)) throw error;
       // The claim may yet stand or come to stand in the service. A resend that
       // finds it is told by this instance that the call did not run.
       this.recordLocal(identity, Promise.resolve({type: 'not-run'}));
       throw new HollowstackError(
-        'store-unavailable',
+        error.kind,
         `the call was not run: its claim could not be made (${error.message})`,
         {cause: error},
       );
--- a/packages/config-log/src/publish-plan.ts
+++ b/packages/config-log/src/publish-plan.ts
@@ -33,6 +33,8 @@
   readonly deletions: readonly ObjectVersion[];
   /** Whether nothing would change. */
   readonly isEmpty: boolean;
+  /** The whole configuration once the plan is applied. */
+  readonly next: ConfigurationSnapshot;
 }
 
 /**
@@ -57,9 +59,9 @@
   );
   rejectUnknownRemovals(request.removals, deletions);
   rejectConflicts(stored.head, request, writes, deletions);
-  const plan = createPlan(stored.head, request, writes, deletions, nowMs);
-  rejectInvalid(applyToObjects(stored.objects, writes, deletions));
-  return plan;
+  const objects = applyToObjects(stored.objects, writes, deletions);
+  rejectInvalid(objects);
+  return createPlan(stored.head, objects, request, writes, deletions, nowMs);
 }
 
 /**
@@ -80,7 +82,8 @@
   );
   const revision = Math.max(stored.head.revision, inForce.head.revision);
   const base: Head = {...inForce.head, revision};
-  return createPlan(base, request, inForce.objects, deletions, nowMs);
+  const {objects} = inForce;
+  return createPlan(base, objects, request, objects, deletions, nowMs);
 }
 
 function rejectOlderStore(
@@ -149,6 +152,7 @@
 
 function createPlan(
   base: Head,
+  objects: readonly ConfigObject[],
   request: Pick<PublishRequest, 'changeId' | 'author'>,
   writes: readonly ConfigObject[],
   deletions: readonly ObjectVersion[],
@@ -167,12 +171,14 @@
     name: value.name,
     version: revision,
   }));
+  const head = {revision, changeId, objects: [...kept, ...written]};
   return {
-    head: {revision, changeId, objects: [...kept, ...written]},
+    head,
     record: {revision, changeId, author, atMs: nowMs, changed, removed},
     writes,
     deletions,
     isEmpty: touched.size === 0,
+    next: {head, objects: [...objects]},
   };
 }
 
--- a/packages/config-log/src/publisher.ts
+++ b/packages/config-log/src/publisher.ts
@@ -2,6 +2,7 @@
 import {HollowstackError} from '@hollowstack/errors';
 import {
   StoreError,
+  type StoreIdentity,
   createSingleKeyRange,
   type Operation,
   type PlatformStore,
@@ -17,7 +18,7 @@
   type PublishPlan,
   type PublishRequest,
 } from './publish-plan.ts';
-import {readStoredSnapshot} from './reading.ts';
+import {readStoredSnapshot, type StoredSnapshot} from './reading.ts';
 
 /** A change that has taken effect. */
 export interface Published {
@@ -25,6 +26,8 @@
   readonly changeId: string;
   /** Ids of the objects that changed; empty where the file held nothing new. */
   readonly changed: readonly string[];
+  /** The whole configuration at that revision; undefined where an earlier try had published it. */
+  readonly snapshot?: ConfigurationSnapshot;
 }
 
 // Records older than this many revisions are deleted with each change, so that
@@ -38,8 +41,15 @@
   private readonly store: PlatformStore;
   private readonly clock: Clock;
   private readonly random: () => number;
+  private readonly identity: StoreIdentity;
 
-  constructor(store: PlatformStore, clock: Clock, random: () => number) {
+  constructor(
+    store: PlatformStore,
+    clock: Clock,
+    random: () => number,
+    identity: StoreIdentity,
+  ) {
+    this.identity = identity;
     this.store = store;
     this.clock = clock;
     this.random = random;
@@ -56,14 +66,15 @@
     request: PublishRequest,
     inForceRevision: number,
   ): Promise<Published> {
-    return this.publishByPlan(request.changeId, stored =>
-      assemblePublishPlan(
-        stored,
+    return this.publishByPlan(request.changeId, async ({snapshot, storeId}) => {
+      await this.identity.checkStore(storeId);
+      return assemblePublishPlan(
+        snapshot,
         request,
         inForceRevision,
         this.clock.getNow(),
-      ),
-    );
+      );
+    });
   }
 
   /** Writes the configuration in force back over a store that lost it. */
@@ -71,14 +82,20 @@
     inForce: ConfigurationSnapshot,
     request: Pick<PublishRequest, 'changeId' | 'author'>,
   ): Promise<Published> {
-    return this.publishByPlan(request.changeId, stored =>
-      assembleRestorePlan(stored, inForce, request, this.clock.getNow()),
-    );
+    return this.publishByPlan(request.changeId, async ({snapshot, storeId}) => {
+      await this.identity.applyStore(storeId);
+      return assembleRestorePlan(
+        snapshot,
+        inForce,
+        request,
+        this.clock.getNow(),
+      );
+    });
   }
 
   private async publishByPlan(
     changeId: string,
-    assemblePlan: (stored: ConfigurationSnapshot) => PublishPlan,
+    assemblePlan: (stored: StoredSnapshot) => Promise<PublishPlan>,
   ): Promise<Published> {
     let mayHaveTakenEffect = false;
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
@@ -106,12 +123,12 @@
   // Undefined means that another change came between: plan again on top of it.
   private async publishOnce(
     changeId: string,
-    assemblePlan: (stored: ConfigurationSnapshot) => PublishPlan,
+    assemblePlan: (stored: StoredSnapshot) => Promise<PublishPlan>,
   ): Promise<Published | undefined> {
     const earlier = await this.findPublished(changeId);
     if (earlier) return earlier;
     const stored = await readStoredSnapshot(this.store);
-    const plan = assemblePlan(stored.snapshot);
+    const plan = await assemblePlan(stored);
     if (plan.isEmpty) {
       return {revision: stored.snapshot.head.revision, changeId, changed: []};
     }
@@ -127,7 +144,12 @@
     });
     if (!result.succeeded) return undefined;
     const {revision, changed, removed} = plan.record;
-    return {revision, changeId, changed: [...changed, ...removed]};
+    return {
+      revision,
+      changeId,
+      changed: [...changed, ...removed],
+      snapshot: plan.next,
+    };
   }
 
   private async findPublished(
--- a/packages/config-log/src/reading.ts
+++ b/packages/config-log/src/reading.ts
@@ -21,6 +21,8 @@
   readonly snapshot: ConfigurationSnapshot;
   /** 0 where no head was ever written. */
   readonly headModRevision: number;
+  /** Id of the store that was read. */
+  readonly storeId: string;
 }
 
 /** Reads head and all objects in one call, so that they belong together. */
@@ -37,7 +39,11 @@
   const [headRead, objectsRead] = result.reads;
   const headKeyValue = headRead.keyValues.at(0);
   if (!headKeyValue) {
-    return {snapshot: createEmptySnapshot(), headModRevision: 0};
+    return {
+      snapshot: createEmptySnapshot(),
+      headModRevision: 0,
+      storeId: result.storeId,
+    };
   }
   return {
     snapshot: {
@@ -45,6 +51,7 @@
       objects: objectsRead.keyValues.map(parseObject),
     },
     headModRevision: headKeyValue.modRevision,
+    storeId: result.storeId,
   };
 }
 
--- a/packages/entry/src/create-daemon.ts
+++ b/packages/entry/src/create-daemon.ts
@@ -24,6 +24,7 @@
   BudgetedStore,
   GatewayStore,
   InstanceList,
+  StoreIdentity,
   WatchHub,
 } from '@hollowstack/platform';
 import {createSelector} from '@hollowstack/routing';
@@ -72,7 +73,8 @@
     logger,
     random,
   );
-  const publisher = new ConfigurationPublisher(store, clock, random);
+  const identity = new StoreIdentity(store);
+  const publisher = new ConfigurationPublisher(store, clock, random, identity);
   const instanceList = new InstanceList(store, clock, random);
   const watchHub = new WatchHub(store, clock, random);
 
@@ -112,7 +114,7 @@
   };
 
   const claimedCalls = new ClaimedCalls({
-    claims: new ClaimStore(store, clock),
+    claims: new ClaimStore(store, clock, identity),
     clock,
     askOutcome: (claim, waitMs) => askOutcome(claim, waitMs, membership, link),
     recordUnknown: ({record}) =>
--- a/packages/entry/src/operator-endpoint.ts
+++ b/packages/entry/src/operator-endpoint.ts
@@ -5,6 +5,7 @@
   type ConfigurationFollower,
   type ConfigurationHolder,
   type ConfigurationPublisher,
+  type Published,
 } from '@hollowstack/config-log';
 import {HollowstackError} from '@hollowstack/errors';
 import type {EventLogger} from '@hollowstack/logger';
@@ -127,20 +128,34 @@
       changeId: published.changeId,
       author: body.author,
     });
-    await follower.refresh();
-    return createJsonResponse(200, published);
+    await this.putInForce(published);
+    return this.createPublishedResponse(published);
   }
 
   private async restore(request: FrontRequest): Promise<HttpResponse> {
-    const {holder, follower, publisher, jsonDepth} = this.parts;
+    const {holder, publisher, jsonDepth} = this.parts;
     const body = readJsonBody(request.http, restoreSchema, jsonDepth);
     const current = holder.getCurrent();
     if (!current) {
       throw new HollowstackError('not-ready', 'nothing is in force here');
     }
     const published = await publisher.restore(current.snapshot, body);
-    await follower.refresh();
-    return createJsonResponse(200, published);
+    await this.putInForce(published);
+    return this.createPublishedResponse(published);
+  }
+
+  // The publishing instance takes the change without reading it back: should
+  // the store lose it right after, the peers still learn of it from here.
+  private async putInForce(published: Published): Promise<void> {
+    const {holder, follower} = this.parts;
+    if (published.snapshot)
+      holder.offerSnapshot(published.snapshot, 'operator');
+    else await follower.refresh();
+  }
+
+  private createPublishedResponse(published: Published): HttpResponse {
+    const {revision, changeId, changed} = published;
+    return createJsonResponse(200, {revision, changeId, changed});
   }
 }
 
--- a/packages/errors/src/answers.ts
+++ b/packages/errors/src/answers.ts
@@ -120,6 +120,14 @@
       title: "The platform's service does not answer",
       action: 'Come back as told; see docs/OPERATING.md, platform outage.',
     }))
+    .with('store-restored', () => ({
+      status: 503,
+      ran: 'no',
+      retryAfterMs: 60_000,
+      title: "The platform's service was restored from a backup",
+      action:
+        'An operator decides whether calls since the backup matter, then runs: hollowstack config restore',
+    }))
     .with('upstream-unavailable', () => ({
       status: 503,
       ran: 'no',
--- a/packages/errors/src/kinds.ts
+++ b/packages/errors/src/kinds.ts
@@ -16,6 +16,7 @@
   'draining',
   'not-ready',
   'store-unavailable',
+  'store-restored',
   'upstream-unavailable',
   'upstream-failed',
   'outcome-unknown',
--- /dev/null
+++ b/packages/fuzz/src/fuzz-world.ts
@@ -0,0 +1,397 @@
+import {ManualClock} from '@hollowstack/clock';
+import type {Problem} from '@hollowstack/errors';
+import {
+  LocalSystem,
+  MemoryNetwork,
+  createSampleConfiguration,
+  createSeededRandom,
+  type LocalInstance,
+  type LocalUpstream,
+  type SystemCaller,
+} from '@hollowstack/local-system';
+import {getInstanceKey} from '@hollowstack/platform';
+import type {PlatformFaults} from '@hollowstack/stand-ins';
+import type {ConfigObject} from '@hollowstack/types';
+import type {Outcome, SentRequest} from './sent-request.ts';
+
+/** One published change as its operator was told of it. */
+export interface AcceptedChange {
+  readonly changeId: string;
+  readonly revision: number;
+  /** The instance that published it. */
+  readonly instance: string;
+  /** Whether that instance was killed or paused afterwards. */
+  isPublisherHit: boolean;
+}
+
+/** One upstream that the platform's list says is leaving. */
+export interface LeavingRecord {
+  readonly upstream: string;
+  readonly fromMs: number;
+  untilMs: number;
+}
+
+const INSTANCES = 3;
+const START_LIMIT_MS = 30_000;
+const MAX_LATENCY_MS = 4;
+const DEADLINES_MS = {chat: 2000, summary: 8000, booking: 2000};
+
+/** A whole system on a manual clock, with a record of all that callers were told. */
+export class FuzzWorld {
+  readonly clock = new ManualClock();
+  readonly network: MemoryNetwork;
+  readonly system: LocalSystem;
+  readonly requests: SentRequest[] = [];
+  readonly accepted: AcceptedChange[] = [];
+  readonly leaving: LeavingRecord[] = [];
+  readonly violations: string[] = [];
+  /** Whether the store was ever put back to an older state. */
+  wasRestored = false;
+  /** Whether the platform's list could not be read at some time. */
+  isListHidden = false;
+  private readonly random: () => number;
+  private nextSubject = 1;
+
+  /** @param seed Decides latencies and every random choice of the daemons. */
+  constructor(seed: number) {
+    this.random = createSeededRandom(seed);
+    this.network = new MemoryNetwork(this.clock, {
+      getLatencyMs: () => this.random() * MAX_LATENCY_MS,
+    });
+    this.system = new LocalSystem(this.network, {
+      instances: INSTANCES,
+      encoders: 2,
+      retrievers: 1,
+      rerankers: 1,
+      engines: 2,
+      bookings: 2,
+      random: this.random,
+      adjustSettings: settings => ({
+        ...settings,
+        drain: {graceMs: 500, limitMs: 20_000},
+      }),
+    });
+  }
+
+  /** Brings the system up with the sample configuration in force. */
+  async start(): Promise<void> {
+    await this.finish(this.system.start());
+    await this.finish(this.system.publish());
+    await this.finish(this.system.waitUntilReady());
+    for (const instance of this.system.instances) this.watchRevisions(instance);
+    this.accepted.push({
+      changeId: 'setup',
+      revision: 1,
+      instance: this.system.instances[0].id,
+      isPublisherHit: false,
+    });
+  }
+
+  /** Lets time pass until a promise settles. */
+  finish<T>(promise: Promise<T>): Promise<T> {
+    return this.clock.advanceUntil(promise, START_LIMIT_MS);
+  }
+
+  getInstance(index: number): LocalInstance {
+    return this.system.instances[index % this.system.instances.length];
+  }
+
+  /** Sends a pipeline request; its outcome comes as time passes. */
+  sendPipeline(
+    index: number,
+    pipeline: 'chat' | 'summary',
+    isStreamed: boolean,
+  ): void {
+    const subject = `question ${this.nextSubject++}`;
+    const request = this.addRequest(
+      index,
+      isStreamed ? 'stream' : 'whole',
+      subject,
+      pipeline,
+      undefined,
+    );
+    const caller = this.createCaller(index);
+    const outcome: Promise<Outcome> = isStreamed
+      ? caller
+          .runStreamedPipeline('lima-centro', pipeline, subject)
+          .then(({text, end, problem}) => ({
+            type: 'stream',
+            text,
+            isWhole: end !== undefined,
+            problem,
+          }))
+      : caller
+          .runPipeline(
+            'lima-centro',
+            pipeline,
+            subject,
+            {},
+            request.controller.signal,
+          )
+          .then(answer => ({type: 'answer', answer}));
+    this.followOutcome(request, outcome);
+  }
+
+  /** Sends a booking, with an idempotency key or without. */
+  sendBooking(index: number, hasKey: boolean): void {
+    const number = this.nextSubject++;
+    const key = hasKey ? `key-${number}` : undefined;
+    this.sendBookingCall(index, `booking-${number}`, key);
+  }
+
+  /** Sends an earlier keyed booking again, to any instance. */
+  resendBooking(index: number, which: number): void {
+    const keyed = this.requests.filter(
+      ({idempotencyKey}) => idempotencyKey !== undefined,
+    );
+    if (keyed.length === 0) return;
+    const {subject, idempotencyKey} = keyed[which % keyed.length];
+    this.sendBookingCall(index, subject, idempotencyKey);
+  }
+
+  /** One caller that waits goes away. */
+  dropCaller(which: number): void {
+    const waiting = this.requests.filter(
+      ({outcome, kind}) => outcome === undefined && kind !== 'stream',
+    );
+    if (waiting.length === 0) return;
+    const request = waiting[which % waiting.length];
+    request.isCallerGone = true;
+    request.controller.abort(new Error('caller gone'));
+  }
+
+  /** Kills an instance and starts another in its place. */
+  async killInstance(index: number): Promise<void> {
+    const instance = this.getInstance(index);
+    this.recordHit(instance);
+    this.network.getGate(instance.id).kill();
+    await this.network.stopServing(instance.address);
+    this.system.removeInstance(instance);
+    await this.startInstance();
+  }
+
+  pauseInstance(index: number): void {
+    const instance = this.getInstance(index);
+    this.recordHit(instance);
+    this.network.getGate(instance.id).pause();
+  }
+
+  resumeInstances(): void {
+    for (const {id} of this.system.instances) this.network.getGate(id).resume();
+  }
+
+  /** Stops an instance by plan and starts another in its place. */
+  async drainInstance(index: number): Promise<void> {
+    if (this.system.instances.length <= 1) return;
+    const instance = this.getInstance(index);
+    this.system.removeInstance(instance);
+    void instance.daemon
+      .drain()
+      .then(() => this.network.stopServing(instance.address));
+    await this.startInstance();
+  }
+
+  /** The platform's list says that an upstream leaves, or that it is live again. */
+  setListed(index: number, isLeaving: boolean): void {
+    const {group, upstream} = this.getListedUpstream(index);
+    const state = isLeaving ? 'leaving' : 'live';
+    this.system.platform.putValue(
+      getInstanceKey(group, upstream.upstream.id),
+      JSON.stringify({...upstream.upstream, state}),
+    );
+    this.recordLeaving(upstream.upstream.id, isLeaving);
+  }
+
+  /** An operator changes one pool's expected time through one instance. */
+  publishChange(index: number, pool: number): void {
+    const instance = this.getInstance(index);
+    const changeId = `change-${this.nextSubject++}`;
+    const objects = this.createChange(pool);
+    const caller = this.createCaller(index);
+    void caller
+      .callOperator('POST', 'configuration', {
+        changeId,
+        author: instance.id,
+        objects,
+      })
+      .then(
+        ({status, body}) => {
+          if (status !== 200) return;
+          const {revision} = body as {revision: number};
+          this.accepted.push({
+            changeId,
+            revision,
+            instance: instance.id,
+            isPublisherHit: false,
+          });
+        },
+        () => {},
+      );
+  }
+
+  /** Switches faults of the platform's service. */
+  setPlatformFaults(faults: Partial<PlatformFaults>): void {
+    this.isListHidden ||=
+      faults.isDown === true ||
+      faults.isStale === true ||
+      faults.isWatchSilent === true ||
+      (faults.delayMs ?? 0) > 0;
+    this.system.platform.setFaults(faults);
+  }
+
+  /** Puts the store back to an earlier backup. */
+  restoreStore(): void {
+    this.wasRestored = true;
+    this.isListHidden = true;
+    this.system.platform.restoreBackup();
+  }
+
+  /** Ends every fault and waits for all that is still under way. */
+  async heal(healMs: number): Promise<void> {
+    this.resumeInstances();
+    this.system.platform.setFaults({
+      isDown: false,
+      delayMs: 0,
+      lostReplies: 0,
+      isStale: false,
+      isWatchSilent: false,
+      callsPerSecond: 0,
+    });
+    this.network.removeCuts();
+    for (const standIn of this.system.listStandIns()) {
+      standIn.faults.setSetting({mode: 'ok', slowFactor: 1});
+    }
+    await this.clock.advance(healMs);
+  }
+
+  listUpstreams(): LocalUpstream[] {
+    const {encoders, retrievers, rerankers, engines, bookings} = this.system;
+    return [...encoders, ...retrievers, ...rerankers, ...engines, ...bookings];
+  }
+
+  private async startInstance(): Promise<void> {
+    const instance = await this.system.startInstance();
+    this.watchRevisions(instance);
+  }
+
+  private watchRevisions(instance: LocalInstance): void {
+    const {holder} = instance.daemon.parts;
+    let highest = holder.getRevision();
+    holder.addListener(({revision}) => {
+      if (revision <= highest) {
+        this.violations.push(
+          `${instance.id} went from revision ${highest} to ${revision}`,
+        );
+      }
+      highest = revision;
+    });
+  }
+
+  private createCaller(index: number): SystemCaller {
+    return this.system.createCaller(this.getInstance(index));
+  }
+
+  private sendBookingCall(
+    index: number,
+    subject: string,
+    key: string | undefined,
+  ): void {
+    const request = this.addRequest(index, 'booking', subject, undefined, key);
+    const outcome = this.createCaller(index)
+      .send(
+        'POST',
+        '/v1/workspaces/lima-centro/services/booking/bookings',
+        {id: subject},
+        key === undefined ? {} : {'idempotency-key': key},
+        request.controller.signal,
+      )
+      .then((answer): Outcome => ({type: 'answer', answer}));
+    this.followOutcome(request, outcome);
+  }
+
+  private addRequest(
+    index: number,
+    kind: SentRequest['kind'],
+    subject: string,
+    pipeline: SentRequest['pipeline'],
+    idempotencyKey: string | undefined,
+  ): SentRequest {
+    const instance = this.getInstance(index);
+    const request: SentRequest = {
+      kind,
+      instance: instance.id,
+      subject,
+      pipeline,
+      idempotencyKey,
+      sentAtMs: this.clock.getNow(),
+      deadlineMs: DEADLINES_MS[pipeline ?? 'booking'],
+      controller: new AbortController(),
+      isCallerGone: false,
+      isInstanceHit: !this.network.getGate(instance.id).isRunning(),
+      outcome: undefined,
+      settledAtMs: 0,
+    };
+    this.requests.push(request);
+    return request;
+  }
+
+  private followOutcome(request: SentRequest, outcome: Promise<Outcome>): void {
+    const settle = (settled: Outcome) => {
+      request.outcome = settled;
+      request.settledAtMs = this.clock.getNow();
+    };
+    outcome.then(settle, (error: unknown) =>
+      settle({type: 'broken', message: String(error)}),
+    );
+  }
+
+  private recordHit(instance: LocalInstance): void {
+    for (const request of this.requests) {
+      if (request.instance === instance.id && request.outcome === undefined) {
+        request.isInstanceHit = true;
+      }
+    }
+    for (const change of this.accepted) {
+      change.isPublisherHit ||= change.instance === instance.id;
+    }
+  }
+
+  private recordLeaving(upstream: string, isLeaving: boolean): void {
+    const nowMs = this.clock.getNow();
+    const open = this.leaving.find(
+      record => record.upstream === upstream && record.untilMs === Infinity,
+    );
+    if (isLeaving && !open) {
+      this.leaving.push({upstream, fromMs: nowMs, untilMs: Infinity});
+    } else if (!isLeaving && open) {
+      open.untilMs = nowMs;
+    }
+  }
+
+  private getListedUpstream(index: number): {
+    group: string;
+    upstream: LocalUpstream;
+  } {
+    const {encoders, engines} = this.system;
+    const listed = [
+      ...encoders.map(upstream => ({group: 'encode-pool', upstream})),
+      ...engines.map(upstream => ({group: 'generate-pool', upstream})),
+    ];
+    return listed[index % listed.length];
+  }
+
+  private createChange(pool: number): ConfigObject[] {
+    const pools = createSampleConfiguration(this.system.listUpstreams()).filter(
+      object => object.kind === 'pool',
+    );
+    const chosen = pools[pool % pools.length];
+    const expectedMs = chosen.value.expectedMs + this.nextSubject / 1000;
+    return [{kind: 'pool', value: {...chosen.value, expectedMs}}];
+  }
+}
+
+/** Returns the problem an outcome carries, if any. */
+export function getProblem(outcome: Outcome): Problem | undefined {
+  if (outcome.type === 'answer') return outcome.answer.problem;
+  return outcome.type === 'stream' ? outcome.problem : undefined;
+}
--- a/packages/local-system/src/memory-network.ts
+++ b/packages/local-system/src/memory-network.ts
@@ -82,6 +82,11 @@
     else this.cuts.delete(key);
   }
 
+  /** Joins all processes again. */
+  removeCuts(): void {
+    this.cuts.clear();
+  }
+
   isCut(left: string, right: string): boolean {
     return this.cuts.has(createPairKey(left, right));
   }
--- a/packages/platform/src/gateway-messages.ts
+++ b/packages/platform/src/gateway-messages.ts
@@ -13,7 +13,10 @@
   create_revision: zeroableSchema,
 });
 
-const headerSchema = z.object({revision: zeroableSchema});
+const headerSchema = z.object({
+  cluster_id: z.coerce.string().default(''),
+  revision: zeroableSchema,
+});
 
 /** Answer to /v3/kv/range. */
 export const rangeResponseSchema = z.object({
--- a/packages/platform/src/gateway-store.ts
+++ b/packages/platform/src/gateway-store.ts
@@ -74,14 +74,16 @@
       await this.call('/v3/kv/txn', body, 'unknown'),
     );
     const storeRevision = answer.header.revision;
+    const storeId = answer.header.cluster_id;
     const reads = answer.responses
       .map(response => response.response_range)
       .filter(range => range !== undefined)
       .map(range => ({
+        storeId,
         storeRevision,
         keyValues: (range.kvs ?? []).map(decodeKeyValue),
       }));
-    return {succeeded: answer.succeeded, storeRevision, reads};
+    return {succeeded: answer.succeeded, storeId, storeRevision, reads};
   }
 
   async grantLease(ttlMs: number): Promise<Lease> {
@@ -233,6 +235,7 @@
   answer: z.infer<typeof rangeResponseSchema>,
 ): RangeResult {
   return {
+    storeId: answer.header.cluster_id,
     storeRevision: answer.header.revision,
     keyValues: answer.kvs.map(decodeKeyValue),
   };
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -27,3 +27,4 @@
   InstanceList,
   getInstanceKey,
 } from './instance-list.ts';
+export {STORE_IDENTITY_KEY, StoreIdentity} from './store-identity.ts';
--- a/packages/platform/src/platform-store.ts
+++ b/packages/platform/src/platform-store.ts
@@ -19,6 +19,8 @@
 
 /** What a read found. */
 export interface RangeResult {
+  /** Names the store; one that was restored from a backup has a new name. */
+  readonly storeId: string;
   /** Store revision at which the read was true. */
   readonly storeRevision: number;
   readonly keyValues: readonly KeyValue[];
@@ -51,6 +53,8 @@
 /** What a transaction did. */
 export interface TransactionResult {
   readonly succeeded: boolean;
+  /** Names the store; one that was restored from a backup has a new name. */
+  readonly storeId: string;
   readonly storeRevision: number;
   /** Results of the read steps, in their order. */
   readonly reads: readonly RangeResult[];
--- a/packages/stand-ins/src/platform-stand-in.ts
+++ b/packages/stand-ins/src/platform-stand-in.ts
@@ -62,6 +62,7 @@
   private readonly leases = new Map<string, GrantedLease>();
   private readonly watchers = new Set<Watcher>();
   private nextLeaseId = 1;
+  private clusterId = 1;
   private callCount = 0;
   private windowStartMs = 0;
   private windowCalls = 0;
@@ -96,10 +97,14 @@
     this.backup = this.state.createCopy();
   }
 
-  /** Goes back to the saved copy; what came after it is lost. */
+  /**
+   * Goes back to the saved copy; what came after it is lost. As with etcd, a
+   * restored store is a new cluster with an id of its own.
+   */
   restoreBackup(): void {
     if (!this.backup) return;
     this.state = this.backup.createCopy();
+    this.clusterId += 1;
     this.closeWatches();
   }
 
@@ -187,7 +192,7 @@
       .listRange(decodeText(range.key), end)
       .map(key => encodeKeyValue(key, state))
       .filter(kv => Number(kv.mod_revision) >= range.min_mod_revision);
-    return {header: {revision: String(state.revision)}, kvs};
+    return {header: this.createHeader(state), kvs};
   }
 
   private runTransaction(body: unknown): object {
@@ -203,8 +208,14 @@
       this.applyOperation(operation, changes),
     );
     this.sendToWatchers(changes);
-    const header = {revision: String(this.state.revision)};
-    return {header, succeeded, responses};
+    return {header: this.createHeader(this.state), succeeded, responses};
+  }
+
+  private createHeader(state: KeyValueState): object {
+    return {
+      cluster_id: String(this.clusterId),
+      revision: String(state.revision),
+    };
   }
 
   private applyOperation(
