Answer keyed calls at their deadline, and survive a store that goes back

Ruled out: a shorter store timeout (the sum of several calls is what is late).

Change: a keyed call is answered when its deadline passes, and an attempt counts as begun before its first byte; membership registers again when its own key is missing; the exchange asks seeds where peers do not answer; a pause is noticed and the list read again before work is sent; a publish checks that the store which took the write is the one that was read.

What a store loses together with every instance that held it stays lost; the oracle leaves that out.

--- a/packages/claims/src/claimed-calls.ts
+++ b/packages/claims/src/claimed-calls.ts
@@ -37,7 +37,7 @@
 export class ClaimedCalls {
   private readonly parts: ClaimedCallsParts;
   private readonly local = new Map<string, LocalCall>();
-  private readonly unrecorded = new Set<Promise<void>>();
+  private readonly unfinished = new Set<Promise<unknown>>();
 
   constructor(parts: ClaimedCallsParts) {
     this.parts = parts;
@@ -51,7 +51,17 @@
    * @throws HollowstackError `store-unavailable` (not run), `key-reused`,
    *   `outcome-unknown`, or what `runCall` made of its own failure.
    */
-  async runOnce(
+  runOnce(
+    identity: ClaimIdentity,
+    deadlineMs: number,
+    runCall: () => Promise<CallOutcome>,
+  ): Promise<KeptAnswer | undefined> {
+    const running = this.runUnderClaim(identity, deadlineMs, runCall);
+    this.followToEnd(running);
+    return running;
+  }
+
+  private async runUnderClaim(
     identity: ClaimIdentity,
     deadlineMs: number,
     runCall: () => Promise<CallOutcome>,
@@ -77,9 +87,11 @@
     ]);
   }
 
-  /** Resolves once every outcome is recorded; a planned stop waits for it. */
+  /** Resolves once every call has ended and is recorded; a planned stop waits for it. */
   async waitForRecording(): Promise<void> {
-    while (this.unrecorded.size > 0) await Promise.all(this.unrecorded);
+    while (this.unfinished.size > 0) {
+      await Promise.allSettled(this.unfinished);
+    }
   }
 
   private async acquireClaim(
@@ -219,10 +231,13 @@
   }
 
   private startRecording(claim: HeldClaim, outcome: CallOutcome): void {
-    const recording = this.recordUntilDone(claim, outcome).finally(() =>
-      this.unrecorded.delete(recording),
-    );
-    this.unrecorded.add(recording);
+    this.followToEnd(this.recordUntilDone(claim, outcome));
+  }
+
+  private followToEnd(work: Promise<unknown>): void {
+    const removeWork = () => this.unfinished.delete(work);
+    this.unfinished.add(work);
+    work.then(removeWork, removeWork);
   }
 
   private async recordUntilDone(
--- a/packages/config-log/src/publisher.ts
+++ b/packages/config-log/src/publisher.ts
@@ -58,20 +58,20 @@
   /**
    * Publishes a change.
    *
-   * @param inForceRevision Highest revision known to be in force.
+   * @param getInForceRevision Returns the highest revision known to be in force.
    * @throws HollowstackError of the plan, or `outcome-unknown` where the service
    *   never said whether the change took effect.
    */
   publish(
     request: PublishRequest,
-    inForceRevision: number,
+    getInForceRevision: () => number,
   ): Promise<Published> {
     return this.publishByPlan(request.changeId, async ({snapshot, storeId}) => {
       await this.identity.checkStore(storeId);
       return assemblePublishPlan(
         snapshot,
         request,
-        inForceRevision,
+        getInForceRevision(),
         this.clock.getNow(),
       );
     });
@@ -143,6 +143,15 @@
       ],
     });
     if (!result.succeeded) return undefined;
+    // Between the read and the write the store may have been restored, and an
+    // older head compares equal there.
+    if (result.storeId !== stored.storeId) {
+      throw new HollowstackError(
+        'store-restored',
+        `the store was restored while change ${changeId} was written`,
+        {ran: 'unknown'},
+      );
+    }
     const {revision, changed, removed} = plan.record;
     return {
       revision,
--- a/packages/entry/src/create-daemon.ts
+++ b/packages/entry/src/create-daemon.ts
@@ -34,6 +34,7 @@
 import {followLeavingUpstreams} from './leaving-upstreams.ts';
 import {Lifecycle} from './lifecycle.ts';
 import {OperatorEndpoint} from './operator-endpoint.ts';
+import {PauseGuard} from './pause-guard.ts';
 import {PeerRequests} from './peer-requests.ts';
 import {PipelineEndpoint} from './pipeline-endpoint.ts';
 import {ProbeEndpoint} from './probe-endpoint.ts';
@@ -104,8 +105,16 @@
     subsetSize: settings.limits.upstreamSubset,
     getInstanceCount: () => membership.getLiveCount(),
   });
-  const poller = new LoadPoller(groups, client, clock, random);
+  const poller = new LoadPoller(
+    groups,
+    client,
+    clock,
+    random,
+    settings.limits.reportPollMs,
+  );
+  const pauseGuard = new PauseGuard(clock, () => instanceList.refresh());
   const runnerParts = {
+    waitUntilFresh: () => pauseGuard.waitUntilFresh(),
     client,
     clock,
     selector: createSelector(settings.policy.selector, random),
@@ -227,6 +236,7 @@
     exchange,
     shares,
     poller,
+    pauseGuard,
     claimedCalls,
     front,
   });
--- a/packages/entry/src/daemon.ts
+++ b/packages/entry/src/daemon.ts
@@ -22,6 +22,7 @@
 } from '@hollowstack/transport';
 import type {Front} from './front.ts';
 import type {Lifecycle} from './lifecycle.ts';
+import type {PauseGuard} from './pause-guard.ts';
 import type {Settings} from './settings.ts';
 
 /** What a daemon needs of the world; tests pass their own. */
@@ -50,6 +51,7 @@
   readonly exchange: RevisionExchange;
   readonly shares: ShareClient;
   readonly poller: LoadPoller;
+  readonly pauseGuard: PauseGuard;
   readonly claimedCalls: ClaimedCalls;
   readonly front: Front;
 }
@@ -85,6 +87,7 @@
     void parts.exchange.start();
     void parts.shares.start();
     void parts.poller.start();
+    parts.pauseGuard.start();
     while (!parts.holder.getCurrent()) {
       if (parts.lifecycle.getState() !== 'starting') return;
       await waitFor(clock, START_POLL_MS);
@@ -129,6 +132,7 @@
     const {parts} = this;
     parts.lifecycle.setState('closing');
     parts.poller.stop();
+    parts.pauseGuard.stop();
     parts.shares.stop();
     parts.exchange.stop();
     parts.instanceList.stop();
--- a/packages/entry/src/operator-endpoint.ts
+++ b/packages/entry/src/operator-endpoint.ts
@@ -121,7 +121,7 @@
     const inForce = holder.getRevision();
     const published = await publisher.publish(
       {...body, baseRevision: body.baseRevision ?? inForce},
-      inForce,
+      () => holder.getRevision(),
     );
     logger.logEvent('config.published', {
       revision: published.revision,
--- /dev/null
+++ b/packages/entry/src/pause-guard.ts
@@ -0,0 +1,57 @@
+import {waitFor, type Clock, type Timer} from '@hollowstack/clock';
+
+const TICK_MS = 500;
+/** Milliseconds without a tick after which the process must have stood still. */
+const PAUSE_MS = 2000;
+const REFRESH_LIMIT_MS = 500;
+
+/**
+ * Notices that the process stood still. What it knows of leaving upstreams is
+ * as old as the pause then, and is read again before any work is sent.
+ */
+export class PauseGuard {
+  private readonly clock: Clock;
+  private readonly refreshKnowledge: () => Promise<void>;
+  private tickedAtMs: number;
+  private timer: Timer | undefined;
+  private refreshing: Promise<void> | undefined;
+
+  constructor(clock: Clock, refreshKnowledge: () => Promise<void>) {
+    this.clock = clock;
+    this.refreshKnowledge = refreshKnowledge;
+    this.tickedAtMs = clock.getNow();
+  }
+
+  start(): void {
+    this.recordTick();
+  }
+
+  stop(): void {
+    this.timer?.cancel();
+  }
+
+  /** Resolves at once, or after a pause once what is known was read again. */
+  async waitUntilFresh(): Promise<void> {
+    const isPaused = this.clock.getNow() - this.tickedAtMs > PAUSE_MS;
+    if (isPaused && this.timer !== undefined) this.startRefresh();
+    if (this.refreshing) await this.refreshing;
+  }
+
+  private startRefresh(): void {
+    this.refreshing ??= Promise.race([
+      this.refreshKnowledge(),
+      waitFor(this.clock, REFRESH_LIMIT_MS),
+    ]).finally(() => {
+      this.tickedAtMs = this.clock.getNow();
+      this.refreshing = undefined;
+    });
+  }
+
+  // The tick after a pause may come before the work that waits behind it.
+  private recordTick(): void {
+    const isPaused = this.clock.getNow() - this.tickedAtMs > PAUSE_MS;
+    if (isPaused) this.startRefresh();
+    else if (!this.refreshing) this.tickedAtMs = this.clock.getNow();
+    this.timer = this.clock.schedule(TICK_MS, () => this.recordTick());
+  }
+}
--- a/packages/entry/src/service-endpoint.ts
+++ b/packages/entry/src/service-endpoint.ts
@@ -139,7 +139,7 @@
       fingerprint: computeFingerprint(call),
     };
     let failure: unknown;
-    const answer = await this.parts.claimedCalls.runOnce(
+    const running = this.parts.claimedCalls.runOnce(
       identity,
       deadlineMs,
       async (): Promise<CallOutcome> => {
@@ -152,6 +152,9 @@
         }
       },
     );
+    // The store may answer late; the caller is told at its deadline all the
+    // same, and nothing is sent to the service after it.
+    const answer = await rejectOnAbort(running, context.signal);
     if (failure !== undefined) throw failure;
     if (answer?.body === undefined) {
       throw new HollowstackError('answer-not-kept', 'the call ran before');
@@ -279,3 +282,17 @@
 async function* createBytesBody(bytes: Uint8Array): AsyncGenerator<Uint8Array> {
   yield bytes;
 }
+
+function rejectOnAbort<Value>(
+  promise: Promise<Value>,
+  signal: AbortSignal,
+): Promise<Value> {
+  return new Promise((resolve, reject) => {
+    const stopWaiting = () => reject(signal.reason);
+    signal.addEventListener('abort', stopWaiting, {once: true});
+    if (signal.aborted) stopWaiting();
+    promise.then(resolve, reject).finally(() => {
+      signal.removeEventListener('abort', stopWaiting);
+    });
+  });
+}
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -66,6 +66,8 @@
       jsonDepth: z.number().int().positive().default(32),
       /** Most upstreams of one pool that this instance uses. */
       upstreamSubset: z.number().int().positive().default(24),
+      /** Milliseconds between two readings of an upstream's load report. */
+      reportPollMs: z.number().positive().default(1000),
     })
     .prefault({}),
   drain: z
--- a/packages/fuzz/src/commands.ts
+++ b/packages/fuzz/src/commands.ts
@@ -69,13 +69,13 @@
     .map(
       ([instance, which]) =>
         new NamedCommand(`resend(${instance}, ${which})`, world =>
-          world.resendBooking(instance, which),
+          world.sendBookingAgain(instance, which),
         ),
     ),
   index.map(
     which =>
-      new NamedCommand(`dropCaller(${which})`, world =>
-        world.dropCaller(which),
+      new NamedCommand(`cancelCaller(${which})`, world =>
+        world.cancelCaller(which),
       ),
   ),
 ];
--- a/packages/fuzz/src/fuzz-world.ts
+++ b/packages/fuzz/src/fuzz-world.ts
@@ -18,10 +18,8 @@
 export interface AcceptedChange {
   readonly changeId: string;
   readonly revision: number;
-  /** The instance that published it. */
-  readonly instance: string;
-  /** Whether that instance was killed or paused afterwards. */
-  isPublisherHit: boolean;
+  /** Instances that had it in force when it was accepted and were not hit since. */
+  readonly witnesses: Set<string>;
 }
 
 /** One upstream that the platform's list says is leaving. */
@@ -66,9 +64,10 @@
       engines: 2,
       bookings: 2,
       random: this.random,
-      adjustSettings: settings => ({
+      applyToSettings: settings => ({
         ...settings,
         drain: {graceMs: 500, limitMs: 20_000},
+        limits: {...settings.limits, reportPollMs: 2500},
       }),
     });
   }
@@ -82,8 +81,7 @@
     this.accepted.push({
       changeId: 'setup',
       revision: 1,
-      instance: this.system.instances[0].id,
-      isPublisherHit: false,
+      witnesses: this.listWitnesses(1),
     });
   }
 
@@ -140,7 +138,7 @@
   }
 
   /** Sends an earlier keyed booking again, to any instance. */
-  resendBooking(index: number, which: number): void {
+  sendBookingAgain(index: number, which: number): void {
     const keyed = this.requests.filter(
       ({idempotencyKey}) => idempotencyKey !== undefined,
     );
@@ -150,7 +148,7 @@
   }
 
   /** One caller that waits goes away. */
-  dropCaller(which: number): void {
+  cancelCaller(which: number): void {
     const waiting = this.requests.filter(
       ({outcome, kind}) => outcome === undefined && kind !== 'stream',
     );
@@ -221,8 +219,7 @@
           this.accepted.push({
             changeId,
             revision,
-            instance: instance.id,
-            isPublisherHit: false,
+            witnesses: this.listWitnesses(revision),
           });
         },
         () => {},
@@ -247,7 +244,7 @@
   }
 
   /** Ends every fault and waits for all that is still under way. */
-  async heal(healMs: number): Promise<void> {
+  async endFaults(healMs: number): Promise<void> {
     this.resumeInstances();
     this.system.platform.setFaults({
       isDown: false,
@@ -352,7 +349,7 @@
       }
     }
     for (const change of this.accepted) {
-      change.isPublisherHit ||= change.instance === instance.id;
+      change.witnesses.delete(instance.id);
     }
   }
 
@@ -368,6 +365,13 @@
     }
   }
 
+  private listWitnesses(revision: number): Set<string> {
+    const holders = this.system.instances.filter(
+      ({daemon}) => daemon.parts.holder.getRevision() >= revision,
+    );
+    return new Set(holders.map(({id}) => id));
+  }
+
   private getListedUpstream(index: number): {
     group: string;
     upstream: LocalUpstream;
--- a/packages/fuzz/src/oracle.ts
+++ b/packages/fuzz/src/oracle.ts
@@ -133,12 +133,17 @@
     promise: 'a configuration never reverts',
     detail,
   }));
-  // A store that lost a change together with the one instance that held it has
-  // lost it for good; docs/PROOFS.md says so.
+  // A change that the store lost and whose every witness is gone is lost for
+  // good; docs/PROOFS.md says so.
   const kept = world.accepted.filter(
-    ({isPublisherHit}) => !(world.wasRestored && isPublisherHit),
+    ({witnesses}) =>
+      !world.wasRestored ||
+      world.system.instances.some(({id}) => witnesses.has(id)),
   );
-  const newest = Math.max(...kept.map(({revision}) => revision));
+  const held = world.system.instances.map(({daemon}) =>
+    daemon.parts.holder.getRevision(),
+  );
+  const newest = Math.max(...held, ...kept.map(({revision}) => revision));
   const behind = world.system.instances
     .filter(({daemon}) => daemon.parts.holder.getRevision() < newest)
     .map(({id, daemon}) => ({
--- a/packages/fuzz/src/run-fuzz.ts
+++ b/packages/fuzz/src/run-fuzz.ts
@@ -20,7 +20,7 @@
 }
 
 /** Milliseconds in which the system must be whole again after the last fault. */
-const HEAL_MS = 20_000;
+const HEAL_MS = 15_000;
 
 /**
  * Runs random commands against whole systems.
@@ -59,7 +59,7 @@
   await world.start();
   const setup = () => ({model: {requests: 0}, real: world});
   await fc.asyncModelRun(setup, commands);
-  await world.heal(HEAL_MS);
+  await world.endFaults(HEAL_MS);
   const violations = checkPromises(world);
   await world.system.stop();
   if (violations.length > 0) {
--- a/packages/local-system/src/local-system.ts
+++ b/packages/local-system/src/local-system.ts
@@ -34,7 +34,7 @@
   readonly random: () => number;
   readonly logger?: EventLogger;
   /** Changes the settings of each instance. */
-  readonly adjustSettings?: (settings: Settings) => Settings;
+  readonly applyToSettings?: (settings: Settings) => Settings;
   readonly engineOptions?: Partial<EngineOptions>;
 }
 
@@ -272,6 +272,6 @@
       operators: {keys: [OPERATOR_KEY]},
       drain: {graceMs: 200, limitMs: 30_000},
     });
-    return this.options.adjustSettings?.(settings) ?? settings;
+    return this.options.applyToSettings?.(settings) ?? settings;
   }
 }
--- a/packages/peers/src/membership.ts
+++ b/packages/peers/src/membership.ts
@@ -16,6 +16,8 @@
 const RETRY_MS = 2000;
 /** Milliseconds for which a peer counts as live after it was heard of directly. */
 const HEARD_MS = 15_000;
+/** Milliseconds for which a peer that did not answer is asked last. */
+const UNREACHABLE_MS = 10_000;
 
 /** What membership works with. */
 export interface MembershipParts {
@@ -39,6 +41,7 @@
   >();
   private readonly listeners: Array<() => void> = [];
   private readonly controller = new AbortController();
+  private readonly unreachable = new Map<string, number>();
   private leaseId: string | undefined;
 
   constructor(parts: MembershipParts) {
@@ -60,6 +63,14 @@
     return [...peers.values()];
   }
 
+  /** Returns the live peers that have not failed to answer lately. */
+  listReachablePeers(): PeerRecord[] {
+    const sinceMs = this.parts.clock.getNow() - UNREACHABLE_MS;
+    return this.listPeers().filter(
+      ({id}) => (this.unreachable.get(id) ?? 0) < sinceMs,
+    );
+  }
+
   /** Returns how many instances are live, this one counted. */
   getLiveCount(): number {
     return this.listPeers().length + 1;
@@ -72,6 +83,7 @@
   /** Notes that a peer was heard of just now. */
   recordHeard(record: PeerRecord): void {
     const isNew = !this.heard.has(record.id) && !this.registered.has(record.id);
+    this.unreachable.delete(record.id);
     this.heard.set(record.id, {record, atMs: this.parts.clock.getNow()});
     if (isNew) this.callListeners();
   }
@@ -79,6 +91,7 @@
   /** Notes that a peer does not answer; the list alone decides about it again. */
   recordUnreachable(id: string): void {
     this.heard.delete(id);
+    this.unreachable.set(id, this.parts.clock.getNow());
   }
 
   /** Adds a function that is called after each change. */
@@ -130,6 +143,16 @@
       this.setRegistered(key.slice(PEER_PREFIX.length), value);
     }
     this.callListeners();
+    await this.renewIfMissing();
+  }
+
+  // A store that was restored from a backup has lost our key, though the lease
+  // may still be renewed.
+  private async renewIfMissing(): Promise<void> {
+    const isMissing = !this.registered.has(this.parts.self.id);
+    if (this.leaseId === undefined || !isMissing) return;
+    this.leaseId = undefined;
+    await this.renew().catch(() => false);
   }
 
   private async renew(): Promise<boolean> {
--- a/packages/peers/src/revision-exchange.ts
+++ b/packages/peers/src/revision-exchange.ts
@@ -59,11 +59,17 @@
 
   private choosePeers(): string[] {
     const {membership, seeds, random} = this.parts;
-    const peers = membership.listPeers();
-    if (peers.length === 0) return [...seeds].slice(0, FAN_OUT);
-    return choosePeersOverZones(peers, FAN_OUT, random).map(
+    const peers = membership.listReachablePeers();
+    const chosen = choosePeersOverZones(peers, FAN_OUT, random).map(
       ({address}) => address,
     );
+    // With few peers at hand the list may be an outage's or a backup's: the
+    // seeds of the settings and those that did not answer get their turn.
+    const others = [...seeds, ...membership.listPeers().map(getAddress)];
+    const rest = others.filter(address => !chosen.includes(address));
+    const start = Math.floor(random() * Math.max(1, rest.length));
+    const rotated = [...rest.slice(start), ...rest.slice(0, start)];
+    return [...new Set([...chosen, ...rotated])].slice(0, FAN_OUT);
   }
 
   private async exchangeWith(address: string): Promise<void> {
@@ -115,6 +121,10 @@
   }
 }
 
+function getAddress({address}: PeerRecord): string {
+  return address;
+}
+
 /** Chooses peers at random, each failure domain in its turn. */
 export function choosePeersOverZones(
   peers: readonly PeerRecord[],
--- a/packages/pipeline/src/group-runner.ts
+++ b/packages/pipeline/src/group-runner.ts
@@ -20,6 +20,8 @@
   readonly selector: UpstreamSelector;
   readonly metrics: MetricsRegistry;
   readonly logger: EventLogger;
+  /** Resolves once what is known of upstreams may be trusted. */
+  readonly waitUntilFresh: () => Promise<void>;
 }
 
 /** One piece of work for a group. */
@@ -77,6 +79,7 @@
       const place = await this.acquirePlace(group, work, context);
       waitedMs += place.waitedMs;
       try {
+        await this.parts.waitUntilFresh();
         const upstream = await this.attemptOnce(group, work, context, tried);
         return {upstream, attempts, waitedMs};
       } catch (error) {
@@ -178,6 +181,7 @@
     );
     tried.add(choice.id);
     group.recordDispatch(choice.id);
+    context.beginAttempt();
     try {
       const call = work.call.createCall();
       const headers = {
@@ -186,7 +190,6 @@
         'x-priority': String(context.identity.priority),
       };
       const response = await attempt.send(upstream.address, {...call, headers});
-      context.recordMayHaveRun();
       group.durations.recordMs(
         getFirstByteKey(work, context),
         this.parts.clock.getNow() - startedAtMs,
@@ -195,10 +198,11 @@
       const durationMs = this.parts.clock.getNow() - startedAtMs;
       group.places.recordSlowdown(this.getSlowdown(group, units, durationMs));
       group.recordSuccess(choice.id, durationMs, units);
+      context.endAttempt(true);
       return choice.id;
     } catch (error) {
       const failure = toAttemptError(error);
-      if (failure.mayHaveRun()) context.recordMayHaveRun();
+      context.endAttempt(failure.mayHaveRun());
       this.recordFailure(group, work, context, choice.id, failure);
       throw failure;
     } finally {
--- a/packages/pipeline/src/load-poller.ts
+++ b/packages/pipeline/src/load-poller.ts
@@ -9,7 +9,6 @@
 import type {GroupDirectory} from './group-directory.ts';
 import type {UpstreamGroup} from './upstream-group.ts';
 
-const POLL_MS = 1000;
 const TIMEOUT_MS = 800;
 const OK = 200;
 
@@ -21,14 +20,18 @@
   private readonly client: HttpClient;
   private readonly clock: Clock;
   private readonly random: () => number;
+  private readonly pollMs: number;
   private readonly controller = new AbortController();
 
+  /** @param pollMs Milliseconds between two readings of each upstream. */
   constructor(
     groups: GroupDirectory,
     client: HttpClient,
     clock: Clock,
     random: () => number,
+    pollMs: number,
   ) {
+    this.pollMs = pollMs;
     this.groups = groups;
     this.client = client;
     this.clock = clock;
@@ -40,7 +43,7 @@
     const {signal} = this.controller;
     while (!signal.aborted) {
       await this.pollAll();
-      const delayMs = POLL_MS * (0.75 + this.random() / 2);
+      const delayMs = this.pollMs * (0.75 + this.random() / 2);
       await waitFor(this.clock, delayMs, signal).catch(() => {});
     }
   }
--- a/packages/pipeline/src/request-context.ts
+++ b/packages/pipeline/src/request-context.ts
@@ -24,6 +24,7 @@
   private readonly record: RequestDecisions;
   private attemptCount = 0;
   private isDispatched = false;
+  private openAttempts = 0;
 
   constructor(
     identity: RequestIdentity,
@@ -48,14 +49,23 @@
     return `${this.identity.requestId}.${this.attemptCount}`;
   }
 
-  /** Notes that an upstream may have begun work of this request. */
-  recordMayHaveRun(): void {
-    this.isDispatched = true;
+  /**
+   * Notes that an attempt is about to be sent. Until it has ended, the work
+   * counts as begun: the deadline may pass while its bytes are on their way.
+   */
+  beginAttempt(): void {
+    this.openAttempts += 1;
+  }
+
+  /** Notes how the attempt ended: whether the upstream may have begun the work. */
+  endAttempt(mayHaveRun: boolean): void {
+    this.openAttempts -= 1;
+    this.isDispatched ||= mayHaveRun;
   }
 
   /** Returns whether any upstream may have begun work of this request. */
   mayHaveRun(): boolean {
-    return this.isDispatched;
+    return this.isDispatched || this.openAttempts > 0;
   }
 
   /** Adds a decision to what `why` tells. */
--- a/packages/stand-ins/src/key-value-state.ts
+++ b/packages/stand-ins/src/key-value-state.ts
@@ -42,6 +42,12 @@
       .map(([key]) => key);
   }
 
+  /** Returns the leases that any key is under. */
+  listLeaseIds(): string[] {
+    const ids = [...this.values.values()].map(({leaseId}) => leaseId);
+    return [...new Set(ids.filter(id => id !== undefined))];
+  }
+
   /** Begins a new store revision. */
   advanceRevision(): number {
     this.currentRevision += 1;
--- a/packages/stand-ins/src/platform-stand-in.ts
+++ b/packages/stand-ins/src/platform-stand-in.ts
@@ -41,6 +41,8 @@
 type WireOperation = z.infer<typeof wireOperationSchema>;
 type WireRange = z.infer<typeof wireRangeSchema>;
 
+const RESTORED_LEASE_MS = 30_000;
+
 interface Watcher {
   readonly start: string;
   readonly end: string | undefined;
@@ -105,6 +107,7 @@
     if (!this.backup) return;
     this.state = this.backup.createCopy();
     this.clusterId += 1;
+    this.restoreLeases();
     this.closeWatches();
   }
 
@@ -247,6 +250,15 @@
     return {ID: id, TTL: String(ttlSeconds)};
   }
 
+  // A restored lease begins anew; keys under it end unless it is renewed.
+  private restoreLeases(): void {
+    for (const id of this.state.listLeaseIds()) {
+      const ttlMs = this.leases.get(id)?.ttlMs ?? RESTORED_LEASE_MS;
+      this.leases.get(id)?.timer.cancel();
+      this.leases.set(id, {ttlMs, timer: this.scheduleEnd(id, ttlMs)});
+    }
+  }
+
   private renewLease(id: string): object {
     const lease = this.leases.get(id);
     if (!lease) return {result: {ID: id}};
