Keep the peer link's session key as a key object

Cause: a profile of the fuzz run gave 20 % of the time to preparing the HMAC key of each frame's tag.

Ruled out: another tag algorithm; the digest itself is 4.7 us for 150 bytes.

Change: the session key is a KeyObject.

--- a/packages/peers/src/session.ts
+++ b/packages/peers/src/session.ts
@@ -1,4 +1,10 @@
-import {createHmac, randomBytes, timingSafeEqual} from 'node:crypto';
+import {
+  createHmac,
+  createSecretKey,
+  randomBytes,
+  timingSafeEqual,
+  type KeyObject,
+} from 'node:crypto';
 import {decode, encode} from 'cbor-x';
 import {
   FrameDecoder,
@@ -47,7 +53,9 @@
   private key: PeerKey | undefined;
   private transcript = '';
   private peer = '';
-  private sessionKey: Buffer | undefined;
+  // A key object, because Node prepares a key given as bytes anew each time,
+  // which costs six times what the tag itself does.
+  private sessionKey: KeyObject | undefined;
   private isOpen = false;
   private isClosed = false;
   private sentFrames = 0;
@@ -161,7 +169,7 @@
 
   private open(): void {
     this.isOpen = true;
-    this.sessionKey = this.computeHmac('session');
+    this.sessionKey = createSecretKey(this.computeHmac('session'));
     this.decoder.setMaxBytes(MAX_FRAME_BYTES);
     this.handlers.handleOpen(this.peer);
   }
