Prove the promises with real processes

Cause: the fuzzed daemons run in one process; signals, sockets and the exit of a process were not proved.

Ruled out: fixed sleeps as verdicts; the tests wait on log lines and answers.

Change: a fleet of separate processes with tests for a killed engine in mid-stream, a killed instance in a booking, an instance frozen past a deadline, an outage with a new instance starting in it, and the replacement of every instance under load. The first of them found that a stopped instance stayed for the whole 20 s of its drain limit, held by a timer: it is cancelled.

--- a/packages/entry/src/daemon.ts
+++ b/packages/entry/src/daemon.ts
@@ -116,8 +116,14 @@
       .waitForIdle()
       .then(() => claimedCalls.waitForRecording())
       .then(() => true);
-    const isLate = waitFor(clock, settings.drain.limitMs).then(() => false);
+    const limit = new AbortController();
+    const isLate = waitFor(clock, settings.drain.limitMs, limit.signal).then(
+      () => false,
+      () => true,
+    );
     const isClean = await Promise.race([isIdle, isLate]);
+    // A timer that is left would keep the process for all of its time.
+    limit.abort(new Error('drained'));
     if (!isClean) {
       logger.logEvent('entry.drain-late', {
         inProgress: lifecycle.getInProgress(),
--- a/packages/process-fleet/src/process-fleet.ts
+++ b/packages/process-fleet/src/process-fleet.ts
@@ -49,6 +49,7 @@
   private readonly options: FleetOptions;
   private platform: UpstreamProcess | undefined;
   private upstreams: SampleUpstreams | undefined;
+  private readonly peerAddresses: string[] = [];
   private nextEntry = 1;
 
   constructor(options: FleetOptions) {
@@ -84,10 +85,11 @@
 
   /** Starts one more daemon; it may not be ready yet. */
   async startEntry(): Promise<EntryProcess> {
-    const id = `entry-${this.nextEntry++}`;
+    const number = this.nextEntry++;
+    const id = `entry-${number}`;
     const address = await this.network.reserveAddress();
     const path = join(this.folder, `${id}.toml`);
-    writeFileSync(path, await this.formatSettings(id, address));
+    writeFileSync(path, await this.formatSettings(id, address, number));
     const process = this.startProcess(['entry', '--settings', path]);
     const caller = new SystemCaller(this.client, address);
     const entry = {id, process, caller};
@@ -120,6 +122,11 @@
     return (answer.body as {revision: number}).revision;
   }
 
+  /** Takes a daemon out of the list, as a balancer does. */
+  removeEntry(entry: EntryProcess): void {
+    this.entries.splice(this.entries.indexOf(entry), 1);
+  }
+
   /** Returns the upstreams that the sample configuration names. */
   getUpstreams(): SampleUpstreams {
     return this.upstreams!;
@@ -173,12 +180,18 @@
     return process;
   }
 
-  private async formatSettings(id: string, address: string): Promise<string> {
+  private async formatSettings(
+    id: string,
+    address: string,
+    number: number,
+  ): Promise<string> {
     const peerAddress = await this.network.reserveAddress();
+    const seeds = this.peerAddresses.map(seed => `"${seed}"`).join(', ');
+    this.peerAddresses.push(peerAddress);
     return `
 [instance]
 id = "${id}"
-zone = "${ZONES[this.nextEntry % ZONES.length]}"
+zone = "${ZONES[number % ZONES.length]}"
 
 [listen]
 address = "${address}"
@@ -189,14 +202,14 @@
 timeoutMs = 1000
 
 [peers]
-seeds = []
+seeds = [${seeds}]
 keys = [{id = "test", secret = "peer-secret-for-tests"}]
 
 [operators]
 keys = ["${OPERATOR_KEY}"]
 
 [drain]
-graceMs = 300
+graceMs = 2500
 limitMs = 20000
 `;
   }
--- a/packages/stand-ins/src/service-stand-in.ts
+++ b/packages/stand-ins/src/service-stand-in.ts
@@ -47,6 +47,10 @@
     if (request.path === '/load') {
       return createJsonResponse(200, this.report.getReport());
     }
+    if (request.path === '/stand-in/run-count') {
+      const asked = Buffer.from(request.body).toString('utf8');
+      return createJsonResponse(200, {count: this.getRunCount(asked)});
+    }
     const {mode, slowFactor} = this.faults.getSetting();
     if (mode === 'leaving') return createNotRunResponse('leaving');
     const echo = this.createEchoHeaders(request);
