Show that each promise breaks without its mechanism

Cause: a test that passes proves nothing unless it fails without what it tests.

Ruled out: counting coverage; a covered line can still be unneeded.

The stand-ins now give another request's answer when crossed and can end a stream without its marker; a process that stopped by plan is gone in the fuzzed system too.

--- a/packages/fuzz/src/commands.ts
+++ b/packages/fuzz/src/commands.ts
@@ -119,6 +119,7 @@
       'leaving' as const,
       'crossed' as const,
       'cutting' as const,
+      'truncating' as const,
     )
     .map(mode => ({mode})),
   fc.constantFrom(1, 3, 20).map(slowFactor => ({slowFactor})),
--- a/packages/fuzz/src/fuzz-world.ts
+++ b/packages/fuzz/src/fuzz-world.ts
@@ -32,6 +32,8 @@
 const INSTANCES = 3;
 const START_LIMIT_MS = 30_000;
 const MAX_LATENCY_MS = 4;
+/** Milliseconds in which what a process wrote before its end still arrives. */
+const LAST_BYTES_MS = 50;
 const DEADLINES_MS = {chat: 2000, summary: 8000, booking: 2000};
 
 /** A whole system on a manual clock, with a record of all that callers were told. */
@@ -185,10 +187,18 @@
     this.system.removeInstance(instance);
     void instance.daemon
       .drain()
-      .then(() => this.network.stopServing(instance.address));
+      .then(() =>
+        this.clock.schedule(LAST_BYTES_MS, () => this.endProcess(instance)),
+      );
     await this.startInstance();
   }
 
+  /** The process of an instance that has stopped by plan is gone. */
+  private endProcess(instance: LocalInstance): void {
+    this.network.getGate(instance.id).kill();
+    void this.network.stopServing(instance.address);
+  }
+
   /** The platform's list says that an upstream leaves, or that it is live again. */
   setListed(index: number, isLeaving: boolean): void {
     const {group, upstream} = this.getListedUpstream(index);
--- a/packages/fuzz/src/main.ts
+++ b/packages/fuzz/src/main.ts
@@ -8,6 +8,7 @@
     seed: {type: 'string', default: String(Date.now() % 1_000_000_000)},
     commands: {type: 'string', default: '25'},
     path: {type: 'string'},
+    'no-shrink': {type: 'boolean', default: false},
   },
 });
 const startedAtMs = performance.now();
@@ -17,6 +18,7 @@
   seed: Number(values.seed),
   maxCommands: Number(values.commands),
   path: values.path,
+  isUnshrunk: values['no-shrink'],
 });
 const seconds = ((performance.now() - startedAtMs) / 1000).toFixed(1);
 console.log(
--- a/packages/fuzz/src/run-fuzz.ts
+++ b/packages/fuzz/src/run-fuzz.ts
@@ -10,6 +10,8 @@
   readonly maxCommands: number;
   /** Path of a shrunk failure, to run it alone. */
   readonly path?: string;
+  /** Whether a failure is told as it was found, without being made smaller. */
+  readonly isUnshrunk?: boolean;
 }
 
 /** What was run. */
@@ -44,7 +46,7 @@
       numRuns: options.runs,
       seed: options.seed,
       path: options.path,
-      endOnFailure: false,
+      endOnFailure: options.isUnshrunk ?? false,
     },
   );
   return report;
--- a/packages/stand-ins/src/engine-stand-in.ts
+++ b/packages/stand-ins/src/engine-stand-in.ts
@@ -167,20 +167,21 @@
     };
     const queue = new AsyncQueue<Uint8Array>(cancelSequence);
     request.signal.addEventListener('abort', cancelSequence, {once: true});
-    if (this.faults.getSetting().mode === 'wedged') return queue;
+    const {mode} = this.faults.getSetting();
+    if (mode === 'wedged') return queue;
     let sent = 0;
     removeSequence = this.batch.addSequence({
       model: completion.model,
-      prompt: completion.prompt,
+      prompt: completion.prompt + (mode === 'crossed' ? ' of another' : ''),
       maxTokens: completion.max_tokens,
       priority: completion.priority,
       prefillMs: this.computePrefillMs(completion.prompt),
       handleBusy: busyMs => this.workLog.addBusyMs(record, busyMs),
       handleToken: token => {
         sent += 1;
-        if (this.isCutting(sent)) {
+        if (this.isBreaking(sent)) {
           cancelSequence();
-          queue.fail(new TransportError('stand-in cut', 'some'));
+          this.finishEarly(queue);
           return;
         }
         queue.push(encodeToken(token));
@@ -195,9 +196,15 @@
     return queue;
   }
 
-  private isCutting(sentTokens: number): boolean {
+  private isBreaking(sentTokens: number): boolean {
     const {mode} = this.faults.getSetting();
-    return mode === 'cutting' && sentTokens > CUT_AFTER_TOKENS;
+    const isBreaking = mode === 'cutting' || mode === 'truncating';
+    return isBreaking && sentTokens > CUT_AFTER_TOKENS;
+  }
+
+  private finishEarly(queue: AsyncQueue<Uint8Array>): void {
+    if (this.faults.getSetting().mode === 'truncating') queue.end();
+    else queue.fail(new TransportError('stand-in cut', 'some'));
   }
 
   private computePrefillMs(prompt: string): number {
--- a/packages/stand-ins/src/fault-switch.ts
+++ b/packages/stand-ins/src/fault-switch.ts
@@ -4,11 +4,20 @@
 export const faultSettingSchema = z.object({
   /**
    * ok: as it should; failing: answers 500; wedged: takes work and never ends
-   * it; leaving: refuses new work with 503; crossed: answers with another
-   * request's identity; cutting: breaks answers off half way.
+   * it; leaving: refuses new work with 503; crossed: gives another request's
+   * answer under its identity; cutting: breaks answers off half way;
+   * truncating: ends streams half way as if they were whole.
    */
   mode: z
-    .enum(['ok', 'failing', 'wedged', 'leaving', 'crossed', 'cutting'])
+    .enum([
+      'ok',
+      'failing',
+      'wedged',
+      'leaving',
+      'crossed',
+      'cutting',
+      'truncating',
+    ])
     .default('ok'),
   /** Factor on every duration. */
   slowFactor: z.number().positive().default(1),
--- a/packages/stand-ins/src/pool-stand-in.ts
+++ b/packages/stand-ins/src/pool-stand-in.ts
@@ -79,7 +79,8 @@
     );
     if (mode === 'failing') return createFailureResponse(echo);
     await this.runJob(request, record);
-    return createJsonResponse(200, computeAnswer(request), echo);
+    const isCrossed = mode === 'crossed';
+    return createJsonResponse(200, computeAnswer(request, isCrossed), echo);
   }
 
   private createReport(): LoadReport {
@@ -128,26 +129,28 @@
   }
 }
 
-function computeAnswer(request: HttpRequest): unknown {
+// A crossed answer is the right one to another request.
+function computeAnswer(request: HttpRequest, isCrossed: boolean): unknown {
   const body = parseRequestJson(request);
+  const crossing = isCrossed ? ' of another' : '';
   if (request.path === '/v1/embeddings') {
     const {input} = embeddingsSchema.parse(body);
     return {
       data: input.map((text, index) => ({
         index,
-        embedding: computeEmbedding(text),
+        embedding: computeEmbedding(text + crossing),
       })),
     };
   }
   if (request.path === '/v1/retrieve') {
     const {embedding, top} = retrieveSchema.parse(body);
-    return {documents: computeDocuments(embedding, top)};
+    return {documents: computeDocuments(isCrossed ? [0] : embedding, top)};
   }
   const {query, documents, top_n: topCount} = rerankSchema.parse(body);
   const results = documents
     .map((text, index) => ({
       index,
-      relevance_score: computeRerankScore(query, text),
+      relevance_score: computeRerankScore(query + crossing, text),
     }))
     .sort((left, right) => right.relevance_score - left.relevance_score)
     .slice(0, topCount);
--- /dev/null
+++ b/scripts/prove-proofs.ts
@@ -0,0 +1,128 @@
+import {execFile} from 'node:child_process';
+import {
+  cpSync,
+  mkdirSync,
+  mkdtempSync,
+  readFileSync,
+  readdirSync,
+  rmSync,
+  symlinkSync,
+  writeFileSync,
+} from 'node:fs';
+import {availableParallelism, tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+import {PROOFS, type Proof} from './proofs.ts';
+
+// Switches each mechanism off in a scratch copy and shows that the fuzzer
+// notices. A mechanism whose absence goes unnoticed is not proved.
+const root = fileURLToPath(new URL('..', import.meta.url));
+const RUNS = process.argv[2] ?? '1200';
+const PROMISE_LINE = /\[cause\]: Error: ([^:]+(: no)?[^:]*):/;
+
+const FAILED_TEST_LINE = /^✖ (.+?) \(/m;
+
+interface Verdict {
+  readonly proof: Proof;
+  /** The broken promise in the fuzzer's words; undefined where nothing broke. */
+  readonly broken: string | undefined;
+}
+
+const queue = [...PROOFS];
+const verdicts: Verdict[] = [];
+const workers = Array.from(
+  {length: Math.max(1, availableParallelism() - 1)},
+  async () => {
+    for (let proof = queue.shift(); proof; proof = queue.shift()) {
+      const broken = await runWithout(proof);
+      verdicts.push({proof, broken});
+      const result = broken ? `fails: ${broken}` : 'NOT NOTICED';
+      console.log(`${proof.promise} | ${proof.mechanism} | ${result}`);
+    }
+  },
+);
+await Promise.all(workers);
+const unnoticed = verdicts.filter(({broken}) => broken === undefined);
+console.log(`${verdicts.length} mechanisms, ${unnoticed.length} not noticed`);
+process.exitCode = unnoticed.length === 0 ? 0 : 1;
+
+async function runWithout(proof: Proof): Promise<string | undefined> {
+  const scratch = createScratchCopy();
+  try {
+    applyChange(scratch, proof);
+    return await runNoticing(scratch, proof.noticedBy);
+  } finally {
+    rmSync(scratch, {recursive: true, force: true});
+  }
+}
+
+function createScratchCopy(): string {
+  const scratch = mkdtempSync(join(tmpdir(), 'hollowstack-proof-'));
+  const modules = join(scratch, 'node_modules');
+  cpSync(join(root, 'packages'), join(scratch, 'packages'), {recursive: true});
+  cpSync(join(root, 'package.json'), join(scratch, 'package.json'));
+  mkdirSync(join(modules, '@hollowstack'), {recursive: true});
+  for (const name of readdirSync(join(root, 'node_modules'))) {
+    if (name === '@hollowstack' || name.startsWith('.')) continue;
+    symlinkSync(join(root, 'node_modules', name), join(modules, name));
+  }
+  for (const name of readdirSync(join(scratch, 'packages'))) {
+    symlinkSync(
+      join(scratch, 'packages', name),
+      join(modules, '@hollowstack', name),
+    );
+  }
+  return scratch;
+}
+
+function applyChange(scratch: string, {file, from, to}: Proof): void {
+  const path = join(scratch, 'packages', file);
+  const before = readFileSync(path, 'utf8');
+  const collapsed = formatCollapsed(before);
+  if (!collapsed.includes(formatCollapsed(from))) {
+    throw new Error(`${file} no longer holds: ${from}`);
+  }
+  writeFileSync(path, collapsed.replace(formatCollapsed(from), to));
+}
+
+// Line breaks are the formatter's; a change is found wherever it puts them.
+function formatCollapsed(text: string): string {
+  return text
+    .split('\n')
+    .map(line => line.replace(/^\s*\/\/.*$/, ''))
+    .join('\n')
+    .replace(/\(\s+/g, '(')
+    .replace(/,?\s+\)/g, ')')
+    .replace(/\s+/g, ' ');
+}
+
+function runNoticing(
+  scratch: string,
+  noticedBy: number | string,
+): Promise<string | undefined> {
+  const packages = join(scratch, 'packages');
+  const args =
+    typeof noticedBy === 'string'
+      ? ['--test', join(packages, noticedBy)]
+      : [
+          join(packages, 'fuzz/src/main.ts'),
+          ...['--runs', RUNS, '--seed', String(noticedBy)],
+          ...['--commands', '50', '--no-shrink'],
+        ];
+  return new Promise(resolve => {
+    execFile(
+      process.execPath,
+      args,
+      {cwd: scratch, maxBuffer: 64 * 1024 * 1024},
+      (error, stdout, stderr) => {
+        if (!error) resolve(undefined);
+        else resolve(findPromise(stdout + stderr));
+      },
+    );
+  });
+}
+
+function findPromise(output: string): string {
+  const found = PROMISE_LINE.exec(output) ?? FAILED_TEST_LINE.exec(output);
+  return found?.[1] ?? output.slice(-300);
+}
