--- /dev/null
+++ b/packages/peers/src/peer-link.test.ts
@@ -0,0 +1,125 @@
+import assert from 'node:assert/strict';
+import {connect} from 'node:net';
+import {test, type TestContext} from 'node:test';
+import {SystemClock} from '@hollowstack/clock';
+import {SilentEventLogger} from '@hollowstack/logger';
+import {MetricsRegistry} from '@hollowstack/metrics';
+import {
+  FrameDecoder,
+  FrameError,
+  KeyRing,
+  PeerLink,
+  TcpPeerNetwork,
+  encodeFrame,
+  type PeerKey,
+} from './index.ts';
+
+const KEY: PeerKey = {id: 'k1', secret: 'first-secret-of-the-test'};
+const NEXT_KEY: PeerKey = {id: 'k2', secret: 'second-secret-of-the-test'};
+const TIMEOUT_MS = 2000;
+
+interface StartedLink {
+  readonly link: PeerLink;
+  readonly address: string;
+  readonly keys: KeyRing;
+  readonly metrics: MetricsRegistry;
+}
+
+async function startLink(
+  t: TestContext,
+  id: string,
+  keys: readonly PeerKey[],
+): Promise<StartedLink> {
+  const ring = new KeyRing(keys);
+  const metrics = new MetricsRegistry();
+  const link = new PeerLink({
+    identity: {id, zone: 'a'},
+    network: new TcpPeerNetwork(),
+    keys: ring,
+    clock: new SystemClock(),
+    logger: new SilentEventLogger(),
+    metrics,
+  });
+  link.setRequestHandler(async (_request, peer) => ({
+    type: 'failed',
+    message: `asked by ${peer}`,
+  }));
+  const address = await link.listen('127.0.0.1:0');
+  t.after(() => link.close());
+  return {link, address, keys: ring, metrics};
+}
+
+function ask(from: StartedLink, to: StartedLink): Promise<unknown> {
+  return from.link.sendRequest(to.address, {type: 'members'}, TIMEOUT_MS);
+}
+
+function sendRaw(address: string, bytes: Uint8Array): Promise<void> {
+  const [host, port] = address.split(':');
+  return new Promise(resolve => {
+    const socket = connect(Number(port), host, () => socket.write(bytes));
+    socket.on('error', () => {});
+    socket.once('close', () => resolve());
+  });
+}
+
+test('peers with a common key ask and answer each other', async t => {
+  const left = await startLink(t, 'left', [KEY]);
+  const right = await startLink(t, 'right', [KEY]);
+  const reply = await ask(left, right);
+  t.assert.snapshot(reply);
+});
+
+test('a peer with another secret under the same id is refused and counted', async t => {
+  const left = await startLink(t, 'left', [{...KEY, secret: 'not-the-secret'}]);
+  const right = await startLink(t, 'right', [KEY]);
+  await assert.rejects(ask(left, right), {kind: 'peer-refused'});
+  assert.equal(left.metrics.getCounter('hollowstack_peer_refusals_total'), 1);
+});
+
+test('a peer with an unknown key id is refused and counted', async t => {
+  const left = await startLink(t, 'left', [NEXT_KEY]);
+  const right = await startLink(t, 'right', [KEY]);
+  await assert.rejects(ask(left, right), {kind: 'peer-refused'});
+  assert.equal(right.metrics.getCounter('hollowstack_peer_refusals_total'), 1);
+});
+
+test('keys are rotated without a moment in which peers refuse each other', async t => {
+  const left = await startLink(t, 'left', [KEY]);
+  const right = await startLink(t, 'right', [KEY]);
+  const rotation = [[KEY, NEXT_KEY], [NEXT_KEY, KEY], [NEXT_KEY]];
+  for (const keys of rotation) {
+    for (const {keys: ring} of [left, right]) {
+      ring.setKeys(keys);
+      const fresh = await startLink(t, 'fresh', [...keys]);
+      await ask(fresh, left);
+      await ask(left, fresh);
+      await ask(right, left);
+    }
+  }
+});
+
+test('frames that are no handshake, or too large, close the stream and are counted', async t => {
+  const right = await startLink(t, 'right', [KEY]);
+  await sendRaw(right.address, encodeFrame(Buffer.from('no cbor handshake')));
+  await sendRaw(right.address, Buffer.from([0x7f, 0xff, 0xff, 0xff, 1]));
+  await sendRaw(right.address, Buffer.from('GET / HTTP/1.1\r\n\r\n'));
+  assert.equal(right.metrics.getCounter('hollowstack_peer_refusals_total'), 3);
+});
+
+test('frames are put together from any chunks', () => {
+  const frames = ['first', '', 'third'].map(text => Buffer.from(text));
+  const bytes = Buffer.concat(frames.map(frame => encodeFrame(frame)));
+  for (let size = 1; size <= bytes.length; size++) {
+    const decoder = new FrameDecoder(16);
+    const decoded: Buffer[] = [];
+    for (let start = 0; start < bytes.length; start += size) {
+      decoded.push(...decoder.addBytes(bytes.subarray(start, start + size)));
+    }
+    assert.deepEqual(decoded, frames);
+  }
+});
+
+test('a frame over the limit is an error before its bytes have come', () => {
+  const decoder = new FrameDecoder(16);
+  assert.throws(() => decoder.addBytes(Buffer.from([0, 0, 0, 17])), FrameError);
+});
