Add the load and experiment tool, and mend two silence faults it found

Cause: no policy was measured. Then runs did not end: the check of the last byte was scheduled again after a rest of time too small to move the clock's floating-point number.

Ruled out: admission (no refusal in either run), the selectors.

--- /dev/null
+++ b/packages/bench/src/run-experiment.ts
@@ -0,0 +1,28 @@
+import {runInProcess} from './in-process-run.ts';
+import type {PolicyName} from './policies.ts';
+import type {RunResult} from './results.ts';
+import type {Scenario} from './scenario.ts';
+
+/** Which runs of a scenario to make. */
+export interface ExperimentOptions {
+  readonly policies: readonly PolicyName[];
+  readonly seeds: readonly number[];
+  /** Called after each run. */
+  readonly handleProgress?: (run: RunResult) => void;
+}
+
+/** Runs every policy with every seed, the same arrivals for each policy. */
+export async function runExperiment(
+  scenario: Scenario,
+  options: ExperimentOptions,
+): Promise<RunResult[]> {
+  const runs: RunResult[] = [];
+  for (const seed of options.seeds) {
+    for (const policy of options.policies) {
+      const run = await runInProcess(scenario, policy, seed);
+      runs.push(run);
+      options.handleProgress?.(run);
+    }
+  }
+  return runs;
+}
--- a/packages/cli/src/run-command-line.ts
+++ b/packages/cli/src/run-command-line.ts
@@ -6,6 +6,7 @@
 import {ConfigShowCommand} from './commands/config/show.ts';
 import {DemoCommand} from './commands/demo/index.ts';
 import {EntryCommand} from './commands/entry/index.ts';
+import {LoadCommand} from './commands/load/index.ts';
 import {
   StandInEngineCommand,
   StandInPlatformCommand,
@@ -35,6 +36,7 @@
     WhyCommand,
     StatusCommand,
     DemoCommand,
+    LoadCommand,
     StandInPlatformCommand,
     StandInEngineCommand,
     StandInPoolCommand,
--- a/packages/entry/src/create-daemon.ts
+++ b/packages/entry/src/create-daemon.ts
@@ -27,7 +27,7 @@
   StoreIdentity,
   WatchHub,
 } from '@hollowstack/platform';
-import {createSelector} from '@hollowstack/routing';
+import {DEFAULT_HEALTH_POLICY, createSelector} from '@hollowstack/routing';
 import type {CallOutcome} from '@hollowstack/types';
 import {Daemon, type DaemonEnvironment} from './daemon.ts';
 import {Front} from './front.ts';
@@ -104,6 +104,11 @@
     instanceId: id,
     subsetSize: settings.limits.upstreamSubset,
     getInstanceCount: () => membership.getLiveCount(),
+    adaptLimits: settings.policy.adaptLimits,
+    healthPolicy: {
+      ...DEFAULT_HEALTH_POLICY,
+      reportRestores: settings.policy.reportRestores,
+    },
   });
   const poller = new LoadPoller(
     groups,
@@ -114,6 +119,7 @@
   );
   const pauseGuard = new PauseGuard(clock, () => instanceList.refresh());
   const runnerParts = {
+    policy: settings.policy,
     waitUntilFresh: () => pauseGuard.waitUntilFresh(),
     client,
     clock,
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -81,6 +81,14 @@
   policy: z
     .strictObject({
       selector: z.enum(SELECTOR_NAMES).default('predicted-finish'),
+      /** Refuses work whose predicted finish lies behind its deadline. */
+      refuseDoomed: z.boolean().default(true),
+      /** Adapts this instance's part of each pool to what it observes. */
+      adaptLimits: z.boolean().default(true),
+      /** Lets an answered load report bring an upstream back; a baseline. */
+      reportRestores: z.boolean().default(false),
+      /** Gives an attempt up early when it is silent for longer than usual. */
+      adaptSilence: z.boolean().default(true),
     })
     .prefault({}),
   log: z
--- a/packages/local-system/src/local-system.ts
+++ b/packages/local-system/src/local-system.ts
@@ -4,6 +4,7 @@
   type Daemon,
   type Settings,
 } from '@hollowstack/entry';
+import type {Clock} from '@hollowstack/clock';
 import {SilentEventLogger, type EventLogger} from '@hollowstack/logger';
 import {
   EngineStandIn,
@@ -36,6 +37,9 @@
   /** Changes the settings of each instance. */
   readonly applyToSettings?: (settings: Settings) => Settings;
   readonly engineOptions?: Partial<EngineOptions>;
+  readonly poolOptions?: Partial<
+    Readonly<Record<'encode' | 'retrieve' | 'rerank', Partial<PoolOptions>>>
+  >;
 }
 
 /** One daemon of a local system. */
@@ -199,16 +203,30 @@
 
   private async startUpstreams(): Promise<void> {
     const {encoders, retrievers, rerankers, engines, bookings} = this.options;
-    const createPool = (clock: ConstructorParameters<typeof PoolStandIn>[0]) =>
-      new PoolStandIn(clock, POOL_OPTIONS);
-    await this.addUpstreams(this.encoders, 'encoder', encoders, createPool);
+    const createPool =
+      (stage: 'encode' | 'retrieve' | 'rerank') => (clock: Clock) =>
+        new PoolStandIn(clock, {
+          ...POOL_OPTIONS,
+          ...this.options.poolOptions?.[stage],
+        });
+    await this.addUpstreams(
+      this.encoders,
+      'encoder',
+      encoders,
+      createPool('encode'),
+    );
     await this.addUpstreams(
       this.retrievers,
       'retriever',
       retrievers,
-      createPool,
+      createPool('retrieve'),
+    );
+    await this.addUpstreams(
+      this.rerankers,
+      'reranker',
+      rerankers,
+      createPool('rerank'),
     );
-    await this.addUpstreams(this.rerankers, 'reranker', rerankers, createPool);
     await this.addUpstreams(
       this.engines,
       'engine',
@@ -232,9 +250,7 @@
     list: Array<LocalUpstream<StandIn>>,
     kind: string,
     count: number,
-    createStandIn: (
-      clock: ConstructorParameters<typeof PoolStandIn>[0],
-    ) => StandIn,
+    createStandIn: (clock: Clock) => StandIn,
   ): Promise<void> {
     for (let index = 0; index < count; index++) {
       const id = `${kind}-${index + 1}`;
--- a/packages/local-system/src/memory-http-client.ts
+++ b/packages/local-system/src/memory-http-client.ts
@@ -28,7 +28,7 @@
     await this.gate.waitUntilRunning();
     const served = this.network.findHandler(address);
     if (!served || !this.isReachable(served)) {
-      await this.network.waitLatency();
+      await this.network.waitLatency(this.name, served?.name ?? '');
       await this.gate.waitUntilRunning();
       throw new TransportError(`${address} refuses connections`, 'none');
     }
@@ -97,13 +97,13 @@
     request: HttpRequest,
     breakOff: (message: string) => void,
   ): Promise<HttpResponse> {
-    await this.network.waitLatency();
+    await this.network.waitLatency(this.name, this.served.name);
     await this.served.gate.waitUntilRunning();
     const response = await this.served.handler({
       ...request,
       signal: this.serverController.signal,
     });
-    await this.network.waitLatency();
+    await this.network.waitLatency(this.served.name, this.name);
     await this.served.gate.waitUntilRunning();
     if (this.network.takeLostReply(address) || this.isCutOff()) {
       breakOff('connection reset');
@@ -143,7 +143,7 @@
           void this.cancelAtServer();
           return;
         }
-        await this.network.waitLatency();
+        await this.network.waitLatency(this.served.name, this.name);
         this.gate.deliver(() => queue.push(chunk));
       }
       this.gate.deliver(() => queue.end());
@@ -159,7 +159,7 @@
   }
 
   private async cancelAtServer(): Promise<void> {
-    await this.network.waitLatency();
+    await this.network.waitLatency(this.name, this.served.name);
     this.served.gate.deliver(() =>
       this.serverController.abort(new TransportError('caller gone', 'some')),
     );
--- a/packages/local-system/src/memory-network.ts
+++ b/packages/local-system/src/memory-network.ts
@@ -8,8 +8,8 @@
 
 /** Delays of the in-memory network. */
 export interface MemoryNetworkOptions {
-  /** Milliseconds one way, for each message; may differ from call to call. */
-  readonly getLatencyMs: () => number;
+  /** Milliseconds one way between two processes; may differ from message to message. */
+  readonly getLatencyMs: (from: string, to: string) => number;
 }
 
 /** What is served at an address. */
@@ -118,8 +118,8 @@
   }
 
   /** Waits for one message's way. */
-  waitLatency(): Promise<void> {
-    const latencyMs = this.options.getLatencyMs();
+  waitLatency(from: string, to: string): Promise<void> {
+    const latencyMs = this.options.getLatencyMs(from, to);
     if (latencyMs <= 0) return Promise.resolve();
     return waitFor(this.clock, latencyMs);
   }
--- a/packages/local-system/src/memory-peer-network.ts
+++ b/packages/local-system/src/memory-peer-network.ts
@@ -36,7 +36,7 @@
   async connect(address: string): Promise<PeerSocket> {
     await this.gate.waitUntilRunning();
     const listener = this.network.findListener(address);
-    await this.network.waitLatency();
+    await this.network.waitLatency(this.name, listener?.name ?? '');
     await this.gate.waitUntilRunning();
     const isReachable =
       listener &&
@@ -89,7 +89,7 @@
       this.close();
       return;
     }
-    const way = this.network.waitLatency();
+    const way = this.network.waitLatency(this.name, other.name);
     this.lastDelivery = this.lastDelivery.then(async () => {
       await way;
       other.handleBytes(bytes);
@@ -109,7 +109,9 @@
     this.isClosed = true;
     this.gate.deliver(() => this.handleClose());
     const {other} = this;
-    void this.network.waitLatency().then(() => other?.close());
+    void this.network
+      .waitLatency(this.name, other?.name ?? '')
+      .then(() => other?.close());
   }
 
   private handleBytes(bytes: Uint8Array): void {
--- a/packages/pipeline/src/attempt.ts
+++ b/packages/pipeline/src/attempt.ts
@@ -37,6 +37,8 @@
     this.cancelAttempt('given-up', 'stopped');
   private failure: AttemptError | undefined;
   private lastByteAtMs: number;
+  private readonly startedAtMs: number;
+  private firstByteMs: number | undefined;
   private timer: Timer;
 
   /**
@@ -55,7 +57,8 @@
     this.attemptId = attemptId;
     this.silenceMs = silenceMs;
     this.parent = parent;
-    this.lastByteAtMs = clock.getNow();
+    this.startedAtMs = clock.getNow();
+    this.lastByteAtMs = this.startedAtMs;
     this.timer = this.scheduleCheck(silenceMs);
     parent.addEventListener('abort', this.followParent, {once: true});
     if (parent.aborted) this.followParent();
@@ -77,6 +80,14 @@
     }
   }
 
+  /**
+   * Returns milliseconds until the first byte of the body; undefined before it.
+   * The head tells nothing: engines send it before they begin.
+   */
+  getFirstByteMs(): number | undefined {
+    return this.firstByteMs;
+  }
+
   /** Ends the attempt; an answer still under way is cut off. */
   close(): void {
     this.timer.cancel();
@@ -104,6 +115,7 @@
       for await (const chunk of body) {
         if (this.failure) throw this.failure;
         this.lastByteAtMs = this.clock.getNow();
+        this.firstByteMs ??= this.lastByteAtMs - this.startedAtMs;
         yield chunk;
       }
     } catch (error) {
@@ -121,7 +133,9 @@
         this.cancelAttempt('silent', `no byte for ${Math.round(silentMs)} ms`);
         return;
       }
-      this.timer = this.scheduleCheck(this.silenceMs - silentMs);
+      // At least a millisecond: a rest too small to move the clock's number on
+      // would be checked for ever.
+      this.timer = this.scheduleCheck(Math.max(1, this.silenceMs - silentMs));
     });
   }
 
--- a/packages/pipeline/src/group-directory.ts
+++ b/packages/pipeline/src/group-directory.ts
@@ -16,6 +16,8 @@
   /** Returns how many instances are live, this one counted. */
   readonly getInstanceCount: () => number;
   readonly healthPolicy?: HealthPolicy;
+  /** Whether limits adapt to what is observed. */
+  readonly adaptLimits: boolean;
 }
 
 /** All pools and services, by name; outlives each single configuration. */
@@ -84,13 +86,10 @@
     }
     groups.set(
       settings.name,
-      new UpstreamGroup(
-        own,
-        getInstanceCount(),
-        this.clock,
-        this.logger,
-        policy,
-      ),
+      new UpstreamGroup(own, getInstanceCount(), this.clock, this.logger, {
+        healthPolicy: policy,
+        adaptLimits: this.options.adaptLimits,
+      }),
     );
   }
 }
--- a/packages/pipeline/src/group-runner.ts
+++ b/packages/pipeline/src/group-runner.ts
@@ -13,6 +13,14 @@
 import type {StageCall} from './stage-call.ts';
 import type {UpstreamGroup} from './upstream-group.ts';
 
+/** Which decisions a runner takes; without one it is a baseline. */
+export interface RunnerPolicy {
+  /** Refuses work whose predicted finish lies behind its deadline. */
+  readonly refuseDoomed: boolean;
+  /** Gives an attempt up when it is silent for longer than usual. */
+  readonly adaptSilence: boolean;
+}
+
 /** What a runner works with. */
 export interface GroupRunnerParts {
   readonly client: HttpClient;
@@ -20,6 +28,7 @@
   readonly selector: UpstreamSelector;
   readonly metrics: MetricsRegistry;
   readonly logger: EventLogger;
+  readonly policy: RunnerPolicy;
   /** Resolves once what is known of upstreams may be trusted. */
   readonly waitUntilFresh: () => Promise<void>;
 }
@@ -55,7 +64,7 @@
 };
 /** Multiple of the usual time to the first byte after which silence is a failure. */
 const SILENCE_FACTOR = 4;
-const MIN_SILENCE_MS = 100;
+const MIN_SILENCE_MS = 250;
 
 /** Runs a piece of work at one upstream after the other until it is whole. */
 export class GroupRunner {
@@ -98,8 +107,10 @@
   ): void {
     const {identity, clock} = context;
     const bestMs = group.predictBestMs(work.call.getWork());
-    if (bestMs === undefined)
+    if (bestMs === undefined) {
       throw this.createUnavailable(group, work, context);
+    }
+    if (!this.parts.policy.refuseDoomed) return;
     const ahead = group.places.countAhead(identity.priority);
     const verdict = judgeDeadline({
       nowMs: clock.getNow(),
@@ -135,7 +146,9 @@
     const {identity, signal} = context;
     const bestMs = group.predictBestMs(work.call.getWork()) ?? 0;
     const {confidence} = EFFORTS[identity.objective];
-    const neededMs = (bestMs + work.laterMs) * confidence;
+    const neededMs = this.parts.policy.refuseDoomed
+      ? (bestMs + work.laterMs) * confidence
+      : 0;
     try {
       return await group.places.acquirePlace(
         {
@@ -190,11 +203,11 @@
         'x-priority': String(context.identity.priority),
       };
       const response = await attempt.send(upstream.address, {...call, headers});
+      await work.call.readResponse(response);
       group.durations.recordMs(
         getFirstByteKey(work, context),
-        this.parts.clock.getNow() - startedAtMs,
+        attempt.getFirstByteMs() ?? 0,
       );
-      await work.call.readResponse(response);
       const durationMs = this.parts.clock.getNow() - startedAtMs;
       group.places.recordSlowdown(this.getSlowdown(group, units, durationMs));
       group.recordSuccess(choice.id, durationMs, units);
@@ -347,7 +360,7 @@
     context: RequestContext,
   ): number {
     const {silenceMs} = group.getSettings();
-    if (!work.isRepeatable) return silenceMs;
+    if (!work.isRepeatable || !this.parts.policy.adaptSilence) return silenceMs;
     const usualMs = group.durations.getMeanMs(
       getFirstByteKey(work, context),
       silenceMs,
--- a/packages/pipeline/src/place-queue.ts
+++ b/packages/pipeline/src/place-queue.ts
@@ -36,6 +36,7 @@
 export class PlaceQueue implements InServiceCount {
   private readonly clock: Clock;
   private readonly limit: AdaptiveLimit;
+  private readonly isAdaptive: boolean;
   private readonly waiting: Waiter[] = [];
   private readonly counts = new Map<string, number>();
   private inService = 0;
@@ -45,8 +46,14 @@
   private slowdownSum = 0;
   private slowdownCount = 0;
 
-  constructor(clock: Clock, options: AdaptiveLimitOptions) {
+  /** @param isAdaptive Whether the limit moves; a baseline keeps it still. */
+  constructor(
+    clock: Clock,
+    options: AdaptiveLimitOptions,
+    isAdaptive: boolean,
+  ) {
     this.clock = clock;
+    this.isAdaptive = isAdaptive;
     this.limit = new AdaptiveLimit(options);
   }
 
@@ -181,6 +188,7 @@
   }
 
   private recordSample(): void {
+    if (!this.isAdaptive) return;
     const nowMs = this.clock.getNow();
     if (nowMs - this.sampledAtMs < SAMPLE_INTERVAL_MS) return;
     this.sampledAtMs = nowMs;
--- a/packages/pipeline/src/upstream-group.ts
+++ b/packages/pipeline/src/upstream-group.ts
@@ -3,7 +3,6 @@
 import type {EventLogger} from '@hollowstack/logger';
 import {
   CacheIndex,
-  DEFAULT_HEALTH_POLICY,
   createHealthyState,
   createLoadState,
   predictOtherLoad,
@@ -50,6 +49,12 @@
   readonly unitMs: number;
 }
 
+/** How a group decides. */
+export interface GroupPolicy {
+  readonly healthPolicy: HealthPolicy;
+  readonly adaptLimits: boolean;
+}
+
 interface TrackedUpstream {
   upstream: Upstream;
   health: HealthState;
@@ -83,13 +88,17 @@
     instanceCount: number,
     clock: Clock,
     logger: EventLogger,
-    policy: HealthPolicy = DEFAULT_HEALTH_POLICY,
+    policy: GroupPolicy,
   ) {
     this.settings = settings;
     this.clock = clock;
     this.logger = logger;
-    this.policy = policy;
-    this.places = new PlaceQueue(clock, createBounds(settings, instanceCount));
+    this.policy = policy.healthPolicy;
+    this.places = new PlaceQueue(
+      clock,
+      createBounds(settings, instanceCount),
+      policy.adaptLimits,
+    );
     this.setSettings(settings, instanceCount);
   }
 
