--- a/packages/admission/src/adaptive-limit.ts
+++ b/packages/admission/src/adaptive-limit.ts
@@ -9,17 +9,16 @@
 export interface LimitSample {
   /** Whether work waited for a place of this limit. */
   readonly wasFull: boolean;
-  /** Mean duration of the finished work over its prediction without queueing; 0 for none finished. */
-  readonly slowdown: number;
+  /** Requests that the upstreams report as queued, for each one they can work on; 0 where none reports. */
+  readonly reportedQueue: number;
   /** Whether upstreams refused work as overloaded. */
   readonly wasRefused: boolean;
 }
 
-// Upstreams at their planned concurrency are about twice as slow as empty ones
-// by the prediction's own model. Beyond this the work queues there, where this
-// instance cannot order it any more.
-const QUEUEING_SLOWDOWN = 2.5;
-const DECREASE = 0.85;
+// A short queue keeps an upstream busy between two requests; what waits beyond
+// it waits where this instance can neither order nor refuse it any more.
+const LONG_QUEUE = 0.15;
+const DECREASE = 0.8;
 
 /**
  * How much of a pool one instance may use at a time. It grows by steps while
@@ -40,6 +39,11 @@
     return Math.max(1, Math.floor(this.value));
   }
 
+  /** Returns the places it began with, however far it has moved since. */
+  getInitial(): number {
+    return this.options.initial;
+  }
+
   /** Sets new bounds, as when the pool's size has changed. */
   setBounds(options: AdaptiveLimitOptions): void {
     this.options = options;
@@ -49,7 +53,7 @@
   /** Takes one interval's sample in. */
   applySample(sample: LimitSample): void {
     const {min, max} = this.options;
-    const isQueueing = sample.slowdown > QUEUEING_SLOWDOWN;
+    const isQueueing = sample.reportedQueue > LONG_QUEUE;
     if (isQueueing || sample.wasRefused) {
       this.value = Math.max(min, this.value * DECREASE);
     } else if (sample.wasFull) {
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -3,6 +3,7 @@
   chooseNextWaiting,
   DEFAULT_QUEUE_POLICY,
   type InServiceCount,
+  type PlaceLimits,
   type QueuePolicy,
   type WaitingWork,
 } from './stage-queue.ts';
--- a/packages/admission/src/stage-queue.ts
+++ b/packages/admission/src/stage-queue.ts
@@ -15,10 +15,20 @@
   readonly total: number;
 }
 
+/** How many places there are. */
+export interface PlaceLimits {
+  /** Places now, as the adaptive limit has it. */
+  readonly limit: number;
+  /** Places that the limit began with. */
+  readonly initial: number;
+}
+
 /** How places are given out. */
 export interface QueuePolicy {
-  /** Work with a priority number up to this one may use every place. */
+  /** Work with a priority number up to this one is urgent. */
   readonly reservedPriority: number;
+  /** Factor on the initial places for urgent work: upstreams order it before the rest. */
+  readonly urgentFactor: number;
   /** Share of the places that other work may use, 0 to 1. */
   readonly openShare: number;
 }
@@ -26,6 +36,7 @@
 /** The policy that the daemon uses. */
 export const DEFAULT_QUEUE_POLICY: QueuePolicy = {
   reservedPriority: 2,
+  urgentFactor: 3,
   openShare: 0.85,
 };
 
@@ -34,16 +45,17 @@
  * the workspace with the least in service, so that none starves another; then
  * the earliest deadline.
  *
- * @param limit Places in all.
  * @returns The index into `waiting`, or -1 where none may go now.
  */
 export function chooseNextWaiting(
   waiting: readonly WaitingWork[],
   inService: InServiceCount,
-  limit: number,
+  limits: PlaceLimits,
   policy: QueuePolicy,
 ): number {
-  if (inService.total >= limit) return -1;
+  const {limit} = limits;
+  const urgentLimit = Math.max(limit, limits.initial * policy.urgentFactor);
+  if (inService.total >= urgentLimit) return -1;
   const openLimit = Math.max(1, Math.floor(limit * policy.openShare));
   let best = -1;
   for (let index = 0; index < waiting.length; index++) {
--- a/packages/bench/src/policies.ts
+++ b/packages/bench/src/policies.ts
@@ -10,6 +10,8 @@
   'fixed-limits',
   'fixed-silence',
   'report-restores',
+  'predicted-only',
+  'least-with-rest',
 ] as const;
 /** The name of a policy. */
 export type PolicyName = (typeof POLICY_NAMES)[number];
@@ -43,4 +45,6 @@
   'fixed-limits': {...OWN, adaptLimits: false},
   'fixed-silence': {...OWN, adaptSilence: false},
   'report-restores': {...OWN, reportRestores: true},
+  'predicted-only': {...SIMPLE, selector: 'predicted-finish'},
+  'least-with-rest': {...OWN, selector: 'least-in-flight'},
 };
--- a/packages/cli/src/commands/status/index.ts
+++ b/packages/cli/src/commands/status/index.ts
@@ -28,7 +28,7 @@
     `${instance} in ${zone}: ${state}, revision ${revision}, ${inProgress} in progress, ${peers.length} peers, platform's service ${store}`,
     '',
     formatTable(
-      ['pool', 'limit', 'in service', 'upstream', 'state', 'own', 'unit ms'],
+      ['pool', 'limit', 'in service', 'upstream', 'state', 'own', 'slowness'],
       status.groups.flatMap(group =>
         group.upstreams.map(upstream => [
           group.name,
@@ -37,7 +37,7 @@
           upstream.id,
           upstream.state,
           String(upstream.ownInFlight),
-          upstream.unitMs.toFixed(1),
+          upstream.slowness.toFixed(2),
         ]),
       ),
     ),
--- a/packages/pipeline/src/attempt.ts
+++ b/packages/pipeline/src/attempt.ts
@@ -25,12 +25,22 @@
 const TOO_MANY_REQUESTS = 429;
 const SERVICE_UNAVAILABLE = 503;
 
+/** What an attempt needs to know of its upstream, and tells of it. */
+export interface AttemptWatch {
+  /** Milliseconds without a byte from the upstream after which to give up. */
+  readonly silenceMs: number;
+  /** Returns when the upstream last gave a sign of being at work. */
+  getLastSignAtMs(): number;
+  /** Called for each chunk. */
+  recordByte(): void;
+}
+
 /** One attempt: sends a call and passes its answer on, unless the upstream falls silent. */
 export class Attempt {
   private readonly client: HttpClient;
   private readonly clock: Clock;
   private readonly attemptId: string;
-  private readonly silenceMs: number;
+  private readonly watch: AttemptWatch;
   private readonly controller = new AbortController();
   private readonly parent: AbortSignal;
   private readonly followParent = () =>
@@ -42,24 +52,23 @@
   private timer: Timer;
 
   /**
-   * @param silenceMs Milliseconds without a byte after which to give up.
    * @param parent Gives the attempt up when it aborts.
    */
   constructor(
     client: HttpClient,
     clock: Clock,
     attemptId: string,
-    silenceMs: number,
+    watch: AttemptWatch,
     parent: AbortSignal,
   ) {
     this.client = client;
     this.clock = clock;
     this.attemptId = attemptId;
-    this.silenceMs = silenceMs;
+    this.watch = watch;
     this.parent = parent;
     this.startedAtMs = clock.getNow();
     this.lastByteAtMs = this.startedAtMs;
-    this.timer = this.scheduleCheck(silenceMs);
+    this.timer = this.scheduleCheck(watch.silenceMs);
     parent.addEventListener('abort', this.followParent, {once: true});
     if (parent.aborted) this.followParent();
   }
@@ -115,6 +124,7 @@
       for await (const chunk of body) {
         if (this.failure) throw this.failure;
         this.lastByteAtMs = this.clock.getNow();
+        this.watch.recordByte();
         this.firstByteMs ??= this.lastByteAtMs - this.startedAtMs;
         yield chunk;
       }
@@ -128,17 +138,29 @@
   // chunk would cost more than the relay of the chunk itself.
   private scheduleCheck(delayMs: number): Timer {
     return this.clock.schedule(delayMs, () => {
-      const silentMs = this.clock.getNow() - this.lastByteAtMs;
-      if (silentMs >= this.silenceMs) {
-        this.cancelAttempt('silent', `no byte for ${Math.round(silentMs)} ms`);
+      const {silenceMs} = this.watch;
+      const ownSilentMs = this.clock.getNow() - this.lastByteAtMs;
+      const silentMs = this.getSilentMs(ownSilentMs);
+      if (silentMs >= silenceMs) {
+        this.cancelAttempt(
+          'silent',
+          `no byte for ${Math.round(ownSilentMs)} ms`,
+        );
         return;
       }
       // At least a millisecond: a rest too small to move the clock's number on
       // would be checked for ever.
-      this.timer = this.scheduleCheck(Math.max(1, this.silenceMs - silentMs));
+      this.timer = this.scheduleCheck(Math.max(1, silenceMs - silentMs));
     });
   }
 
+  // An upstream that answers others is not stuck: what is silent here waits
+  // in its queue, and sending it elsewhere would only add to the load.
+  private getSilentMs(ownSilentMs: number): number {
+    const sinceSignMs = this.clock.getNow() - this.watch.getLastSignAtMs();
+    return Math.min(ownSilentMs, sinceSignMs);
+  }
+
   private cancelAttempt(failure: 'silent' | 'given-up', message: string): void {
     this.failure ??= new AttemptError(failure, message);
     this.controller.abort(this.failure);
--- a/packages/pipeline/src/group-runner.ts
+++ b/packages/pipeline/src/group-runner.ts
@@ -11,7 +11,7 @@
 import type {Place} from './place-queue.ts';
 import type {RequestContext} from './request-context.ts';
 import type {StageCall} from './stage-call.ts';
-import type {UpstreamGroup} from './upstream-group.ts';
+import type {PlacedWork, UpstreamGroup} from './upstream-group.ts';
 
 /** Which decisions a runner takes; without one it is a baseline. */
 export interface RunnerPolicy {
@@ -106,17 +106,19 @@
     context: RequestContext,
   ): void {
     const {identity, clock} = context;
-    const bestMs = group.predictBestMs(work.call.getWork());
+    const placed = toPlacedWork(work, context);
+    const bestMs = group.predictBestMs(placed);
     if (bestMs === undefined) {
       throw this.createUnavailable(group, work, context);
     }
     if (!this.parts.policy.refuseDoomed) return;
+    const usualMs = group.durations.getMeanMs(placed.classKey, bestMs);
     const ahead = group.places.countAhead(identity.priority);
     const verdict = judgeDeadline({
       nowMs: clock.getNow(),
       deadlineMs: identity.deadlineMs,
       waitMs: (ahead * bestMs) / group.places.getLimit(),
-      remainingMs: bestMs + work.laterMs,
+      remainingMs: Math.max(bestMs, usualMs) + work.laterMs,
       confidence: EFFORTS[identity.objective].confidence,
     });
     if (verdict.isReachable) return;
@@ -144,7 +146,7 @@
     context: RequestContext,
   ): Promise<Place> {
     const {identity, signal} = context;
-    const bestMs = group.predictBestMs(work.call.getWork()) ?? 0;
+    const bestMs = group.predictBestMs(toPlacedWork(work, context)) ?? 0;
     const {confidence} = EFFORTS[identity.objective];
     const neededMs = this.parts.policy.refuseDoomed
       ? (bestMs + work.laterMs) * confidence
@@ -183,17 +185,21 @@
   ): Promise<string> {
     const choice = this.chooseUpstream(group, work, context, tried);
     const upstream = group.getUpstream(choice.id)!;
-    const units = work.call.getWork();
+    const placed = toPlacedWork(work, context);
     const startedAtMs = this.parts.clock.getNow();
+    tried.add(choice.id);
+    const occupancy = group.recordDispatch(choice.id);
     const attempt = new Attempt(
       this.parts.client,
       this.parts.clock,
       context.createAttemptId(),
-      this.computeSilenceMs(group, work, context),
+      {
+        silenceMs: this.computeSilenceMs(group, work, context, occupancy),
+        getLastSignAtMs: () => group.getLastSignAtMs(choice.id),
+        recordByte: () => group.recordByte(choice.id),
+      },
       context.signal,
     );
-    tried.add(choice.id);
-    group.recordDispatch(choice.id);
     context.beginAttempt();
     try {
       const call = work.call.createCall();
@@ -209,8 +215,7 @@
         attempt.getFirstByteMs() ?? 0,
       );
       const durationMs = this.parts.clock.getNow() - startedAtMs;
-      group.places.recordSlowdown(this.getSlowdown(group, units, durationMs));
-      group.recordSuccess(choice.id, durationMs, units);
+      group.recordSuccess(choice.id, placed, durationMs, occupancy);
       context.endAttempt(true);
       return choice.id;
     } catch (error) {
@@ -230,14 +235,9 @@
     context: RequestContext,
     tried: ReadonlySet<string>,
   ): Choice {
-    const {call} = work;
-    const prompt = call.getPrompt();
-    const candidates = group.listCandidates(
-      call.getWork(),
-      call.getModel(),
-      prompt,
-      tried,
-    );
+    const placed = toPlacedWork(work, context);
+    const candidates = group.listCandidates(placed, tried);
+    const {prompt} = placed;
     const choice = this.parts.selector.chooseUpstream({
       candidates,
       affinityKey: prompt === undefined ? undefined : getAffinityKey(prompt),
@@ -306,7 +306,13 @@
         });
         group.recordFailure(upstream, 'broken');
       })
-      .with('silent', 'broken', () => group.recordFailure(upstream, 'broken'))
+      .with('silent', () => {
+        // Work that waited in vain at an upstream which does its work says
+        // that it is full, not that it is stuck.
+        if (group.isProgressing(upstream)) group.recordGivenUp(upstream);
+        else group.recordFailure(upstream, 'broken');
+      })
+      .with('broken', () => group.recordFailure(upstream, 'broken'))
       .exhaustive();
   }
 
@@ -325,7 +331,7 @@
       mayHaveRun: error.mayHaveRun(),
       isRepeatable: work.isRepeatable,
       leftMs: context.getLeftMs(),
-      predictedMs: group.predictBestMs(work.call.getWork()) ?? 0,
+      predictedMs: group.predictBestMs(toPlacedWork(work, context)) ?? 0,
     });
     const isAllowed = verdict === 'retry' && group.retryBudget.acquireRetry();
     context.recordDecision(
@@ -358,6 +364,7 @@
     group: UpstreamGroup,
     work: GroupWork,
     context: RequestContext,
+    occupancy: number,
   ): number {
     const {silenceMs} = group.getSettings();
     if (!work.isRepeatable || !this.parts.policy.adaptSilence) return silenceMs;
@@ -367,19 +374,10 @@
     );
     return Math.min(
       silenceMs,
-      Math.max(MIN_SILENCE_MS, usualMs * SILENCE_FACTOR),
+      Math.max(MIN_SILENCE_MS, usualMs * SILENCE_FACTOR * (1 + occupancy)),
     );
   }
 
-  private getSlowdown(
-    group: UpstreamGroup,
-    units: number,
-    durationMs: number,
-  ): number {
-    const emptyMs = group.predictEmptyMs(units);
-    return emptyMs === 0 ? 0 : durationMs / emptyMs;
-  }
-
   private recordBusy(
     group: UpstreamGroup,
     work: GroupWork,
@@ -402,9 +400,20 @@
   return prompt.slice(0, AFFINITY_CHARACTERS);
 }
 
+function toPlacedWork(
+  {stage, call}: GroupWork,
+  {identity}: RequestContext,
+): PlacedWork {
+  return {
+    classKey: `${identity.workspace}/${identity.target}/${stage}`,
+    units: call.getWork(),
+    model: call.getModel(),
+    prompt: call.getPrompt(),
+  };
+}
+
 function getFirstByteKey(work: GroupWork, context: RequestContext): string {
-  const {workspace, target} = context.identity;
-  return `${workspace}/${target}/${work.stage}/first-byte`;
+  return `${toPlacedWork(work, context).classKey}/first-byte`;
 }
 
 function toAttemptError(error: unknown): AttemptError {
--- a/packages/pipeline/src/pipeline-runner.ts
+++ b/packages/pipeline/src/pipeline-runner.ts
@@ -79,7 +79,13 @@
       sink,
     );
     const work = {stage: stage.name, call, isRepeatable: true, laterMs};
-    const outcome = await this.runner.runWork(group, work, context);
+    const outcome = await this.runner
+      .runWork(group, work, context)
+      .catch((error: unknown) => {
+        const elapsedMs = clock.getNow() - startedAtMs;
+        recordUnfinished(group, stage, context, error, elapsedMs);
+        throw error;
+      });
     const durationMs = clock.getNow() - startedAtMs;
     const {workspace, target} = context.identity;
     group.durations.recordMs(getStageKey(stage, context), durationMs);
@@ -122,6 +128,27 @@
   }
 }
 
+/** What work that ran out of its deadline would have taken, over what it got. */
+const UNFINISHED_FACTOR = 1.3;
+
+// Were only finished work to count, a class of which one in ten makes it would
+// look as if all could.
+function recordUnfinished(
+  group: UpstreamGroup,
+  stage: Stage,
+  context: RequestContext,
+  error: unknown,
+  elapsedMs: number,
+): void {
+  const isLate =
+    error instanceof HollowstackError && error.kind === 'deadline-exceeded';
+  if (!isLate) return;
+  group.durations.recordMs(
+    getStageKey(stage, context),
+    elapsedMs * UNFINISHED_FACTOR,
+  );
+}
+
 function getStageKey(stage: Stage, context: RequestContext): string {
   const {workspace, target} = context.identity;
   return `${workspace}/${target}/${stage.name}`;
--- a/packages/pipeline/src/place-queue.ts
+++ b/packages/pipeline/src/place-queue.ts
@@ -29,7 +29,8 @@
   timer: Timer | undefined;
 }
 
-const SAMPLE_INTERVAL_MS = 200;
+// As long as reports take to tell of the last change.
+const SAMPLE_INTERVAL_MS = 1000;
 const MAX_WAITING = 2000;
 
 /** Gives out the places that this instance has in one pool. */
@@ -43,8 +44,7 @@
   private sampledAtMs = 0;
   private wasFull = false;
   private wasRefused = false;
-  private slowdownSum = 0;
-  private slowdownCount = 0;
+  private reportedQueue = 0;
 
   /** @param isAdaptive Whether the limit moves; a baseline keeps it still. */
   constructor(
@@ -117,10 +117,9 @@
     });
   }
 
-  /** Tells how a piece of work went against its prediction. */
-  recordSlowdown(slowdown: number): void {
-    this.slowdownSum += slowdown;
-    this.slowdownCount += 1;
+  /** Tells how long the upstreams' queues are, for each request they can work on. */
+  recordReportedQueue(reportedQueue: number): void {
+    this.reportedQueue = reportedQueue;
   }
 
   /** Tells that an upstream refused work as overloaded. */
@@ -153,7 +152,7 @@
       const index = chooseNextWaiting(
         this.waiting,
         this,
-        this.getLimit(),
+        {limit: this.getLimit(), initial: this.limit.getInitial()},
         DEFAULT_QUEUE_POLICY,
       );
       if (index < 0) {
@@ -195,12 +194,9 @@
     this.limit.applySample({
       wasFull: this.wasFull,
       wasRefused: this.wasRefused,
-      slowdown:
-        this.slowdownCount === 0 ? 0 : this.slowdownSum / this.slowdownCount,
+      reportedQueue: this.reportedQueue,
     });
     this.wasFull = false;
     this.wasRefused = false;
-    this.slowdownSum = 0;
-    this.slowdownCount = 0;
   }
 }
--- a/packages/pipeline/src/upstream-group.ts
+++ b/packages/pipeline/src/upstream-group.ts
@@ -4,18 +4,17 @@
 import {
   CacheIndex,
   createHealthyState,
+  computeOccupancy,
   createLoadState,
-  predictOtherLoad,
   getStartFactor,
   isCandidate,
   predictDurationMs,
   recordDispatch,
-  recordDuration,
+  recordSlowness,
   recordEnd,
   recordFailure,
   recordLeaving,
   recordLive,
-  recordReport,
   recordSuccess,
   recordTrial,
   type Candidate,
@@ -46,7 +45,20 @@
   readonly zone: string;
   readonly state: HealthState['state'];
   readonly ownInFlight: number;
-  readonly unitMs: number;
+  /** How much slower it is than others; 1 for alike. */
+  readonly slowness: number;
+}
+
+/** A piece of work as far as its placing goes. */
+export interface PlacedWork {
+  /** Work of one class takes about as long each time. */
+  readonly classKey: string;
+  /** Size where nothing was measured yet, in units of one expected request. */
+  readonly units: number;
+  /** Model that the upstream must hold; undefined for any. */
+  readonly model: string | undefined;
+  /** Text whose prefix the upstream may have cached. */
+  readonly prompt: string | undefined;
 }
 
 /** How a group decides. */
@@ -55,11 +67,22 @@
   readonly adaptLimits: boolean;
 }
 
+interface ReceivedReport {
+  readonly report: LoadReport;
+  readonly receivedAtMs: number;
+  /** Whether work was done since the report before it. */
+  readonly isProgressing: boolean;
+}
+
 interface TrackedUpstream {
   upstream: Upstream;
   health: HealthState;
   load: LoadState;
   models: readonly string[] | undefined;
+  /** The newest report with the time it came; undefined before the first. */
+  report: ReceivedReport | undefined;
+  /** When any of this instance's attempts last got a byte from it. */
+  lastByteAtMs: number;
   /** Whether the platform's list says that it is leaving. */
   isListedLeaving: boolean;
   readonly cache: CacheIndex;
@@ -69,6 +92,8 @@
 const CACHE_BLOCK_CHARACTERS = 64;
 /** Milliseconds that a report without a time of its own may lag. */
 const ASSUMED_LAG_MS = 5000;
+/** Milliseconds for which a report counts as fresh. */
+const FRESH_REPORT_MS = 2500;
 /** Share of a request's time that a wholly cached prompt saves. */
 const CACHE_SAVING = 0.5;
 
@@ -76,7 +101,7 @@
 export class UpstreamGroup {
   readonly places: PlaceQueue;
   readonly retryBudget = new RetryBudget();
-  readonly durations = new DurationEstimator();
+  readonly durations: DurationEstimator;
   private readonly clock: Clock;
   private readonly logger: EventLogger;
   private readonly policy: HealthPolicy;
@@ -92,6 +117,7 @@
   ) {
     this.settings = settings;
     this.clock = clock;
+    this.durations = new DurationEstimator(clock);
     this.logger = logger;
     this.policy = policy.healthPolicy;
     this.places = new PlaceQueue(
@@ -128,84 +154,105 @@
       zone: upstream.zone,
       state: health.state,
       ownInFlight: load.ownInFlight,
-      unitMs: load.unitMs,
+      slowness: load.slowness,
     }));
   }
 
   /**
    * Lists the upstreams that may take a piece of work.
    *
-   * @param work Its size in units.
+   * @param work The work to be placed.
    * @param excluded Ids that were tried before; they count again where no other is left.
    */
-  listCandidates(
-    work: number,
-    model: string | undefined,
-    prompt: string | undefined,
-    excluded: ReadonlySet<string>,
-  ): Candidate[] {
+  listCandidates(work: PlacedWork, excluded: ReadonlySet<string>): Candidate[] {
     const nowMs = this.clock.getNow();
     const able = [...this.tracked.values()].filter(
       ({health, models}) =>
-        isCandidate(health, nowMs) && hasModel(models, model),
+        isCandidate(health, nowMs) && hasModel(models, work.model),
     );
     const untried = able.filter(({upstream}) => !excluded.has(upstream.id));
     const chosen = untried.length > 0 ? untried : able;
     return chosen.map(tracked => ({
       id: tracked.upstream.id,
       ownInFlight: tracked.load.ownInFlight,
-      predictedMs: this.predictMs(tracked, work, prompt, nowMs),
+      predictedMs: this.predictMs(tracked, work, nowMs),
     }));
   }
 
   /** Predicts the shortest time for a piece of work; undefined where no upstream is left. */
-  predictBestMs(work: number): number | undefined {
-    const candidates = this.listCandidates(
-      work,
-      undefined,
-      undefined,
-      new Set(),
-    );
+  predictBestMs(work: PlacedWork): number | undefined {
+    const candidates = this.listCandidates(work, new Set());
     if (candidates.length === 0) return undefined;
     return Math.min(...candidates.map(({predictedMs}) => predictedMs));
   }
 
-  /** Predicts the time for a piece of work at an average upstream without other load. */
-  predictEmptyMs(work: number): number {
-    const known = [...this.tracked.values()].filter(
-      ({load}) => load.samples > 0,
-    );
-    if (known.length === 0) return this.settings.expectedMs * work;
-    const sum = known.reduce((total, {load}) => total + load.unitMs, 0);
-    return (sum / known.length) * work;
+  /** Predicts the time for a piece of work at an upstream without other load. */
+  predictEmptyMs(work: PlacedWork): number {
+    const defaultMs = this.settings.expectedMs * work.units;
+    return this.durations.getMeanMs(getEmptyKey(work), defaultMs);
   }
 
-  /** Work is sent to an upstream. */
-  recordDispatch(id: string): void {
+  /**
+   * Work is sent to an upstream.
+   *
+   * @returns Its other load then, for each request it can work on at a time.
+   */
+  recordDispatch(id: string): number {
+    let occupancy = 0;
     this.applyChange(id, tracked => {
+      occupancy = computeOccupancy(tracked.load, this.settings.slots);
       tracked.load = recordDispatch(tracked.load);
       tracked.health = recordTrial(tracked.health);
     });
+    return occupancy;
   }
 
-  /** Work was finished by an upstream. */
-  recordSuccess(id: string, durationMs: number, work: number): void {
+  /**
+   * Work was finished by an upstream.
+   *
+   * @param occupancy What recordDispatch returned for it.
+   */
+  recordSuccess(
+    id: string,
+    work: PlacedWork,
+    durationMs: number,
+    occupancy: number,
+  ): void {
+    const emptyMs = durationMs / (1 + occupancy);
+    const slowness = emptyMs / Math.max(1, this.predictEmptyMs(work));
+    this.durations.recordMs(getEmptyKey(work), emptyMs);
     this.applyChange(id, tracked => {
-      const nowMs = this.clock.getNow();
-      const {slots} = this.settings;
-      tracked.load = recordEnd(tracked.load);
-      const others =
-        tracked.load.ownInFlight + predictOtherLoad(tracked.load, nowMs);
-      tracked.load = recordDuration(
-        tracked.load,
-        durationMs,
-        work,
-        others / slots,
-      );
-      tracked.health = recordSuccess(tracked.health, nowMs);
+      tracked.load = recordSlowness(recordEnd(tracked.load), slowness);
+      tracked.health = recordSuccess(tracked.health, this.clock.getNow());
     });
   }
 
+  /** A byte of any answer came from an upstream. */
+  recordByte(id: string): void {
+    const tracked = this.tracked.get(id);
+    if (tracked) tracked.lastByteAtMs = this.clock.getNow();
+  }
+
+  /**
+   * Returns when an upstream last gave a sign of being at work: a byte of any
+   * answer, or a fresh report that it works and has more work waiting.
+   */
+  getLastSignAtMs(id: string): number {
+    const tracked = this.tracked.get(id);
+    if (!tracked) return 0;
+    const isBusy =
+      this.isProgressing(id) && (tracked.report?.report.queued ?? 0) > 0;
+    return isBusy ? this.clock.getNow() : tracked.lastByteAtMs;
+  }
+
+  /** Returns whether a fresh report says that an upstream gets work done. */
+  isProgressing(id: string): boolean {
+    const received = this.tracked.get(id)?.report;
+    if (!received) return false;
+    const ageMs = this.clock.getNow() - received.receivedAtMs;
+    return received.isProgressing && ageMs <= FRESH_REPORT_MS;
+  }
+
   /** Work failed at an upstream. */
   recordFailure(id: string, kind: FailureKind): void {
     this.applyChange(id, tracked => {
@@ -251,7 +298,11 @@
   recordReport(id: string, report: LoadReport): void {
     this.applyChange(id, tracked => {
       const nowMs = this.clock.getNow();
-      tracked.load = recordReport(tracked.load, report, nowMs);
+      tracked.report = {
+        report,
+        receivedAtMs: nowMs,
+        isProgressing: hasProgressed(tracked.report?.report, report),
+      };
       if (report.models.length > 0) tracked.models = report.models;
       const isLeaving = report.state === 'leaving' || tracked.isListedLeaving;
       const reportAtMs = report.atMs ?? nowMs - ASSUMED_LAG_MS;
@@ -259,6 +310,7 @@
         ? recordLeaving(tracked.health, nowMs)
         : recordLive(tracked.health, this.policy, reportAtMs, nowMs);
     });
+    this.places.recordReportedQueue(this.getReportedQueue());
   }
 
   /** Cache events arrived. */
@@ -271,6 +323,15 @@
     return this.tracked.get(id)?.cache.getLastSequence() ?? 0;
   }
 
+  private getReportedQueue(): number {
+    const reports = [...this.tracked.values()]
+      .map(({report}) => report?.report)
+      .filter(report => report !== undefined);
+    if (reports.length === 0) return 0;
+    const queued = reports.reduce((sum, report) => sum + report.queued, 0);
+    return queued / (reports.length * this.settings.slots);
+  }
+
   private addUpstream(upstream: Upstream): void {
     const known = this.tracked.get(upstream.id);
     if (known && known.upstream.address === upstream.address) {
@@ -282,6 +343,8 @@
       health: createHealthyState(),
       load: createLoadState(),
       models: undefined,
+      report: undefined,
+      lastByteAtMs: 0,
       isListedLeaving: false,
       cache: new CacheIndex(),
     });
@@ -289,14 +352,15 @@
 
   private predictMs(
     tracked: TrackedUpstream,
-    work: number,
-    prompt: string | undefined,
+    work: PlacedWork,
     nowMs: number,
   ): number {
-    const {slots, expectedMs} = this.settings;
     const {load, health, cache} = tracked;
-    const loadedMs = predictDurationMs(load, work, slots, expectedMs, nowMs);
+    const {slots} = this.settings;
+    const emptyMs = this.predictEmptyMs(work);
+    const loadedMs = predictDurationMs(load, emptyMs, slots);
     const startFactor = getStartFactor(health, this.policy, nowMs);
+    const {prompt} = work;
     if (prompt === undefined || prompt.length === 0) {
       return loadedMs / startFactor;
     }
@@ -352,3 +416,18 @@
     max: Math.max(1, places),
   };
 }
+
+function getEmptyKey({classKey}: PlacedWork): string {
+  return `${classKey}/empty`;
+}
+
+function hasProgressed(
+  before: LoadReport | undefined,
+  now: LoadReport,
+): boolean {
+  if (before?.workDone === undefined || now.workDone === undefined)
+    return false;
+  // A report that lags may be the same one again; it says nothing new.
+  if (before.atMs === now.atMs) return now.running > 0;
+  return now.workDone > before.workDone;
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -14,13 +14,13 @@
   type HealthState,
 } from './health.ts';
 export {
+  computeOccupancy,
   createLoadState,
-  predictOtherLoad,
+  getEffectiveSlowness,
   predictDurationMs,
   recordDispatch,
-  recordDuration,
+  recordSlowness,
   recordEnd,
-  recordReport,
   type LoadState,
 } from './load.ts';
 export {
--- a/packages/routing/src/load.ts
+++ b/packages/routing/src/load.ts
@@ -1,32 +1,25 @@
-import type {LoadReport} from '@hollowstack/types';
-
-/** What is known of one upstream's load; a plain value that transitions replace. */
+/**
+ * What is known of one upstream's load; a plain value that transitions replace.
+ * The load that reports tell of is left out on purpose: it is a second old, and
+ * instances that all act on it send their work to the same upstream at once.
+ */
 export interface LoadState {
   /** This instance's own requests in progress there. */
   readonly ownInFlight: number;
-  /** Requests of other instances, as of the last report. */
-  readonly othersAtReport: number;
-  /** Milliseconds since the epoch at which the last report was true; 0 for none. */
-  readonly reportAtMs: number;
-  /** Milliseconds that one unit of work takes there without other load; 0 for unknown. */
-  readonly unitMs: number;
-  /** How many durations went into `unitMs`, up to a ceiling. */
-  readonly samples: number;
+  /** How long work takes there over what the same work takes elsewhere; 1 for alike. */
+  readonly slowness: number;
 }
 
-// A report loses its weight over this time: what others had in progress then
-// has been answered since, and what they have now is better guessed as average.
-const REPORT_HALF_LIFE_MS = 3000;
-const MAX_SAMPLES = 10;
+/** Weight of the newest piece of work in the slowness. */
+const SLOWNESS_WEIGHT = 0.15;
+/** Slowness between this and its inverse is noise and counts as 1. */
+const SLOWNESS_NOISE = 1.5;
 
 /** Returns the state of an upstream that nothing is known about. */
 export function createLoadState(): LoadState {
   return {
     ownInFlight: 0,
-    othersAtReport: 0,
-    reportAtMs: 0,
-    unitMs: 0,
-    samples: 0,
+    slowness: 1,
   };
 }
 
@@ -40,65 +33,38 @@
   return {...load, ownInFlight: Math.max(0, load.ownInFlight - 1)};
 }
 
-/** A load report arrived. */
-export function recordReport(
-  load: LoadState,
-  report: LoadReport,
-  nowMs: number,
-): LoadState {
-  const total = report.running + report.queued;
-  return {
-    ...load,
-    othersAtReport: Math.max(0, total - load.ownInFlight),
-    reportAtMs: report.atMs ?? nowMs,
-  };
-}
-
 /**
  * A piece of work was finished.
  *
- * @param durationMs What it took.
- * @param work Its size in units.
- * @param loadAtDispatch Other requests there when it was sent, per slot.
+ * @param slowness What it took over what was expected of it.
  */
-export function recordDuration(
-  load: LoadState,
-  durationMs: number,
-  work: number,
-  loadAtDispatch: number,
-): LoadState {
-  const unitMs = durationMs / (work * (1 + loadAtDispatch));
-  const samples = Math.min(MAX_SAMPLES, load.samples + 1);
-  const weight = 1 / samples;
-  return {
-    ...load,
-    samples,
-    unitMs: load.unitMs + (unitMs - load.unitMs) * weight,
-  };
+export function recordSlowness(load: LoadState, slowness: number): LoadState {
+  const change = (slowness - load.slowness) * SLOWNESS_WEIGHT;
+  return {...load, slowness: load.slowness + change};
+}
+
+/** Returns by what factor work there is slower, with its noise taken out. */
+export function getEffectiveSlowness({slowness}: LoadState): number {
+  const isNoise = slowness < SLOWNESS_NOISE && slowness > 1 / SLOWNESS_NOISE;
+  return isNoise ? 1 : slowness;
 }
 
-/** Estimates the requests of other instances there now. */
-export function predictOtherLoad(load: LoadState, nowMs: number): number {
-  if (load.reportAtMs === 0) return 0;
-  const ageMs = Math.max(0, nowMs - load.reportAtMs);
-  return load.othersAtReport * 2 ** (-ageMs / REPORT_HALF_LIFE_MS);
+/** Computes this instance's requests there, for each request it can work on at a time. */
+export function computeOccupancy(load: LoadState, slots: number): number {
+  return load.ownInFlight / slots;
 }
 
 /**
  * Predicts how long a piece of work takes there.
  *
- * @param work Its size in units.
+ * @param expectedMs What the same work takes at an upstream without other load.
  * @param slots Requests that the upstream works on at the same time.
- * @param defaultUnitMs Milliseconds a unit takes where nothing was measured yet.
  */
 export function predictDurationMs(
   load: LoadState,
-  work: number,
+  expectedMs: number,
   slots: number,
-  defaultUnitMs: number,
-  nowMs: number,
 ): number {
-  const unitMs = load.samples === 0 ? defaultUnitMs : load.unitMs;
-  const others = load.ownInFlight + predictOtherLoad(load, nowMs);
-  return unitMs * work * (1 + others / slots);
+  const occupancy = computeOccupancy(load, slots);
+  return expectedMs * getEffectiveSlowness(load) * (1 + occupancy);
 }
--- a/packages/routing/src/selectors.ts
+++ b/packages/routing/src/selectors.ts
@@ -109,12 +109,16 @@
 // Two homes for each prefix: one would make a popular prefix a hot spot, more
 // would cost each engine's cache room.
 const AFFINITY_CANDIDATES = 2;
-const RANDOM_CANDIDATES = 3;
+const RANDOM_CANDIDATES = 8;
+/** Pools up to this size are compared whole. */
+const SMALL_POOL = 16;
+/** Predictions that differ by less than this factor are alike. */
+const LIKENESS = 1.02;
 
 /**
- * Chooses the earliest predicted finish among the homes of the work's prefix
- * and a few at random. Comparing a few instead of all keeps instances that see
- * the same lagging reports from all choosing the same upstream.
+ * Chooses the earliest predicted finish: among all of a small pool, else among
+ * the homes of the work's prefix and some at random. Alike ones are drawn at
+ * random, or instances that know the same would all choose the same.
  */
 export class PredictedFinishSelector extends UpstreamSelector {
   private readonly random: () => number;
@@ -126,10 +130,11 @@
 
   protected chooseAmong(input: ChoiceInput): Choice {
     const compared = this.chooseCompared(input);
-    let best = compared[0];
-    for (const candidate of compared) {
-      if (candidate.predictedMs < best.predictedMs) best = candidate;
-    }
+    const leastMs = Math.min(...compared.map(({predictedMs}) => predictedMs));
+    const alike = compared.filter(
+      ({predictedMs}) => predictedMs <= leastMs * LIKENESS,
+    );
+    const best = alike[Math.floor(this.random() * alike.length)];
     return {
       id: best.id,
       reason: `earliest predicted finish (${best.predictedMs.toFixed(1)} ms)`,
@@ -137,8 +142,9 @@
     };
   }
 
-  private chooseCompared(input: ChoiceInput): Candidate[] {
+  private chooseCompared(input: ChoiceInput): readonly Candidate[] {
     const {candidates, affinityKey} = input;
+    if (candidates.length <= SMALL_POOL) return candidates;
     const compared = new Set<Candidate>();
     if (affinityKey !== undefined) {
       const byId = new Map(
--- a/packages/stand-ins/src/engine-stand-in.ts
+++ b/packages/stand-ins/src/engine-stand-in.ts
@@ -103,6 +103,7 @@
     return {
       running: this.batch.getRunningCount(),
       queued: this.batch.getQueuedCount(),
+      workDone: Math.round(this.workLog.getTotalBusyMs()),
       tokensPerSecond: this.batch.getTokensPerSecond(),
       state: this.faults.getSetting().mode === 'leaving' ? 'leaving' : 'live',
       models: this.orders.listModels(),
--- a/packages/stand-ins/src/pool-stand-in.ts
+++ b/packages/stand-ins/src/pool-stand-in.ts
@@ -87,6 +87,7 @@
     return {
       running: this.slots.getRunningCount(),
       queued: this.slots.getQueuedCount(),
+      workDone: Math.round(this.workLog.getTotalBusyMs()),
       state: this.faults.getSetting().mode === 'leaving' ? 'leaving' : 'live',
       models: [],
       atMs: this.clock.getNow(),
--- a/packages/types/src/objects.ts
+++ b/packages/types/src/objects.ts
@@ -45,7 +45,7 @@
   concurrencyPerUpstream: z.number().int().positive().default(16),
   /** Milliseconds a request is expected to take before any was measured. */
   expectedMs: z.number().positive().default(50),
-  /** Milliseconds without any answer byte after which an attempt counts as failed. */
+  /** Milliseconds without any answer byte after which an upstream counts as silent. */
   silenceMs: z.number().positive().default(2000),
   /** The models that the pool's engines hold between them. */
   models: z.array(nameSchema).default([]),
--- a/packages/types/src/reports.ts
+++ b/packages/types/src/reports.ts
@@ -6,6 +6,8 @@
   queued: z.number().nonnegative(),
   /** Tokens generated a second by one sequence at the current batch. */
   tokensPerSecond: z.number().nonnegative().optional(),
+  /** Counts up with the work done; one that stands still under load is stuck. */
+  workDone: z.number().nonnegative().optional(),
   state: z.enum(['live', 'leaving']).default('live'),
   models: z.array(z.string()).default([]),
   /** Milliseconds since the epoch at which the report was true. */
