Place models on engines by fenced orders from a lease holder

Cause: nothing decided which engine holds which model.

Ruled out: orders from every instance (two plans at once would load and drop in turn), and a fence that only engines check: not all do.

Change: a pure plan from targets, engines and the weight store's rate; one instance under a lease sends it as declarative orders with its fence. Reports that leave models out are no longer taken for engines without models.

An order that was already on its way when its holder was paused is not covered by a test.

--- a/packages/config-log/src/check-configuration.ts
+++ b/packages/config-log/src/check-configuration.ts
@@ -227,7 +227,25 @@
       advice: 'keep one of the two',
     });
   }
-  return findings;
+  return [...findings, ...checkPlacement(holder, place)];
+}
+
+function checkPlacement(holder: Pool | Service, place: string): Finding[] {
+  const placement = 'placement' in holder ? holder.placement : undefined;
+  if (!placement) return [];
+  const copies = placement.targets.reduce(
+    (sum, target) => sum + target.copies,
+    0,
+  );
+  const room = holder.upstreams.length * placement.modelsPerEngine;
+  if (copies <= room) return [];
+  return [
+    {
+      place: `${place}.placement`,
+      message: `the targets ask for ${copies} copies, the engines have room for ${room}`,
+      advice: 'ask for fewer copies, or raise modelsPerEngine',
+    },
+  ];
 }
 
 function createDanglingFinding(
--- a/packages/entry/src/create-daemon.ts
+++ b/packages/entry/src/create-daemon.ts
@@ -14,6 +14,7 @@
   ShareClient,
   ShareKeeper,
 } from '@hollowstack/peers';
+import {HolderLease, PlacementKeeper} from '@hollowstack/placement';
 import {
   GroupDirectory,
   LoadPoller,
@@ -36,6 +37,7 @@
 import {OperatorEndpoint} from './operator-endpoint.ts';
 import {PauseGuard} from './pause-guard.ts';
 import {PeerRequests} from './peer-requests.ts';
+import {listManagedPools} from './managed-pools.ts';
 import {PipelineEndpoint} from './pipeline-endpoint.ts';
 import {ProbeEndpoint} from './probe-endpoint.ts';
 import {RequestGate} from './request-gate.ts';
@@ -171,6 +173,18 @@
   watchHub.addSubscription(instanceList);
   watchHub.addSubscription(membership);
 
+  const placement = new PlacementKeeper({
+    lease: new HolderLease(store, clock, id),
+    client,
+    clock,
+    random,
+    logger,
+    readPools: () => ({
+      revision: holder.getRevision(),
+      pools: listManagedPools(holder.getCurrent(), groups),
+    }),
+  });
+
   const gate = new RequestGate(lifecycle, holder, shares);
   const front = new Front({
     clock,
@@ -243,6 +257,7 @@
     shares,
     poller,
     pauseGuard,
+    placement,
     claimedCalls,
     front,
   });
--- a/packages/entry/src/daemon.ts
+++ b/packages/entry/src/daemon.ts
@@ -14,6 +14,7 @@
   ShareClient,
 } from '@hollowstack/peers';
 import type {LoadPoller} from '@hollowstack/pipeline';
+import type {PlacementKeeper} from '@hollowstack/placement';
 import type {InstanceList, WatchHub} from '@hollowstack/platform';
 import type {
   HttpClient,
@@ -52,6 +53,7 @@
   readonly shares: ShareClient;
   readonly poller: LoadPoller;
   readonly pauseGuard: PauseGuard;
+  readonly placement: PlacementKeeper;
   readonly claimedCalls: ClaimedCalls;
   readonly front: Front;
 }
@@ -88,6 +90,7 @@
     void parts.shares.start();
     void parts.poller.start();
     parts.pauseGuard.start();
+    void parts.placement.start();
     while (!parts.holder.getCurrent()) {
       if (parts.lifecycle.getState() !== 'starting') return;
       await waitFor(clock, START_POLL_MS);
@@ -145,6 +148,7 @@
     parts.follower.stop();
     parts.watchHub.stop();
     parts.link.close();
+    await parts.placement.stop();
     await parts.membership.stop();
     parts.environment.logger.logEvent('entry.stopped');
   }
--- /dev/null
+++ b/packages/entry/src/managed-pools.ts
@@ -0,0 +1,48 @@
+import type {Configuration} from '@hollowstack/config-log';
+import type {ManagedEngine, ManagedPool} from '@hollowstack/placement';
+import type {GroupDirectory, UpstreamStatus} from '@hollowstack/pipeline';
+import type {Pool} from '@hollowstack/types';
+
+/**
+ * Lists the pools whose models are placed by orders. A pool of which this
+ * instance does not know every engine is left out: it would place on a part.
+ */
+export function listManagedPools(
+  configuration: Configuration | undefined,
+  groups: GroupDirectory,
+): ManagedPool[] {
+  const pools = configuration?.listPools() ?? [];
+  return pools
+    .map(pool => createManagedPool(pool, groups))
+    .filter(pool => pool !== undefined);
+}
+
+function createManagedPool(
+  pool: Pool,
+  groups: GroupDirectory,
+): ManagedPool | undefined {
+  const statuses = groups.getPool(pool.name)?.listStatuses() ?? [];
+  const isWhole = statuses.length === pool.upstreams.length;
+  const isKnown = statuses.every(({models}) => models !== undefined);
+  if (!pool.placement || !isWhole || !isKnown) return undefined;
+  return {
+    name: pool.name,
+    ...pool.placement,
+    engines: statuses.map(status => createManagedEngine(pool, status)),
+  };
+}
+
+function createManagedEngine(
+  pool: Pool,
+  status: UpstreamStatus,
+): ManagedEngine {
+  const upstream = pool.upstreams.find(({id}) => id === status.id);
+  return {
+    id: status.id,
+    address: status.address,
+    zone: status.zone,
+    isUsable: status.state === 'healthy',
+    models: status.models ?? [],
+    checksFence: upstream?.checksFence ?? false,
+  };
+}
--- a/packages/pipeline/src/upstream-group.ts
+++ b/packages/pipeline/src/upstream-group.ts
@@ -45,6 +45,8 @@
   readonly zone: string;
   readonly state: HealthState['state'];
   readonly ownInFlight: number;
+  /** Models it reports to hold; undefined before its first report. */
+  readonly models: readonly string[] | undefined;
   /** How much slower it is than others; 1 for alike. */
   readonly slowness: number;
 }
@@ -148,14 +150,17 @@
   }
 
   listStatuses(): UpstreamStatus[] {
-    return [...this.tracked.values()].map(({upstream, health, load}) => ({
-      id: upstream.id,
-      address: upstream.address,
-      zone: upstream.zone,
-      state: health.state,
-      ownInFlight: load.ownInFlight,
-      slowness: load.slowness,
-    }));
+    return [...this.tracked.values()].map(
+      ({upstream, health, load, models}) => ({
+        models,
+        id: upstream.id,
+        address: upstream.address,
+        zone: upstream.zone,
+        state: health.state,
+        ownInFlight: load.ownInFlight,
+        slowness: load.slowness,
+      }),
+    );
   }
 
   /**
@@ -303,7 +308,7 @@
         receivedAtMs: nowMs,
         isProgressing: hasProgressed(tracked.report?.report, report),
       };
-      if (report.models.length > 0) tracked.models = report.models;
+      if (report.models) tracked.models = report.models;
       const isLeaving = report.state === 'leaving' || tracked.isListedLeaving;
       const reportAtMs = report.atMs ?? nowMs - ASSUMED_LAG_MS;
       tracked.health = isLeaving
--- /dev/null
+++ b/packages/placement/src/placement-keeper.ts
@@ -0,0 +1,166 @@
+import {createDeadlineSignal, waitFor, type Clock} from '@hollowstack/clock';
+import type {EventLogger} from '@hollowstack/logger';
+import {readBody, sendJson, type HttpClient} from '@hollowstack/transport';
+import type {HeldLease, HolderLease} from './holder-lease.ts';
+import {
+  assemblePlacementPlan,
+  type EngineState,
+  type PlacementTarget,
+  type PlannedOrder,
+} from './placement-plan.ts';
+
+/** One engine that orders may be sent to. */
+export interface ManagedEngine extends EngineState {
+  readonly address: string;
+  /** Whether it refuses orders with an older fence. */
+  readonly checksFence: boolean;
+}
+
+/** One pool whose models are placed by orders. */
+export interface ManagedPool {
+  readonly name: string;
+  readonly targets: readonly PlacementTarget[];
+  readonly modelsPerEngine: number;
+  /** Most loads at a time over the pool, for the weight store's sake. */
+  readonly maxLoads: number;
+  readonly engines: readonly ManagedEngine[];
+}
+
+/** What the keeper works with. */
+export interface PlacementKeeperParts {
+  readonly lease: HolderLease;
+  readonly client: HttpClient;
+  readonly clock: Clock;
+  readonly random: () => number;
+  readonly logger: EventLogger;
+  /** Returns the pools as they are now, and the revision they are configured by. */
+  readonly readPools: () => {
+    readonly revision: number;
+    readonly pools: readonly ManagedPool[];
+  };
+}
+
+const ROUND_MS = 3000;
+const ORDER_TIMEOUT_MS = 1500;
+const APPLIED = 200;
+
+/**
+ * Sends orders while this instance holds the lease. An order goes out only if
+ * all of it fits into the lease; to engines that do not check fences only
+ * after a renewal that was confirmed since the plan was read.
+ */
+export class PlacementKeeper {
+  private readonly parts: PlacementKeeperParts;
+  private readonly controller = new AbortController();
+  private wasHolder = false;
+
+  constructor(parts: PlacementKeeperParts) {
+    this.parts = parts;
+  }
+
+  /** Tries for the lease and sends orders until stopped. */
+  async start(): Promise<void> {
+    const {clock, random} = this.parts;
+    const {signal} = this.controller;
+    while (!signal.aborted) {
+      await this.runRound().catch(() => {});
+      const delayMs = ROUND_MS * (0.75 + random() / 2);
+      await waitFor(clock, delayMs, signal).catch(() => {});
+    }
+  }
+
+  async stop(): Promise<void> {
+    this.controller.abort(new Error('stopped'));
+    await this.parts.lease.release();
+  }
+
+  private async runRound(): Promise<void> {
+    // Without a pool to place, the lease is left alone: no call is spent on it.
+    if (this.parts.readPools().pools.length === 0) return;
+    const held = await this.parts.lease.renew();
+    this.logHolder(held);
+    if (!held) return;
+    const {revision, pools} = this.parts.readPools();
+    const readAtMs = this.parts.clock.getNow();
+    for (const pool of pools) await this.runPool(pool, revision, readAtMs);
+  }
+
+  private async runPool(
+    pool: ManagedPool,
+    revision: number,
+    readAtMs: number,
+  ): Promise<void> {
+    const {orders} = assemblePlacementPlan(
+      pool.targets,
+      pool.engines,
+      pool.modelsPerEngine,
+      pool.maxLoads,
+    );
+    for (const order of orders) {
+      const engine = pool.engines.find(({id}) => id === order.engine)!;
+      const held = await this.checkLease(engine, readAtMs);
+      if (!held) return;
+      await this.sendOrder(engine, order, held, revision);
+    }
+  }
+
+  private async checkLease(
+    engine: ManagedEngine,
+    readAtMs: number,
+  ): Promise<HeldLease | undefined> {
+    const {lease, clock} = this.parts;
+    let held = lease.getHeld();
+    const isConfirmed = held !== undefined && held.renewedAtMs > readAtMs;
+    if (!engine.checksFence && !isConfirmed) held = await lease.renew();
+    if (!held) return undefined;
+    const endsAtMs = clock.getNow() + ORDER_TIMEOUT_MS;
+    return endsAtMs < held.validUntilMs ? held : undefined;
+  }
+
+  private async sendOrder(
+    engine: ManagedEngine,
+    order: PlannedOrder,
+    held: HeldLease,
+    revision: number,
+  ): Promise<void> {
+    const {client, clock, logger} = this.parts;
+    const deadline = createDeadlineSignal(
+      clock,
+      ORDER_TIMEOUT_MS,
+      () => new Error('no answer'),
+    );
+    const fields = {engine: engine.id, models: order.models.join(' ')};
+    try {
+      const response = await sendJson(
+        client,
+        engine.address,
+        '/orders',
+        {fence: held.fence, planRevision: revision, models: order.models},
+        deadline.signal,
+      );
+      await readBody(response.body);
+      const isApplied = response.status === APPLIED;
+      logger.logEvent(
+        isApplied ? 'placement.order' : 'placement.order-failed',
+        {...fields, status: response.status, fence: held.fence},
+      );
+    } catch (error) {
+      logger.logEvent('placement.order-failed', {
+        ...fields,
+        reason: String(error),
+      });
+    } finally {
+      deadline.release();
+    }
+  }
+
+  private logHolder(held: HeldLease | undefined): void {
+    const isHolder = held !== undefined;
+    if (isHolder === this.wasHolder) return;
+    this.wasHolder = isHolder;
+    this.parts.logger.logEvent(
+      isHolder ? 'placement.holder' : 'placement.lost',
+      {fence: held?.fence},
+    );
+  }
+}
--- a/packages/stand-ins/src/lagging-report.ts
+++ b/packages/stand-ins/src/lagging-report.ts
@@ -14,7 +14,7 @@
     this.lagMs = lagMs;
     this.createReport = createReport;
     this.takenAtMs = -Infinity;
-    this.report = {running: 0, queued: 0, state: 'live', models: []};
+    this.report = {running: 0, queued: 0, state: 'live'};
   }
 
   /** Returns the newest report that the lag allows. */
--- a/packages/stand-ins/src/pool-stand-in.ts
+++ b/packages/stand-ins/src/pool-stand-in.ts
@@ -89,7 +89,6 @@
       queued: this.slots.getQueuedCount(),
       workDone: Math.round(this.workLog.getTotalBusyMs()),
       state: this.faults.getSetting().mode === 'leaving' ? 'leaving' : 'live',
-      models: [],
       atMs: this.clock.getNow(),
     };
   }
--- a/packages/stand-ins/src/service-stand-in.ts
+++ b/packages/stand-ins/src/service-stand-in.ts
@@ -77,7 +77,6 @@
       running: this.slots.getRunningCount(),
       queued: this.slots.getQueuedCount(),
       state: this.faults.getSetting().mode === 'leaving' ? 'leaving' : 'live',
-      models: [],
       atMs: this.clock.getNow(),
     };
   }
--- a/packages/types/src/objects.ts
+++ b/packages/types/src/objects.ts
@@ -49,6 +49,23 @@
   silenceMs: z.number().positive().default(2000),
   /** The models that the pool's engines hold between them. */
   models: z.array(nameSchema).default([]),
+  /** Engines that shall hold each model; without it no order is ever sent. */
+  placement: z
+    .strictObject({
+      targets: z
+        .array(
+          z.strictObject({
+            model: nameSchema,
+            copies: z.number().int().positive(),
+          }),
+        )
+        .min(1),
+      /** Most models that one engine can hold. */
+      modelsPerEngine: z.number().int().positive().default(1),
+      /** Most loads at a time, for the weight store's sake. */
+      maxLoads: z.number().int().positive().default(2),
+    })
+    .optional(),
 });
 /** A pool of like upstreams that serve one kind of stage. */
 export type Pool = z.infer<typeof poolSchema>;
--- a/packages/types/src/reports.ts
+++ b/packages/types/src/reports.ts
@@ -9,7 +9,8 @@
   /** Counts up with the work done; one that stands still under load is stuck. */
   workDone: z.number().nonnegative().optional(),
   state: z.enum(['live', 'leaving']).default('live'),
-  models: z.array(z.string()).default([]),
+  /** Models it holds; left out where that says nothing. */
+  models: z.array(z.string()).optional(),
   /** Milliseconds since the epoch at which the report was true. */
   atMs: z.number().optional(),
 });
