--- /dev/null
+++ b/examples/embedded-routing.test.ts
@@ -0,0 +1,24 @@
+import {test} from 'node:test';
+import {
+  LocalSystem,
+  LoopbackNetwork,
+  createSeededRandom,
+} from '@hollowstack/local-system';
+import {runEmbedded} from './embedded-routing.ts';
+
+test('a program of its own follows the configuration and takes the same decisions', async t => {
+  const system = new LocalSystem(new LoopbackNetwork(), {
+    instances: 1,
+    encoders: 1,
+    retrievers: 1,
+    rerankers: 1,
+    engines: 1,
+    bookings: 1,
+    random: createSeededRandom(3),
+  });
+  t.after(() => system.stop());
+  await system.start();
+  await system.publish();
+  const {platform} = system.instances[0].settings;
+  t.assert.snapshot(await runEmbedded(platform.address));
+});
--- a/packages/bench/src/capacity-main.ts
+++ b/packages/bench/src/capacity-main.ts
@@ -9,9 +9,11 @@
   },
 });
 console.log(
-  '| instances | workspaces | store calls/s each | store calls/s all | peer requests/s each | peer bytes/s each | processor ms/s each | in force ms | unwatched ms | share error % |',
+  '| instances | workspaces | store calls/s each | store calls/s all | peer requests/s each | peer bytes/s each | processor ms/s each | heap MB each | in force ms | unwatched ms | share error % |',
+);
+console.log(
+  '| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |',
 );
-console.log('| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |');
 for (const instances of values.instances.split(',').map(Number)) {
   for (const workspaces of values.workspaces.split(',').map(Number)) {
     const figures = await measureFleet({instances, workspaces});
@@ -23,6 +25,7 @@
       figures.peerRequestsPerInstance.toFixed(1),
       figures.peerBytesPerInstance.toFixed(0),
       figures.processorMsPerInstance.toFixed(2),
+      figures.heapMegabytesPerInstance.toFixed(2),
       figures.inForceMs.toFixed(0),
       figures.inForceUnwatchedMs.toFixed(0),
       (figures.shareError * 100).toFixed(1),
--- a/packages/bench/src/fleet-capacity.ts
+++ b/packages/bench/src/fleet-capacity.ts
@@ -24,6 +24,8 @@
   readonly peerBytesPerInstance: number;
   /** Processor milliseconds a second, per instance, upstream polls left out. */
   readonly processorMsPerInstance: number;
+  /** Megabytes of heap per instance, its part of the in-memory network included. */
+  readonly heapMegabytesPerInstance: number;
   /** Milliseconds from an accepted publish to in force on the last instance. */
   readonly inForceMs: number;
   /** The same with the watch telling nothing. */
@@ -64,13 +66,27 @@
   await clock.advanceUntil(system.waitUntilReady(), START_LIMIT_MS);
   await clock.advance(SETTLE_MS);
   const idle = await measureIdle(clock, network, system);
+  const heapMegabytesPerInstance = measureHeap() / size.instances;
   const inForceMs = await measureInForce(clock, system, 'first');
   system.platform.setFaults({isWatchSilent: true});
   const inForceUnwatchedMs = await measureInForce(clock, system, 'second');
   system.platform.setFaults({isWatchSilent: false});
   const shareError = await measureShareError(clock, system);
   await system.stop();
-  return {...size, ...idle, inForceMs, inForceUnwatchedMs, shareError};
+  return {
+    ...size,
+    ...idle,
+    heapMegabytesPerInstance,
+    inForceMs,
+    inForceUnwatchedMs,
+    shareError,
+  };
+}
+
+// Exact only where Node was started with --expose-gc.
+function measureHeap(): number {
+  globalThis.gc?.();
+  return process.memoryUsage().heapUsed / 1e6;
 }
 
 function createObjects(
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -27,11 +27,6 @@
     level: 'error',
     text: 'the settings file cannot be read again; the keys stay as they are',
   },
-  'request.answered': {
-    number: 200,
-    level: 'debug',
-    text: 'request was answered whole',
-  },
   'request.refused': {number: 201, level: 'info', text: 'request was refused'},
   'request.failed': {number: 202, level: 'warn', text: 'request failed'},
   'request.internal': {
@@ -79,23 +74,11 @@
     level: 'info',
     text: "the platform's service answers again",
   },
-  'store.budget': {
-    number: 402,
-    level: 'warn',
-    text: 'the call budget is used up; a call was put off',
-  },
   'peer.refused': {
     number: 500,
     level: 'warn',
     text: 'a peer connection was refused',
   },
-  'peer.bad-frame': {
-    number: 501,
-    level: 'warn',
-    text: 'a peer sent a frame that cannot be read',
-  },
-  'peer.lost': {number: 502, level: 'info', text: 'a peer does not answer'},
-  'peer.found': {number: 503, level: 'info', text: 'a peer answers'},
   'upstream.out': {
     number: 600,
     level: 'warn',
@@ -106,11 +89,6 @@
     level: 'info',
     text: 'an upstream is a candidate again',
   },
-  'upstream.late-answer': {
-    number: 602,
-    level: 'info',
-    text: 'an answer of a given-up attempt was dropped',
-  },
   'upstream.crossed-answer': {
     number: 603,
     level: 'error',
