Learn slowness from unfinished work, and retry what did not run

Change: work that was not finished shows an upstream to be slow where it took longer than expected; attempts that did not run count up to six and need no retry budget.

--- a/packages/admission/src/retry-decision.ts
+++ b/packages/admission/src/retry-decision.ts
@@ -16,10 +16,17 @@
 export type RetryVerdict =
   'retry' | 'not-repeatable' | 'attempts-used-up' | 'no-time-left';
 
+// An attempt that did not run has cost nobody anything. When a failure domain
+// is lost, the first choices are often all among the lost.
+const MAX_NOT_RUN_ATTEMPTS = 6;
+
 /** Judges whether another attempt may be made; the retry budget is asked after this. */
 export function judgeRetry(input: RetryInput): RetryVerdict {
   if (input.mayHaveRun && !input.isRepeatable) return 'not-repeatable';
-  if (input.attempts >= input.maxAttempts) return 'attempts-used-up';
+  const maxAttempts = input.mayHaveRun
+    ? input.maxAttempts
+    : Math.max(input.maxAttempts, MAX_NOT_RUN_ATTEMPTS);
+  if (input.attempts >= maxAttempts) return 'attempts-used-up';
   if (input.predictedMs > input.leftMs) return 'no-time-left';
   return 'retry';
 }
--- a/packages/pipeline/src/group-runner.ts
+++ b/packages/pipeline/src/group-runner.ts
@@ -222,6 +222,10 @@
       const failure = toAttemptError(error);
       context.endAttempt(failure.mayHaveRun());
       this.recordFailure(group, work, context, choice.id, failure);
+      if (failure.failure === 'given-up' || failure.failure === 'silent') {
+        const elapsedMs = this.parts.clock.getNow() - startedAtMs;
+        group.recordUnfinished(choice.id, placed, elapsedMs, occupancy);
+      }
       throw failure;
     } finally {
       attempt.close();
@@ -333,7 +337,10 @@
       leftMs: context.getLeftMs(),
       predictedMs: group.predictBestMs(toPlacedWork(work, context)) ?? 0,
     });
-    const isAllowed = verdict === 'retry' && group.retryBudget.acquireRetry();
+    // The budget keeps retries from multiplying load; what did not run is none.
+    const isAllowed =
+      verdict === 'retry' &&
+      (!error.mayHaveRun() || group.retryBudget.acquireRetry());
     context.recordDecision(
       work.stage,
       'retry',
--- a/packages/pipeline/src/upstream-group.ts
+++ b/packages/pipeline/src/upstream-group.ts
@@ -271,6 +271,25 @@
     });
   }
 
+  /**
+   * Work was not finished in the time it got. Where that is more than expected,
+   * it shows the upstream to be slow as much as finished work does; else an
+   * upstream too slow for any deadline would never be found out.
+   */
+  recordUnfinished(
+    id: string,
+    work: PlacedWork,
+    elapsedMs: number,
+    occupancy: number,
+  ): void {
+    const slowness =
+      elapsedMs / (1 + occupancy) / Math.max(1, this.predictEmptyMs(work));
+    this.applyChange(id, tracked => {
+      if (slowness <= tracked.load.slowness) return;
+      tracked.load = recordSlowness(tracked.load, slowness);
+    });
+  }
+
   /** Work was stopped by this side, which says nothing of the upstream. */
   recordGivenUp(id: string): void {
     this.applyChange(id, tracked => {
