Say once what stood seven, five and three times

Cause: reading as a newcomer: the loop of work, pause and jitter stood in seven classes, the splitting of an address in five places, the reading of TOML with its errors in three.

Change: RepeatingTask in clock, addresses in types, a package toml-file.

--- a/packages/bench/src/scenario.ts
+++ b/packages/bench/src/scenario.ts
@@ -1,5 +1,4 @@
-import {HollowstackError} from '@hollowstack/errors';
-import {TomlError, parse} from 'smol-toml';
+import {parseTomlFile} from '@hollowstack/toml-file';
 import {z} from 'zod';
 import {POLICY_NAMES} from './policies.ts';
 
@@ -131,23 +130,5 @@
  * @throws HollowstackError `configuration-invalid` with path, line or place.
  */
 export function parseScenario(text: string, path: string): Scenario {
-  const parsed = scenarioSchema.safeParse(parseToml(text, path));
-  if (parsed.success) return parsed.data;
-  const lines = parsed.error.issues.map(
-    issue =>
-      `${path}: ${issue.path.join('.') || 'top level'}: ${issue.message}`,
-  );
-  throw new HollowstackError('configuration-invalid', lines.join('\n'));
-}
-
-function parseToml(text: string, path: string): unknown {
-  try {
-    return parse(text);
-  } catch (error) {
-    if (!(error instanceof TomlError)) throw error;
-    throw new HollowstackError(
-      'configuration-invalid',
-      `${path}:${error.line}:${error.column}: ${error.message.split('\n')[0]}`,
-    );
-  }
+  return parseTomlFile(text, path, scenarioSchema);
 }
--- a/packages/cli/src/commands/entry/index.ts
+++ b/packages/cli/src/commands/entry/index.ts
@@ -9,6 +9,7 @@
 import {TslogEventLogger} from '@hollowstack/logger';
 import {TcpPeerNetwork} from '@hollowstack/peers';
 import {NodeHttpClient, NodeHttpServer} from '@hollowstack/transport';
+import {splitAddress} from '@hollowstack/types';
 import {Command, Option} from 'clipanion';
 import {stringify} from 'smol-toml';
 import {readTextFile} from '../../read-text-file.ts';
@@ -69,11 +70,8 @@
       limits,
     );
     await daemon.parts.link.listen(listen.peerAddress);
-    const colon = listen.address.lastIndexOf(':');
-    await server.listen(
-      listen.address.slice(0, colon).replace(/^\[|\]$/g, ''),
-      Number(listen.address.slice(colon + 1)),
-    );
+    const {host, port} = splitAddress(listen.address);
+    await server.listen(host, port);
     const stopAsked = this.waitForStop(daemon);
     void daemon.start();
     await stopAsked;
--- a/packages/cli/src/commands/stand-in/index.ts
+++ b/packages/cli/src/commands/stand-in/index.ts
@@ -6,6 +6,7 @@
   ServiceStandIn,
 } from '@hollowstack/stand-ins';
 import {NodeHttpServer, type HttpHandler} from '@hollowstack/transport';
+import {splitAddress} from '@hollowstack/types';
 import {Command, Option} from 'clipanion';
 import {ReportingCommand} from '../../reporting-command.ts';
 
@@ -21,11 +22,8 @@
 
   protected async runCommand(): Promise<number> {
     const server = new NodeHttpServer(this.createHandler());
-    const colon = this.listen.lastIndexOf(':');
-    const address = await server.listen(
-      this.listen.slice(0, colon),
-      Number(this.listen.slice(colon + 1)),
-    );
+    const {host, port} = splitAddress(this.listen);
+    const address = await server.listen(host, port);
     this.print(JSON.stringify({listening: address}));
     await waitForStop();
     server.closeAllConnections();
--- a/packages/clock/src/index.ts
+++ b/packages/clock/src/index.ts
@@ -2,4 +2,5 @@
 export type {Clock, Timer} from './clock.ts';
 export {SystemClock} from './system-clock.ts';
 export {ManualClock} from './manual-clock.ts';
+export {RepeatingTask} from './repeating-task.ts';
 export {waitFor, createDeadlineSignal} from './waiting.ts';
--- a/packages/config-log/src/configuration-toml.ts
+++ b/packages/config-log/src/configuration-toml.ts
@@ -1,11 +1,11 @@
-import {HollowstackError} from '@hollowstack/errors';
 import {
   OBJECT_KINDS,
   configObjectSchema,
   type ConfigObject,
   type ObjectKind,
 } from '@hollowstack/types';
-import {TomlError, parse, stringify} from 'smol-toml';
+import {createSchemaError, parseTomlFile} from '@hollowstack/toml-file';
+import {stringify} from 'smol-toml';
 import {z} from 'zod';
 
 /** What an operator's file says. */
@@ -33,14 +33,13 @@
   text: string,
   path: string,
 ): ParsedConfiguration {
-  const file = fileSchema.safeParse(parseToml(text, path));
-  if (!file.success) throw createInvalidError(path, '', file.error);
+  const file = parseTomlFile(text, path, fileSchema);
   const objects = OBJECT_KINDS.flatMap(kind =>
-    file.data[kind].map((value, index) =>
+    file[kind].map((value, index) =>
       parseObject(kind, value, `${kind}[${index}]`, path),
     ),
   );
-  return {objects, baseRevision: file.data.baseRevision};
+  return {objects, baseRevision: file.baseRevision};
 }
 
 /** Renders objects as a file that parseConfigurationToml reads. */
@@ -58,20 +57,6 @@
   return stringify(file) + '\n';
 }
 
-function parseToml(text: string, path: string): unknown {
-  try {
-    return parse(text);
-  } catch (error) {
-    if (!(error instanceof TomlError)) throw error;
-    const reason = error.message.split('\n')[0];
-    throw new HollowstackError(
-      'configuration-invalid',
-      `${path}:${error.line}:${error.column}: ${reason}`,
-      {cause: error},
-    );
-  }
-}
-
 function parseObject(
   kind: ObjectKind,
   value: unknown,
@@ -80,20 +65,9 @@
 ): ConfigObject {
   const parsed = configObjectSchema.safeParse({kind, value});
   if (parsed.success) return parsed.data;
-  throw createInvalidError(path, place, parsed.error);
-}
-
-function createInvalidError(
-  path: string,
-  place: string,
-  error: z.ZodError,
-): HollowstackError {
-  const lines = error.issues.map(issue => {
-    const keys = issue.path.filter(key => key !== 'value').join('.');
-    const where = [place, keys].filter(part => part !== '').join('.');
-    return `${path}: ${where || 'top level'}: ${issue.message}`;
-  });
-  return new HollowstackError('configuration-invalid', lines.join('\n'), {
-    cause: error,
-  });
+  const issues = parsed.error.issues.map(issue => ({
+    ...issue,
+    path: issue.path.filter(key => key !== 'value'),
+  }));
+  throw createSchemaError(path, place, new z.ZodError(issues));
 }
--- a/packages/config-log/src/follower.ts
+++ b/packages/config-log/src/follower.ts
@@ -1,4 +1,4 @@
-import {waitFor, type Clock} from '@hollowstack/clock';
+import {RepeatingTask, type Clock} from '@hollowstack/clock';
 import type {EventLogger} from '@hollowstack/logger';
 import {
   StoreError,
@@ -20,12 +20,9 @@
 export class ConfigurationFollower implements WatchSubscription {
   readonly range: KeyRange = createSingleKeyRange(HEAD_KEY);
   private readonly store: PlatformStore;
-  private readonly clock: Clock;
   private readonly holder: ConfigurationHolder;
   private readonly logger: EventLogger;
-  private readonly random: () => number;
-  private readonly pollMs: number;
-  private readonly controller = new AbortController();
+  private readonly task: RepeatingTask;
   private refreshing: Promise<void> | undefined;
   private isRefreshDue = false;
   private isStoreDown = false;
@@ -40,11 +37,12 @@
     pollMs = DEFAULT_POLL_MS,
   ) {
     this.store = store;
-    this.clock = clock;
     this.holder = holder;
     this.logger = logger;
-    this.random = random;
-    this.pollMs = pollMs;
+    this.task = new RepeatingTask(clock, random, async () => {
+      await this.refresh();
+      return pollMs;
+    });
   }
 
   /** Returns whether the last call to the service failed. */
@@ -53,17 +51,12 @@
   }
 
   /** Polls until stopped; the watch and peers' hints bring changes sooner. */
-  async start(): Promise<void> {
-    const {signal} = this.controller;
-    while (!signal.aborted) {
-      await this.refresh();
-      const delayMs = this.pollMs * (0.75 + this.random() / 2);
-      await waitFor(this.clock, delayMs, signal).catch(() => {});
-    }
+  start(): Promise<void> {
+    return this.task.start();
   }
 
   stop(): void {
-    this.controller.abort(new Error('stopped'));
+    this.task.stop();
   }
 
   handleEvents(events: readonly WatchEvent[]): void {
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -1,16 +1,9 @@
-import {HollowstackError} from '@hollowstack/errors';
 import {LOG_LEVELS} from '@hollowstack/logger';
 import {SELECTOR_NAMES} from '@hollowstack/routing';
-import {TomlError, parse} from 'smol-toml';
+import {addressSchema} from '@hollowstack/types';
+import {parseTomlFile} from '@hollowstack/toml-file';
 import {z} from 'zod';
 
-const addressSchema = z
-  .string()
-  .regex(
-    /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$/,
-    'write an IP number and a port, such as 10.0.0.7:8080',
-  );
-
 const MIN_SECRET_LENGTH = 16;
 const secretSchema = z
   .string()
@@ -108,13 +101,7 @@
  * @throws HollowstackError `configuration-invalid` with path, line or place.
  */
 export function parseSettings(text: string, path: string): Settings {
-  const parsed = settingsSchema.safeParse(parseToml(text, path));
-  if (parsed.success) return parsed.data;
-  const lines = parsed.error.issues.map(
-    issue =>
-      `${path}: ${issue.path.join('.') || 'top level'}: ${issue.message}`,
-  );
-  throw new HollowstackError('configuration-invalid', lines.join('\n'));
+  return parseTomlFile(text, path, settingsSchema);
 }
 
 const HIDDEN = '(hidden)';
@@ -130,16 +117,3 @@
     operators: {keys: settings.operators.keys.map(() => HIDDEN)},
   };
 }
-
-function parseToml(text: string, path: string): unknown {
-  try {
-    return parse(text);
-  } catch (error) {
-    if (!(error instanceof TomlError)) throw error;
-    const reason = error.message.split('\n')[0];
-    throw new HollowstackError(
-      'configuration-invalid',
-      `${path}:${error.line}:${error.column}: ${reason}`,
-    );
-  }
-}
--- a/packages/peers/src/membership.ts
+++ b/packages/peers/src/membership.ts
@@ -1,4 +1,4 @@
-import {waitFor, type Clock} from '@hollowstack/clock';
+import {RepeatingTask, type Clock} from '@hollowstack/clock';
 import {
   createPrefixRange,
   type KeyRange,
@@ -40,12 +40,16 @@
     {record: PeerRecord; atMs: number}
   >();
   private readonly listeners: Array<() => void> = [];
-  private readonly controller = new AbortController();
+  private readonly task: RepeatingTask;
   private readonly unreachable = new Map<string, number>();
   private leaseId: string | undefined;
 
   constructor(parts: MembershipParts) {
     this.parts = parts;
+    this.task = new RepeatingTask(parts.clock, parts.random, async () => {
+      const isRegistered = await this.renew().catch(() => false);
+      return isRegistered ? RENEW_MS : RETRY_MS;
+    });
   }
 
   getSelf(): PeerRecord {
@@ -100,21 +104,13 @@
   }
 
   /** Registers this instance and renews it until stopped. */
-  async start(): Promise<void> {
-    const {clock, random} = this.parts;
-    const {signal} = this.controller;
-    while (!signal.aborted) {
-      const isRegistered = await this.renew().catch(() => false);
-      const delayMs = isRegistered ? RENEW_MS : RETRY_MS;
-      await waitFor(clock, delayMs * (0.75 + random() / 2), signal).catch(
-        () => {},
-      );
-    }
+  start(): Promise<void> {
+    return this.task.start();
   }
 
   /** Stops renewing and takes this instance off the list. */
   async stop(): Promise<void> {
-    this.controller.abort(new Error('stopped'));
+    this.task.stop();
     if (this.leaseId === undefined) return;
     await this.parts.store.revokeLease(this.leaseId).catch(() => {});
   }
--- a/packages/peers/src/revision-exchange.ts
+++ b/packages/peers/src/revision-exchange.ts
@@ -1,4 +1,4 @@
-import {waitFor, type Clock} from '@hollowstack/clock';
+import {RepeatingTask, type Clock} from '@hollowstack/clock';
 import type {ConfigurationSnapshot} from '@hollowstack/types';
 import type {Membership} from './membership.ts';
 import type {PeerRecord, PeerReply} from './messages.ts';
@@ -30,25 +30,23 @@
 /** Tells a few peers a second which revision is in force, and learns of newer ones. */
 export class RevisionExchange {
   private readonly parts: RevisionExchangeParts;
-  private readonly controller = new AbortController();
+  private readonly task: RepeatingTask;
 
   constructor(parts: RevisionExchangeParts) {
     this.parts = parts;
+    this.task = new RepeatingTask(parts.clock, parts.random, async () => {
+      await this.runRound();
+      return ROUND_MS;
+    });
   }
 
   /** Exchanges until stopped. */
-  async start(): Promise<void> {
-    const {clock, random} = this.parts;
-    const {signal} = this.controller;
-    while (!signal.aborted) {
-      await this.runRound();
-      const delayMs = ROUND_MS * (0.75 + random() / 2);
-      await waitFor(clock, delayMs, signal).catch(() => {});
-    }
+  start(): Promise<void> {
+    return this.task.start();
   }
 
   stop(): void {
-    this.controller.abort(new Error('stopped'));
+    this.task.stop();
   }
 
   /** Asks a few peers once; the daemon does so before it is ready. */
--- a/packages/peers/src/tcp-peer-network.ts
+++ b/packages/peers/src/tcp-peer-network.ts
@@ -1,3 +1,4 @@
+import {splitAddress} from '@hollowstack/types';
 import {
   connect,
   createServer,
@@ -77,9 +78,3 @@
     this.socket.destroy();
   }
 }
-
-function splitAddress(address: string): {host: string; port: number} {
-  const colon = address.lastIndexOf(':');
-  const host = address.slice(0, colon).replace(/^\[|\]$/g, '');
-  return {host, port: Number(address.slice(colon + 1))};
-}
--- a/packages/pipeline/src/load-poller.ts
+++ b/packages/pipeline/src/load-poller.ts
@@ -1,4 +1,8 @@
-import {createDeadlineSignal, waitFor, type Clock} from '@hollowstack/clock';
+import {
+  createDeadlineSignal,
+  RepeatingTask,
+  type Clock,
+} from '@hollowstack/clock';
 import {readJson, type HttpClient} from '@hollowstack/transport';
 import {
   cacheEventSchema,
@@ -19,9 +23,8 @@
   private readonly groups: GroupDirectory;
   private readonly client: HttpClient;
   private readonly clock: Clock;
-  private readonly random: () => number;
-  private readonly pollMs: number;
-  private readonly controller = new AbortController();
+  private readonly task: RepeatingTask;
+  private readonly reading = new AbortController();
 
   /** @param pollMs Milliseconds between two readings of each upstream. */
   constructor(
@@ -31,25 +34,23 @@
     random: () => number,
     pollMs: number,
   ) {
-    this.pollMs = pollMs;
+    this.task = new RepeatingTask(clock, random, async () => {
+      await this.pollAll();
+      return pollMs;
+    });
     this.groups = groups;
     this.client = client;
     this.clock = clock;
-    this.random = random;
   }
 
   /** Polls until stopped. */
-  async start(): Promise<void> {
-    const {signal} = this.controller;
-    while (!signal.aborted) {
-      await this.pollAll();
-      const delayMs = this.pollMs * (0.75 + this.random() / 2);
-      await waitFor(this.clock, delayMs, signal).catch(() => {});
-    }
+  start(): Promise<void> {
+    return this.task.start();
   }
 
   stop(): void {
-    this.controller.abort(new Error('stopped'));
+    this.task.stop();
+    this.reading.abort(new Error('stopped'));
   }
 
   private async pollAll(): Promise<void> {
@@ -87,7 +88,7 @@
       this.clock,
       TIMEOUT_MS,
       () => new Error('report is late'),
-      this.controller.signal,
+      this.reading.signal,
     );
     try {
       const response = await this.client.send(upstream.address, {
--- a/packages/placement/src/placement-keeper.ts
+++ b/packages/placement/src/placement-keeper.ts
@@ -1,4 +1,8 @@
-import {createDeadlineSignal, waitFor, type Clock} from '@hollowstack/clock';
+import {
+  createDeadlineSignal,
+  RepeatingTask,
+  type Clock,
+} from '@hollowstack/clock';
 import type {EventLogger} from '@hollowstack/logger';
 import {readBody, sendJson, type HttpClient} from '@hollowstack/transport';
 import type {HeldLease, HolderLease} from './holder-lease.ts';
@@ -51,26 +55,24 @@
  */
 export class PlacementKeeper {
   private readonly parts: PlacementKeeperParts;
-  private readonly controller = new AbortController();
+  private readonly task: RepeatingTask;
   private wasHolder = false;
 
   constructor(parts: PlacementKeeperParts) {
     this.parts = parts;
+    this.task = new RepeatingTask(parts.clock, parts.random, async () => {
+      await this.runRound().catch(() => {});
+      return ROUND_MS;
+    });
   }
 
   /** Tries for the lease and sends orders until stopped. */
-  async start(): Promise<void> {
-    const {clock, random} = this.parts;
-    const {signal} = this.controller;
-    while (!signal.aborted) {
-      await this.runRound().catch(() => {});
-      const delayMs = ROUND_MS * (0.75 + random() / 2);
-      await waitFor(clock, delayMs, signal).catch(() => {});
-    }
+  start(): Promise<void> {
+    return this.task.start();
   }
 
   async stop(): Promise<void> {
-    this.controller.abort(new Error('stopped'));
+    this.task.stop();
     await this.parts.lease.release();
   }
 
--- a/packages/platform/src/instance-list.ts
+++ b/packages/platform/src/instance-list.ts
@@ -1,4 +1,4 @@
-import {waitFor, type Clock} from '@hollowstack/clock';
+import {RepeatingTask, type Clock} from '@hollowstack/clock';
 import {instanceRecordSchema, type InstanceRecord} from '@hollowstack/types';
 import {
   createPrefixRange,
@@ -23,12 +23,9 @@
 export class InstanceList implements WatchSubscription {
   readonly range: KeyRange = createPrefixRange(INSTANCE_LIST_PREFIX);
   private readonly store: PlatformStore;
-  private readonly clock: Clock;
-  private readonly random: () => number;
-  private readonly pollMs: number;
   private readonly records = new Map<string, InstanceRecord>();
   private readonly listeners: Array<() => void> = [];
-  private readonly controller = new AbortController();
+  private readonly task: RepeatingTask;
   private isLoaded = false;
 
   constructor(
@@ -38,9 +35,10 @@
     pollMs = DEFAULT_POLL_MS,
   ) {
     this.store = store;
-    this.clock = clock;
-    this.random = random;
-    this.pollMs = pollMs;
+    this.task = new RepeatingTask(clock, random, async () => {
+      await this.refresh();
+      return pollMs;
+    });
   }
 
   /** Returns whether the list was read at least once. */
@@ -69,17 +67,12 @@
   }
 
   /** Polls until stopped; the watch brings changes sooner. */
-  async start(): Promise<void> {
-    const {signal} = this.controller;
-    while (!signal.aborted) {
-      await this.refresh();
-      const delayMs = this.pollMs * (0.75 + this.random() / 2);
-      await waitFor(this.clock, delayMs, signal).catch(() => {});
-    }
+  start(): Promise<void> {
+    return this.task.start();
   }
 
   stop(): void {
-    this.controller.abort(new Error('stopped'));
+    this.task.stop();
   }
 
   handleEvents(events: readonly WatchEvent[]): void {
--- /dev/null
+++ b/packages/toml-file/src/toml-file.ts
@@ -0,0 +1,53 @@
+import {HollowstackError} from '@hollowstack/errors';
+import {TomlError, parse} from 'smol-toml';
+import type {z} from 'zod';
+
+/**
+ * Parses TOML by a schema.
+ *
+ * @param path Shown in errors.
+ * @throws HollowstackError `configuration-invalid` with path and line or place.
+ */
+export function parseTomlFile<Schema extends z.ZodType>(
+  text: string,
+  path: string,
+  schema: Schema,
+): z.infer<Schema> {
+  const parsed = schema.safeParse(parseToml(text, path));
+  if (parsed.success) return parsed.data;
+  throw createSchemaError(path, '', parsed.error);
+}
+
+/** Parses TOML as it is. @throws HollowstackError `configuration-invalid` with the line. */
+export function parseToml(text: string, path: string): unknown {
+  try {
+    return parse(text);
+  } catch (error) {
+    if (!(error instanceof TomlError)) throw error;
+    const reason = error.message.split('\n')[0];
+    throw new HollowstackError(
+      'configuration-invalid',
+      `${path}:${error.line}:${error.column}: ${reason}`,
+      {cause: error},
+    );
+  }
+}
+
+/**
+ * Creates the error for content that a schema does not take, a line an issue.
+ *
+ * @param place Where in the file the content stands; empty for its top level.
+ */
+export function createSchemaError(
+  path: string,
+  place: string,
+  error: z.ZodError,
+): HollowstackError {
+  const lines = error.issues.map(issue => {
+    const where = [place, ...issue.path].filter(part => part !== '').join('.');
+    return `${path}: ${where || 'top level'}: ${issue.message}`;
+  });
+  return new HollowstackError('configuration-invalid', lines.join('\n'), {
+    cause: error,
+  });
+}
--- a/packages/transport/src/node-http-client.ts
+++ b/packages/transport/src/node-http-client.ts
@@ -1,3 +1,4 @@
+import {splitAddress} from '@hollowstack/types';
 import {Agent, request as startRequest, type IncomingMessage} from 'node:http';
 import {
   HttpClient,
@@ -96,9 +97,3 @@
   }
   return flat;
 }
-
-function splitAddress(address: string): {host: string; port: number} {
-  const colon = address.lastIndexOf(':');
-  const host = address.slice(0, colon).replace(/^\[|\]$/g, '');
-  return {host, port: Number(address.slice(colon + 1))};
-}
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -46,3 +46,4 @@
   type CallOutcome,
   type KeptAnswer,
 } from './outcome.ts';
+export {addressSchema, splitAddress} from './address.ts';
--- a/packages/types/src/objects.ts
+++ b/packages/types/src/objects.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {addressSchema} from './address.ts';
 
 /** The kinds of stage a template can have, in the order a request meets them. */
 export const STAGE_KINDS = [
@@ -17,13 +18,6 @@
     'use 1 to 63 small letters, digits and dashes',
   );
 
-const addressSchema = z
-  .string()
-  .regex(
-    /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$/,
-    'write an IP number and a port, such as 10.0.0.7:8080',
-  );
-
 /** One upstream of a pool or service. */
 export const upstreamSchema = z.strictObject({
   id: nameSchema,
