--- /dev/null
+++ b/packages/pipeline/src/attempt.test.ts
@@ -0,0 +1,74 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {ManualClock} from '@hollowstack/clock';
+import {
+  AsyncQueue,
+  HttpClient,
+  readBody,
+  type HttpResponse,
+} from '@hollowstack/transport';
+import {Attempt, type AttemptWatch} from './attempt.ts';
+
+const CALL = {
+  method: 'POST',
+  path: '/v1/completions',
+  headers: {},
+  body: new Uint8Array(0),
+};
+
+// Worked out from durations, it is no number that the clock itself can show.
+const SILENCE_MS = 250.1234;
+
+class QueueClient extends HttpClient {
+  readonly body = new AsyncQueue<Uint8Array>();
+
+  async send(): Promise<HttpResponse> {
+    return {status: 200, headers: {}, body: this.body};
+  }
+}
+
+function createWatch(getLastSignAtMs: () => number): AttemptWatch {
+  return {silenceMs: SILENCE_MS, getLastSignAtMs, recordByte: () => {}};
+}
+
+async function readAnswer(
+  clock: ManualClock,
+  client: QueueClient,
+  getLastSignAtMs: () => number,
+): Promise<string> {
+  const attempt = new Attempt(
+    client,
+    clock,
+    'attempt-1',
+    createWatch(getLastSignAtMs),
+    new AbortController().signal,
+  );
+  const response = await attempt.send('127.0.0.1:1', CALL);
+  return readBody(response.body).then(
+    body => body.toString('utf8'),
+    (error: Error) => error.message,
+  );
+}
+
+test('a rest of silence too small to move the clock does not check for ever', async () => {
+  for (let offsetMs = 0.01; offsetMs < 3; offsetMs += 0.0371) {
+    const clock = new ManualClock(1_800_000_000_000.3333);
+    const client = new QueueClient();
+    const answer = readAnswer(clock, client, () => 0);
+    await clock.advance(offsetMs);
+    client.body.push(Buffer.from('token'));
+    await clock.advance(1000);
+    client.body.end();
+    assert.match(await clock.advanceUntil(answer, 1000), /no byte for 25\d ms/);
+  }
+});
+
+test('work that waits at an upstream which answers others is not given up', async () => {
+  const clock = new ManualClock();
+  const client = new QueueClient();
+  const answer = readAnswer(clock, client, () => clock.getNow());
+  await clock.advance(5000);
+  client.body.push(Buffer.from('late but whole'));
+  client.body.end();
+  assert.equal(await clock.advanceUntil(answer, 1000), 'late but whole');
+});
--- /dev/null
+++ b/packages/routing/src/health.test.ts
@@ -0,0 +1,103 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {
+  DEFAULT_HEALTH_POLICY,
+  createHealthyState,
+  getStartFactor,
+  isCandidate,
+  recordFailure,
+  recordLeaving,
+  recordLive,
+  recordSuccess,
+  recordTrial,
+  type HealthState,
+} from './index.ts';
+
+const POLICY = DEFAULT_HEALTH_POLICY;
+const AT_MS = 100_000;
+
+function createOut(): HealthState {
+  return recordFailure(createHealthyState(), 'refused', POLICY, AT_MS);
+}
+
+test('three failures of work in a row take an upstream out, a success between clears them', () => {
+  let health = createHealthyState();
+  for (const step of ['fail', 'fail', 'succeed', 'fail', 'fail']) {
+    health =
+      step === 'fail'
+        ? recordFailure(health, 'broken', POLICY, AT_MS)
+        : recordSuccess(health, AT_MS);
+  }
+  assert.equal(health.state, 'healthy');
+  assert.equal(recordFailure(health, 'broken', POLICY, AT_MS).state, 'out');
+});
+
+test('a refused connection takes an upstream out at once', () => {
+  assert.equal(createOut().state, 'out');
+  assert.equal(isCandidate(createOut(), AT_MS), false);
+});
+
+test('an answered report does not bring an upstream back, one successful trial does', () => {
+  const out = createOut();
+  assert.equal(recordLive(out, POLICY, AT_MS + 1, AT_MS + 1).state, 'out');
+  const trialAtMs = AT_MS + POLICY.trialAfterMs;
+  assert.equal(isCandidate(out, trialAtMs), true);
+  const trial = recordTrial(out);
+  assert.equal(isCandidate(trial, trialAtMs), false);
+  assert.equal(recordSuccess(trial, trialAtMs).state, 'healthy');
+});
+
+test('each failed trial doubles the wait up to its bound', t => {
+  let health = createOut();
+  const waits = [health.trialAtMs - AT_MS];
+  for (let count = 0; count < 7; count++) {
+    health = recordFailure(recordTrial(health), 'broken', POLICY, AT_MS);
+    waits.push(health.trialAtMs - AT_MS);
+  }
+  t.assert.snapshot(waits);
+});
+
+test('a leaving upstream comes back only by a report fresher than its leaving', () => {
+  const leaving = recordLeaving(createHealthyState(), AT_MS);
+  assert.equal(isCandidate(leaving, AT_MS + 60_000), false);
+  const lagging = recordLive(leaving, POLICY, AT_MS - 2000, AT_MS + 100);
+  assert.equal(lagging.state, 'leaving');
+  const fresh = recordLive(leaving, POLICY, AT_MS + 2000, AT_MS + 2000);
+  assert.equal(isCandidate(fresh, AT_MS + 2000), true);
+});
+
+test('an upstream that came back gets its full work by degrees', () => {
+  const back = recordSuccess(recordTrial(createOut()), AT_MS);
+  const factors = [0, 0.5, 1, 2].map(part =>
+    getStartFactor(back, POLICY, AT_MS + part * POLICY.slowStartMs),
+  );
+  assert.deepEqual(factors, [0.2, 0.6000000000000001, 1, 1]);
+});
+
+test('no sequence of reports alone makes an upstream that is out healthy', () => {
+  const steps = fc.array(
+    fc.constantFrom('live', 'fail', 'refuse', 'leave') as fc.Arbitrary<
+      'live' | 'fail' | 'refuse' | 'leave'
+    >,
+  );
+  fc.assert(
+    fc.property(steps, sequence => {
+      let health = createOut();
+      let nowMs = AT_MS;
+      for (const step of sequence) {
+        nowMs += 1000;
+        if (step === 'live') health = recordLive(health, POLICY, nowMs, nowMs);
+        if (step === 'leave') health = recordLeaving(health, nowMs);
+        if (step === 'fail') {
+          health = recordFailure(health, 'broken', POLICY, nowMs);
+        }
+        if (step === 'refuse') {
+          health = recordFailure(health, 'refused', POLICY, nowMs);
+        }
+        assert.notEqual(health.state, 'healthy');
+      }
+    }),
+    {seed: 8, numRuns: 500},
+  );
+});
