Split the largest files of the pipeline package by their jobs

Ruled out: splitting the group's record methods; they change one state.

Change: settings and shown types, what is known of one upstream, and what a runner is given stand in files of their own.

--- a/packages/pipeline/src/group-directory.ts
+++ b/packages/pipeline/src/group-directory.ts
@@ -6,7 +6,8 @@
   type HealthPolicy,
 } from '@hollowstack/routing';
 import type {Pool, Service} from '@hollowstack/types';
-import {UpstreamGroup, type GroupSettings} from './upstream-group.ts';
+import type {GroupSettings} from './group-settings.ts';
+import {UpstreamGroup} from './upstream-group.ts';
 
 /** What the directory needs to know beside the configuration. */
 export interface GroupDirectoryOptions {
--- a/packages/pipeline/src/group-runner.ts
+++ b/packages/pipeline/src/group-runner.ts
@@ -1,67 +1,22 @@
 import {judgeDeadline, judgeRetry} from '@hollowstack/admission';
-import type {Clock} from '@hollowstack/clock';
 import {HollowstackError} from '@hollowstack/errors';
-import type {EventLogger} from '@hollowstack/logger';
-import type {MetricsRegistry} from '@hollowstack/metrics';
-import type {Choice, UpstreamSelector} from '@hollowstack/routing';
-import type {HttpClient} from '@hollowstack/transport';
+import type {Choice} from '@hollowstack/routing';
 import {match} from 'ts-pattern';
 import {AttemptError} from './attempt-error.ts';
 import {Attempt, REQUEST_ID_HEADER} from './attempt.ts';
 import type {Place} from './place-queue.ts';
 import type {RequestContext} from './request-context.ts';
-import type {StageCall} from './stage-call.ts';
-import type {PlacedWork, UpstreamGroup} from './upstream-group.ts';
+import type {UpstreamGroup} from './upstream-group.ts';
+import {
+  EFFORTS,
+  getAffinityKey,
+  getFirstByteKey,
+  toPlacedWork,
+  type GroupOutcome,
+  type GroupRunnerParts,
+  type GroupWork,
+} from './group-work.ts';
 
-/** Which decisions a runner takes; without one it is a baseline. */
-export interface RunnerPolicy {
-  /** Refuses work whose predicted finish lies behind its deadline. */
-  readonly refuseDoomed: boolean;
-  /** Gives an attempt up when it is silent for longer than usual. */
-  readonly adaptSilence: boolean;
-}
-
-/** What a runner works with. */
-export interface GroupRunnerParts {
-  readonly client: HttpClient;
-  readonly clock: Clock;
-  readonly selector: UpstreamSelector;
-  readonly metrics: MetricsRegistry;
-  readonly logger: EventLogger;
-  readonly policy: RunnerPolicy;
-  /** Resolves once what is known of upstreams may be trusted. */
-  readonly waitUntilFresh: () => Promise<void>;
-}
-
-/** One piece of work for a group. */
-export interface GroupWork {
-  readonly stage: string;
-  readonly call: StageCall;
-  readonly isRepeatable: boolean;
-  /** Predicted milliseconds of the stages behind this one. */
-  readonly laterMs: number;
-}
-
-/** How a piece of work was done. */
-export interface GroupOutcome {
-  readonly upstream: string;
-  readonly attempts: number;
-  readonly waitedMs: number;
-}
-
-/** How far a request's attempts go, by what its workspace weighs more. */
-interface Effort {
-  readonly maxAttempts: number;
-  /** Share of a predicted duration that must fit into the time left. */
-  readonly confidence: number;
-}
-
-// Attainment tries a request that will probably be late; cost spends nothing
-// on one that is not likely to make it.
-const EFFORTS: Readonly<Record<'attainment' | 'cost', Effort>> = {
-  attainment: {maxAttempts: 3, confidence: 0.7},
-  cost: {maxAttempts: 2, confidence: 0.95},
-};
 /** Multiple of the usual time to the first byte after which silence is a failure. */
 const SILENCE_FACTOR = 4;
 const MIN_SILENCE_MS = 250;
@@ -400,29 +355,6 @@
   }
 }
 
-const AFFINITY_CHARACTERS = 128;
-
-// Prompts that begin alike share cache blocks; what differs comes later.
-function getAffinityKey(prompt: string): string {
-  return prompt.slice(0, AFFINITY_CHARACTERS);
-}
-
-function toPlacedWork(
-  {stage, call}: GroupWork,
-  {identity}: RequestContext,
-): PlacedWork {
-  return {
-    classKey: `${identity.workspace}/${identity.target}/${stage}`,
-    units: call.getWork(),
-    model: call.getModel(),
-    prompt: call.getPrompt(),
-  };
-}
-
-function getFirstByteKey(work: GroupWork, context: RequestContext): string {
-  return `${toPlacedWork(work, context).classKey}/first-byte`;
-}
-
 function toAttemptError(error: unknown): AttemptError {
   if (error instanceof AttemptError) return error;
   const message = error instanceof Error ? error.message : String(error);
--- a/packages/pipeline/src/index.ts
+++ b/packages/pipeline/src/index.ts
@@ -6,11 +6,8 @@
   type ServiceCallRequest,
 } from './service-runner.ts';
 export {RequestContext, type RequestIdentity} from './request-context.ts';
-export {
-  UpstreamGroup,
-  type GroupSettings,
-  type UpstreamStatus,
-} from './upstream-group.ts';
+export type {GroupSettings, UpstreamStatus} from './group-settings.ts';
+export {UpstreamGroup} from './upstream-group.ts';
 export {GroupDirectory, type GroupDirectoryOptions} from './group-directory.ts';
 export {LoadPoller} from './load-poller.ts';
 export {
--- a/packages/pipeline/src/pipeline-runner.ts
+++ b/packages/pipeline/src/pipeline-runner.ts
@@ -1,7 +1,8 @@
 import {HollowstackError} from '@hollowstack/errors';
 import type {Stage, Template, WorkspacePipeline} from '@hollowstack/types';
 import type {GroupDirectory} from './group-directory.ts';
-import {GroupRunner, type GroupRunnerParts} from './group-runner.ts';
+import {GroupRunner} from './group-runner.ts';
+import type {GroupRunnerParts} from './group-work.ts';
 import type {RequestContext} from './request-context.ts';
 import type {PipelineResult, ResultSink, StageTiming} from './result.ts';
 import {
--- a/packages/pipeline/src/service-runner.ts
+++ b/packages/pipeline/src/service-runner.ts
@@ -6,7 +6,8 @@
 } from '@hollowstack/transport';
 import type {UpstreamCall} from './attempt.ts';
 import type {GroupDirectory} from './group-directory.ts';
-import {GroupRunner, type GroupRunnerParts} from './group-runner.ts';
+import {GroupRunner} from './group-runner.ts';
+import type {GroupRunnerParts} from './group-work.ts';
 import type {RequestContext} from './request-context.ts';
 import {StageCall} from './stage-call.ts';
 import {AttemptError} from './attempt-error.ts';
--- a/packages/pipeline/src/upstream-group.ts
+++ b/packages/pipeline/src/upstream-group.ts
@@ -2,10 +2,7 @@
 import type {Clock} from '@hollowstack/clock';
 import type {EventLogger} from '@hollowstack/logger';
 import {
-  CacheIndex,
-  createHealthyState,
   computeOccupancy,
-  createLoadState,
   getStartFactor,
   isCandidate,
   predictDurationMs,
@@ -21,74 +18,21 @@
   type FailureKind,
   type HealthPolicy,
   type HealthState,
-  type LoadState,
 } from '@hollowstack/routing';
 import type {CacheEvent, LoadReport, Upstream} from '@hollowstack/types';
+import type {
+  GroupPolicy,
+  GroupSettings,
+  PlacedWork,
+  UpstreamStatus,
+} from './group-settings.ts';
 import {PlaceQueue} from './place-queue.ts';
-
-/** What the configuration says of a pool or service. */
-export interface GroupSettings {
-  readonly name: string;
-  readonly upstreams: readonly Upstream[];
-  /** Requests that one upstream works on at the same time. */
-  readonly slots: number;
-  /** Milliseconds one unit of work is expected to take. */
-  readonly expectedMs: number;
-  /** Milliseconds without a byte after which an attempt is given up at the latest. */
-  readonly silenceMs: number;
-}
-
-/** One upstream as operators are shown it. */
-export interface UpstreamStatus {
-  readonly id: string;
-  readonly address: string;
-  readonly zone: string;
-  readonly state: HealthState['state'];
-  readonly ownInFlight: number;
-  /** Models it reports to hold; undefined before its first report. */
-  readonly models: readonly string[] | undefined;
-  /** How much slower it is than others; 1 for alike. */
-  readonly slowness: number;
-}
-
-/** A piece of work as far as its placing goes. */
-export interface PlacedWork {
-  /** Work of one class takes about as long each time. */
-  readonly classKey: string;
-  /** Size where nothing was measured yet, in units of one expected request. */
-  readonly units: number;
-  /** Model that the upstream must hold; undefined for any. */
-  readonly model: string | undefined;
-  /** Text whose prefix the upstream may have cached. */
-  readonly prompt: string | undefined;
-}
-
-/** How a group decides. */
-export interface GroupPolicy {
-  readonly healthPolicy: HealthPolicy;
-  readonly adaptLimits: boolean;
-}
-
-interface ReceivedReport {
-  readonly report: LoadReport;
-  readonly receivedAtMs: number;
-  /** Whether work was done since the report before it. */
-  readonly isProgressing: boolean;
-}
-
-interface TrackedUpstream {
-  upstream: Upstream;
-  health: HealthState;
-  load: LoadState;
-  models: readonly string[] | undefined;
-  /** The newest report with the time it came; undefined before the first. */
-  report: ReceivedReport | undefined;
-  /** When any of this instance's attempts last got a byte from it. */
-  lastByteAtMs: number;
-  /** Whether the platform's list says that it is leaving. */
-  isListedLeaving: boolean;
-  readonly cache: CacheIndex;
-}
+import {
+  createTrackedUpstream,
+  hasModel,
+  hasProgressed,
+  type TrackedUpstream,
+} from './tracked-upstream.ts';
 
 /** Characters that one block of an engine's prefix cache covers. */
 const CACHE_BLOCK_CHARACTERS = 64;
@@ -362,16 +306,7 @@
       known.upstream = upstream;
       return;
     }
-    this.tracked.set(upstream.id, {
-      upstream,
-      health: createHealthyState(),
-      load: createLoadState(),
-      models: undefined,
-      report: undefined,
-      lastByteAtMs: 0,
-      isListedLeaving: false,
-      cache: new CacheIndex(),
-    });
+    this.tracked.set(upstream.id, createTrackedUpstream(upstream));
   }
 
   private predictMs(
@@ -422,13 +357,6 @@
   }
 }
 
-function hasModel(
-  models: readonly string[] | undefined,
-  model: string | undefined,
-): boolean {
-  return model === undefined || models === undefined || models.includes(model);
-}
-
 // Each instance begins with one and a half even parts of the pool, since
 // callers rarely spread evenly; the adaptive limit corrects it from there.
 function createBounds(settings: GroupSettings, instanceCount: number) {
@@ -444,14 +372,3 @@
 function getEmptyKey({classKey}: PlacedWork): string {
   return `${classKey}/empty`;
 }
-
-function hasProgressed(
-  before: LoadReport | undefined,
-  now: LoadReport,
-): boolean {
-  if (before?.workDone === undefined || now.workDone === undefined)
-    return false;
-  // A report that lags may be the same one again; it says nothing new.
-  if (before.atMs === now.atMs) return now.running > 0;
-  return now.workDone > before.workDone;
-}
