Tell wrong calls of the command line in one piece

Cause: the advice under a local error was the table's for callers, so a broken settings file was answered with the check of another kind of file.

Ruled out: an action per command; the message already names file and place.

--- a/packages/cli/src/operator-command.ts
+++ b/packages/cli/src/operator-command.ts
@@ -77,5 +77,6 @@
   const problem = answer as Partial<Problem>;
   const kind: ErrorKind =
     ERROR_KINDS.find(known => known === problem.kind) ?? 'internal';
-  throw new HollowstackError(kind, problem.detail ?? text);
+  const action = problem.action === undefined ? '' : `\n${problem.action}`;
+  throw new HollowstackError(kind, (problem.detail ?? text) + action);
 }
--- a/packages/cli/src/reporting-command.ts
+++ b/packages/cli/src/reporting-command.ts
@@ -16,11 +16,14 @@
       return await this.runCommand();
     } catch (thrown) {
       if (!(thrown instanceof HollowstackError)) throw thrown;
-      this.context.stderr.write(
-        `${thrown.message}\n${thrown.getAnswer().action}\n`,
-      );
-      const isInput = thrown.kind === 'configuration-invalid';
-      return isInput || thrown.kind === 'bad-request' ? BAD_INPUT : FAILED;
+      const isInput =
+        thrown.kind === 'configuration-invalid' ||
+        thrown.kind === 'bad-request';
+      const advice = isInput
+        ? 'Mend that and run the same command again.\n'
+        : '';
+      this.context.stderr.write(`${thrown.message}\n${advice}`);
+      return isInput ? BAD_INPUT : FAILED;
     }
   }
 
--- a/packages/stand-ins/src/engine-stand-in.ts
+++ b/packages/stand-ins/src/engine-stand-in.ts
@@ -90,6 +90,8 @@
         return this.handleCacheEvents(new URLSearchParams(query));
       case '/orders':
         return this.handleOrder(request);
+      case '/kv/export':
+        return createJsonResponse(200, {prefixes: this.cache.listPrefixes()});
       case '/kv/import':
         return this.handleImport(request);
       case '/v1/completions':
--- a/packages/stand-ins/src/prefix-cache.ts
+++ b/packages/stand-ins/src/prefix-cache.ts
@@ -19,7 +19,7 @@
   addPrompt(prompt: string): number {
     let cachedCharacters = 0;
     let isCached = true;
-    for (const prefix of listPrefixes(prompt)) {
+    for (const prefix of splitPrompt(prompt)) {
       isCached &&= this.blocks.has(prefix);
       if (isCached) cachedCharacters = prefix.length;
       else this.recordEvent('stored', prefix);
@@ -35,6 +35,11 @@
     return this.events.filter(event => event.sequence > sequence);
   }
 
+  /** Returns the prefixes that are held, the one unused longest first. */
+  listPrefixes(): string[] {
+    return [...this.blocks];
+  }
+
   /** Drops every block, as a restart does. */
   removeAll(): void {
     this.blocks.clear();
@@ -54,7 +59,7 @@
   }
 }
 
-function* listPrefixes(prompt: string): Generator<string> {
+function* splitPrompt(prompt: string): Generator<string> {
   for (
     let end = BLOCK_CHARACTERS;
     end <= prompt.length;
