Slow the stand-ins while a test looks for the busy one

Cause: a test that asks which engine holds a stream would wait for ever, had the stream ended before it asked.

Ruled out: a time limit on the question; it would make the verdict a timed one.

Change: the engines are slowed by 4, the booking service by 60, until the process has been found and killed.

--- a/packages/process-fleet/src/failures.test.ts
+++ b/packages/process-fleet/src/failures.test.ts
@@ -42,6 +42,15 @@
   }
 }
 
+async function setSlowFactor(
+  upstreams: readonly UpstreamProcess[],
+  slowFactor: number,
+): Promise<void> {
+  for (const {control} of upstreams) {
+    await control.send('POST', '/stand-in/faults', {slowFactor});
+  }
+}
+
 async function getRunCount(
   booking: UpstreamProcess,
   body: object,
@@ -52,6 +61,8 @@
 
 test('a stream whose engine is killed goes on at another, no token lost or doubled', async () => {
   const [entry] = fleet.entries;
+  // Slow enough that the stream still runs when its engine has been found.
+  await setSlowFactor(fleet.engines, 4);
   const streaming = entry.caller.runStreamedPipeline(
     'lima-centro',
     'summary',
@@ -60,6 +71,8 @@
   const busy = await findBusyUpstream(entry, 'generate-pool');
   const engine = fleet.engines.find(({upstream}) => upstream.id === busy);
   engine?.process.send('SIGKILL');
+  const left = fleet.engines.filter(other => other !== engine);
+  await setSlowFactor(left, 1);
   const {text, end} = await streaming;
   assert.equal(text, computeCompletion('assistant', 'deferrals of April', 120));
   assert.notEqual(end, undefined);
@@ -70,7 +83,7 @@
   const [booking] = fleet.bookings;
   const body = {donor: 'd-1', slot: 'mon-9'};
   const headers = {'idempotency-key': 'kill-1'};
-  await booking.control.send('POST', '/stand-in/faults', {slowFactor: 20});
+  await booking.control.send('POST', '/stand-in/faults', {slowFactor: 60});
   const first = entry.caller.send('POST', BOOKING, body, headers).then(
     () => 'answered',
     () => 'broken',
