Rename the store abstraction from platform to store

Cause: the root folder platform/ is to hold the adapter alone, and two things of one name would mislead. Only names change: packages/platform becomes packages/store, PlatformStore becomes KeyValueStore.

--- a/examples/embedded-routing.ts
+++ b/examples/embedded-routing.ts
@@ -5,7 +5,7 @@
   ConfigurationHolder,
 } from '@hollowstack/config-log';
 import {SilentEventLogger} from '@hollowstack/logger';
-import {GatewayStore} from '@hollowstack/platform';
+import {GatewayStore} from '@hollowstack/store';
 import {
   PredictedFinishSelector,
   createHealthyState,
--- a/packages/claims/src/claim-store.ts
+++ b/packages/claims/src/claim-store.ts
@@ -4,8 +4,8 @@
   createSingleKeyRange,
   StoreIdentity,
   type KeyValue,
-  type PlatformStore,
-} from '@hollowstack/platform';
+  type KeyValueStore,
+} from '@hollowstack/store';
 import type {CallOutcome} from '@hollowstack/types';
 import {claimRecordSchema, type ClaimRecord} from './claim-record.ts';
 
@@ -38,12 +38,12 @@
  * has no time limit that a paused holder could outlive, only a day's retention.
  */
 export class ClaimStore {
-  private readonly store: PlatformStore;
+  private readonly store: KeyValueStore;
   private readonly clock: Clock;
   private readonly identity: StoreIdentity;
   private retentionLease: {id: string; grantedAtMs: number} | undefined;
 
-  constructor(store: PlatformStore, clock: Clock, identity: StoreIdentity) {
+  constructor(store: KeyValueStore, clock: Clock, identity: StoreIdentity) {
     this.store = store;
     this.clock = clock;
     this.identity = identity;
--- a/packages/claims/src/claimed-calls.ts
+++ b/packages/claims/src/claimed-calls.ts
@@ -1,6 +1,6 @@
 import {waitFor, type Clock} from '@hollowstack/clock';
 import {HollowstackError} from '@hollowstack/errors';
-import {StoreError} from '@hollowstack/platform';
+import {StoreError} from '@hollowstack/store';
 import type {CallOutcome, KeptAnswer} from '@hollowstack/types';
 import {match} from 'ts-pattern';
 import type {ClaimIdentity, ClaimStore, HeldClaim} from './claim-store.ts';
--- a/packages/config-log/src/follower.ts
+++ b/packages/config-log/src/follower.ts
@@ -4,10 +4,10 @@
   StoreError,
   createSingleKeyRange,
   type KeyRange,
-  type PlatformStore,
+  type KeyValueStore,
   type WatchEvent,
   type WatchSubscription,
-} from '@hollowstack/platform';
+} from '@hollowstack/store';
 import type {Head} from '@hollowstack/types';
 import type {ConfigurationHolder} from './holder.ts';
 import {HEAD_KEY} from './keys.ts';
@@ -19,7 +19,7 @@
 /** Brings each newer configuration from the platform's service to the holder. */
 export class ConfigurationFollower implements WatchSubscription {
   readonly range: KeyRange = createSingleKeyRange(HEAD_KEY);
-  private readonly store: PlatformStore;
+  private readonly store: KeyValueStore;
   private readonly holder: ConfigurationHolder;
   private readonly logger: EventLogger;
   private readonly task: RepeatingTask;
@@ -29,7 +29,7 @@
 
   /** @param pollMs Milliseconds between polls, should the watch not work. */
   constructor(
-    store: PlatformStore,
+    store: KeyValueStore,
     clock: Clock,
     holder: ConfigurationHolder,
     logger: EventLogger,
--- a/packages/config-log/src/publisher.ts
+++ b/packages/config-log/src/publisher.ts
@@ -5,8 +5,8 @@
   type StoreIdentity,
   createSingleKeyRange,
   type Operation,
-  type PlatformStore,
-} from '@hollowstack/platform';
+  type KeyValueStore,
+} from '@hollowstack/store';
 import {
   changeRecordSchema,
   type ConfigurationSnapshot,
@@ -38,13 +38,13 @@
 
 /** Applies publish plans to the platform's service; a lost answer never doubles a change. */
 export class ConfigurationPublisher {
-  private readonly store: PlatformStore;
+  private readonly store: KeyValueStore;
   private readonly clock: Clock;
   private readonly random: () => number;
   private readonly identity: StoreIdentity;
 
   constructor(
-    store: PlatformStore,
+    store: KeyValueStore,
     clock: Clock,
     random: () => number,
     identity: StoreIdentity,
--- a/packages/config-log/src/reading.ts
+++ b/packages/config-log/src/reading.ts
@@ -2,8 +2,8 @@
   createPrefixRange,
   createSingleKeyRange,
   type KeyValue,
-  type PlatformStore,
-} from '@hollowstack/platform';
+  type KeyValueStore,
+} from '@hollowstack/store';
 import {
   changeRecordSchema,
   configObjectSchema,
@@ -27,7 +27,7 @@
 
 /** Reads head and all objects in one call, so that they belong together. */
 export async function readStoredSnapshot(
-  store: PlatformStore,
+  store: KeyValueStore,
 ): Promise<StoredSnapshot> {
   const result = await store.runTransaction({
     comparisons: [],
@@ -60,7 +60,7 @@
  * Returns undefined where the head has moved on meanwhile; ask again then.
  */
 export async function readChangedSnapshot(
-  store: PlatformStore,
+  store: KeyValueStore,
   known: ConfigurationSnapshot,
   head: Head,
 ): Promise<ConfigurationSnapshot | undefined> {
@@ -95,7 +95,7 @@
 
 /** Reads the head; undefined where none was ever written. */
 export async function readHead(
-  store: PlatformStore,
+  store: KeyValueStore,
 ): Promise<Head | undefined> {
   const found = await store.readRange(createSingleKeyRange(HEAD_KEY));
   const keyValue = found.keyValues.at(0);
@@ -109,7 +109,7 @@
 
 /** Reads the change records that are kept, the newest first. */
 export async function readChangeRecords(
-  store: PlatformStore,
+  store: KeyValueStore,
 ): Promise<readonly ChangeRecord[]> {
   const found = await store.readRange(createPrefixRange(CHANGE_PREFIX));
   return found.keyValues
--- a/packages/entry/src/create-daemon.ts
+++ b/packages/entry/src/create-daemon.ts
@@ -27,7 +27,7 @@
   InstanceList,
   StoreIdentity,
   WatchHub,
-} from '@hollowstack/platform';
+} from '@hollowstack/store';
 import {DEFAULT_HEALTH_POLICY, createSelector} from '@hollowstack/routing';
 import type {CallOutcome} from '@hollowstack/types';
 import {Daemon, type DaemonEnvironment} from './daemon.ts';
--- a/packages/entry/src/daemon.ts
+++ b/packages/entry/src/daemon.ts
@@ -15,7 +15,7 @@
 } from '@hollowstack/peers';
 import type {LoadPoller} from '@hollowstack/pipeline';
 import type {PlacementKeeper} from '@hollowstack/placement';
-import type {InstanceList, WatchHub} from '@hollowstack/platform';
+import type {InstanceList, WatchHub} from '@hollowstack/store';
 import type {
   HttpClient,
   HttpRequest,
--- a/packages/entry/src/leaving-upstreams.ts
+++ b/packages/entry/src/leaving-upstreams.ts
@@ -1,5 +1,5 @@
 import type {GroupDirectory} from '@hollowstack/pipeline';
-import type {InstanceList} from '@hollowstack/platform';
+import type {InstanceList} from '@hollowstack/store';
 
 /**
  * Takes upstreams that the platform's list says are leaving out of the
--- a/packages/entry/src/operator-endpoint.ts
+++ b/packages/entry/src/operator-endpoint.ts
@@ -9,7 +9,7 @@
 } from '@hollowstack/config-log';
 import {HollowstackError} from '@hollowstack/errors';
 import type {EventLogger} from '@hollowstack/logger';
-import type {PlatformStore} from '@hollowstack/platform';
+import type {KeyValueStore} from '@hollowstack/store';
 import {configObjectSchema} from '@hollowstack/types';
 import {createJsonResponse, type HttpResponse} from '@hollowstack/transport';
 import {z} from 'zod';
@@ -20,7 +20,7 @@
 
 /** What the endpoint works with. */
 export interface OperatorEndpointParts {
-  readonly store: PlatformStore;
+  readonly store: KeyValueStore;
   readonly holder: ConfigurationHolder;
   readonly follower: ConfigurationFollower;
   readonly publisher: ConfigurationPublisher;
--- a/packages/fuzz/src/fuzz-world.ts
+++ b/packages/fuzz/src/fuzz-world.ts
@@ -9,7 +9,7 @@
   type LocalUpstream,
   type SystemCaller,
 } from '@hollowstack/local-system';
-import {getInstanceKey} from '@hollowstack/platform';
+import {getInstanceKey} from '@hollowstack/store';
 import type {PlatformFaults} from '@hollowstack/stand-ins';
 import type {ConfigObject} from '@hollowstack/types';
 import type {Outcome, SentRequest} from './sent-request.ts';
--- a/packages/peers/src/membership.ts
+++ b/packages/peers/src/membership.ts
@@ -2,10 +2,10 @@
 import {
   createPrefixRange,
   type KeyRange,
-  type PlatformStore,
+  type KeyValueStore,
   type WatchEvent,
   type WatchSubscription,
-} from '@hollowstack/platform';
+} from '@hollowstack/store';
 import {peerRecordSchema, type PeerRecord} from './messages.ts';
 
 /** Prefix of the instances that have registered themselves. */
@@ -22,7 +22,7 @@
 /** What membership works with. */
 export interface MembershipParts {
   readonly self: PeerRecord;
-  readonly store: PlatformStore;
+  readonly store: KeyValueStore;
   readonly clock: Clock;
   readonly random: () => number;
 }
--- a/packages/placement/src/holder-lease.ts
+++ b/packages/placement/src/holder-lease.ts
@@ -1,5 +1,5 @@
 import type {Clock} from '@hollowstack/clock';
-import {createSingleKeyRange, type PlatformStore} from '@hollowstack/platform';
+import {createSingleKeyRange, type KeyValueStore} from '@hollowstack/store';
 
 /** Key of the one instance that sends orders. */
 export const HOLDER_KEY = 'hollowstack/placement/holder';
@@ -24,13 +24,13 @@
  * is later, so the holder always stops first.
  */
 export class HolderLease {
-  private readonly store: PlatformStore;
+  private readonly store: KeyValueStore;
   private readonly clock: Clock;
   private readonly instance: string;
   private leaseId: string | undefined;
   private held: HeldLease | undefined;
 
-  constructor(store: PlatformStore, clock: Clock, instance: string) {
+  constructor(store: KeyValueStore, clock: Clock, instance: string) {
     this.store = store;
     this.clock = clock;
     this.instance = instance;
--- a/packages/platform/src/budgeted-store.ts
+++ b/packages/store/src/budgeted-store.ts
@@ -1,6 +1,6 @@
 import type {Clock} from '@hollowstack/clock';
 import {
-  PlatformStore,
+  KeyValueStore,
   StoreError,
   type KeyRange,
   type Lease,
@@ -8,7 +8,7 @@
   type Transaction,
   type TransactionResult,
   type WatchEvent,
-} from './platform-store.ts';
+} from './key-value-store.ts';
 import {TokenBucket} from '@hollowstack/token-bucket';
 
 /** How many calls an instance may make. */
@@ -18,13 +18,13 @@
 }
 
 /** Keeps one instance's calls within its share of the service's rate. */
-export class BudgetedStore extends PlatformStore {
-  private readonly store: PlatformStore;
+export class BudgetedStore extends KeyValueStore {
+  private readonly store: KeyValueStore;
   private readonly bucket: TokenBucket;
   private callCount = 0;
   private refusedCount = 0;
 
-  constructor(store: PlatformStore, clock: Clock, options: CallBudgetOptions) {
+  constructor(store: KeyValueStore, clock: Clock, options: CallBudgetOptions) {
     super();
     this.store = store;
     this.bucket = new TokenBucket(clock, options.callsPerSecond, options.burst);
--- a/packages/platform/src/gateway-store.ts
+++ b/packages/store/src/gateway-store.ts
@@ -16,7 +16,7 @@
   type wireKeyValueSchema,
 } from './gateway-messages.ts';
 import {
-  PlatformStore,
+  KeyValueStore,
   StoreError,
   type Comparison,
   type KeyRange,
@@ -28,7 +28,7 @@
   type Transaction,
   type TransactionResult,
   type WatchEvent,
-} from './platform-store.ts';
+} from './key-value-store.ts';
 import type {z} from 'zod';
 
 /** Where the service is and how long to wait for it. */
@@ -42,7 +42,7 @@
 const OK = 200;
 
 /** The adapter to the JSON gateway of the etcd v3 API. */
-export class GatewayStore extends PlatformStore {
+export class GatewayStore extends KeyValueStore {
   private readonly client: HttpClient;
   private readonly clock: Clock;
   private readonly options: GatewayStoreOptions;
--- a/packages/platform/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,6 +1,6 @@
 /** The platform's key-value service: an abstract store, its HTTP adapter and a call budget. */
 export {
-  PlatformStore,
+  KeyValueStore,
   StoreError,
   createPrefixRange,
   createSingleKeyRange,
@@ -14,7 +14,7 @@
   type Transaction,
   type TransactionResult,
   type WatchEvent,
-} from './platform-store.ts';
+} from './key-value-store.ts';
 export {GatewayStore, type GatewayStoreOptions} from './gateway-store.ts';
 export {BudgetedStore, type CallBudgetOptions} from './budgeted-store.ts';
 export {
--- a/packages/platform/src/instance-list.ts
+++ b/packages/store/src/instance-list.ts
@@ -4,9 +4,9 @@
   createPrefixRange,
   type KeyRange,
   type KeyValue,
-  type PlatformStore,
+  type KeyValueStore,
   type WatchEvent,
-} from './platform-store.ts';
+} from './key-value-store.ts';
 import type {WatchSubscription} from './watch-hub.ts';
 
 /** Prefix of the platform's list; below it stand `<group>/<id>`. */
@@ -22,14 +22,14 @@
 /** Follows the platform's lagging list of instances; keeps the last one through an outage. */
 export class InstanceList implements WatchSubscription {
   readonly range: KeyRange = createPrefixRange(INSTANCE_LIST_PREFIX);
-  private readonly store: PlatformStore;
+  private readonly store: KeyValueStore;
   private readonly records = new Map<string, InstanceRecord>();
   private readonly listeners: Array<() => void> = [];
   private readonly task: RepeatingTask;
   private isLoaded = false;
 
   constructor(
-    store: PlatformStore,
+    store: KeyValueStore,
     clock: Clock,
     random: () => number,
     pollMs = DEFAULT_POLL_MS,
--- a/packages/platform/src/platform-store.ts
+++ b/packages/store/src/key-value-store.ts
@@ -90,7 +90,7 @@
 }
 
 /** The platform's key-value service. Every method throws StoreError when it does not answer. */
-export abstract class PlatformStore {
+export abstract class KeyValueStore {
   /** Reads a range; `minModRevision` leaves out what has not changed since. */
   abstract readRange(
     range: KeyRange,
--- a/packages/platform/src/store-identity.ts
+++ b/packages/store/src/store-identity.ts
@@ -1,5 +1,5 @@
 import {HollowstackError} from '@hollowstack/errors';
-import {createSingleKeyRange, type PlatformStore} from './platform-store.ts';
+import {createSingleKeyRange, type KeyValueStore} from './key-value-store.ts';
 
 /** Key under which the store's own id is kept. */
 export const STORE_IDENTITY_KEY = 'hollowstack/store-identity';
@@ -11,10 +11,10 @@
  * operator says that this is acceptable.
  */
 export class StoreIdentity {
-  private readonly store: PlatformStore;
+  private readonly store: KeyValueStore;
   private verifiedId: string | undefined;
 
-  constructor(store: PlatformStore) {
+  constructor(store: KeyValueStore) {
     this.store = store;
   }
 
--- a/packages/platform/src/watch-hub.ts
+++ b/packages/store/src/watch-hub.ts
@@ -1,5 +1,5 @@
 import {waitFor, type Clock} from '@hollowstack/clock';
-import type {KeyRange, PlatformStore, WatchEvent} from './platform-store.ts';
+import type {KeyRange, KeyValueStore, WatchEvent} from './key-value-store.ts';
 
 /** One reader of the shared watch. */
 export interface WatchSubscription {
@@ -23,7 +23,7 @@
 
 /** Holds one watch for all readers of an instance, and opens it again when it ends. */
 export class WatchHub {
-  private readonly store: PlatformStore;
+  private readonly store: KeyValueStore;
   private readonly clock: Clock;
   private readonly random: () => number;
   private readonly options: WatchHubOptions;
@@ -33,7 +33,7 @@
 
   /** @param random Returns numbers from 0 to below 1; spreads reconnects. */
   constructor(
-    store: PlatformStore,
+    store: KeyValueStore,
     clock: Clock,
     random: () => number,
     options: WatchHubOptions = DEFAULT_OPTIONS,
