Assign engines over all instances, and put late pieces behind

Logs showed stages of 300 ms and first events at 680: prompts met at one engine, since each instance hashed alone, and 1,235 thousand shared tokens were read again. In bursts, jobs that were late already held up those that were not.

Change: the coordinator that gathers pieces also assigns engines, from the prompt tokens assigned and not yet read, the parts each engine keeps, and where the inputs lie; jobs are due where the rest of the request still fits; late ones go last; under pressure a job may be split.

Ruled out: waiting longer for fuller batches (no call found a server full).

--- /dev/null
+++ b/packages/assignment/src/assignment-plan.ts
@@ -0,0 +1,91 @@
+/** An engine as the choice sees it. */
+export interface EngineView {
+  readonly id: string;
+  readonly zone: string;
+  /** Tokens of prompts that are assigned to it and not read yet. */
+  readonly backlogTokens: number;
+  /** Requests that are assigned to it and not over. */
+  readonly activeCount: number;
+  /** Requests that it works on at a time. */
+  readonly capacity: number;
+  /** Tokens of this prompt, from its beginning, that it keeps. */
+  readonly keptTokens: number;
+  /** How long work takes there over what it takes elsewhere. */
+  readonly slowness: number;
+  /** Place of the engine in the ranking of this prompt; 0 for its home. */
+  readonly homeRank: number;
+}
+
+/** What a choice is made from. */
+export interface AssignmentInput {
+  readonly engines: readonly EngineView[];
+  readonly promptTokens: number;
+  /** Tokens of the prompt that other requests share. */
+  readonly sharedTokens: number;
+  /** Bytes of inputs by failure domain. */
+  readonly inputBytes: ReadonlyMap<string, number>;
+  /** Prompt tokens that a usual engine reads in a millisecond. */
+  readonly tokensPerMs: number;
+}
+
+/** The engine chosen, and what decided. */
+export interface AssignmentChoice {
+  readonly id: string;
+  readonly zone: string;
+  /** Milliseconds to the first event, as predicted. */
+  readonly predictedMs: number;
+  readonly costMs: number;
+}
+
+// What is paid beside the time itself, as milliseconds that one would wait
+// rather than pay it.
+const REREAD_MS_PER_TOKEN = 0.03;
+const CROSSING_MS_PER_BYTE = 50 / 1_000_000;
+/** Milliseconds by which a lower place in the prompt's ranking counts as worse. */
+const RANK_MS_PER_SHARED_TOKEN = 0.0015;
+const ACTIVE_MS = 1.5;
+const FULL_MS = 2000;
+
+/** Chooses the engine with the least cost in time, in reading again and in moving. */
+export function planAssignment(
+  input: AssignmentInput,
+): AssignmentChoice | undefined {
+  const mostKept = Math.max(0, ...input.engines.map(each => each.keptTokens));
+  let best: AssignmentChoice | undefined;
+  for (const engine of input.engines) {
+    const choice = computeChoice(engine, input, mostKept);
+    if (!best || choice.costMs < best.costMs) best = choice;
+  }
+  return best;
+}
+
+function computeChoice(
+  engine: EngineView,
+  input: AssignmentInput,
+  mostKept: number,
+): AssignmentChoice {
+  const unread = Math.max(0, input.promptTokens - engine.keptTokens);
+  const readMs = (engine.backlogTokens + unread) / input.tokensPerMs;
+  const isFull = engine.activeCount >= engine.capacity;
+  const predictedMs =
+    (readMs + engine.activeCount * ACTIVE_MS) * engine.slowness +
+    (isFull ? FULL_MS : 0);
+  const rereadTokens = Math.min(
+    Math.max(0, mostKept - engine.keptTokens),
+    input.sharedTokens,
+  );
+  const costMs =
+    predictedMs +
+    rereadTokens * REREAD_MS_PER_TOKEN +
+    countCrossingBytes(engine.zone, input) * CROSSING_MS_PER_BYTE +
+    engine.homeRank * input.sharedTokens * RANK_MS_PER_SHARED_TOKEN;
+  return {id: engine.id, zone: engine.zone, predictedMs, costMs};
+}
+
+function countCrossingBytes(zone: string, input: AssignmentInput): number {
+  let bytes = 0;
+  for (const [inputZone, inputBytes] of input.inputBytes) {
+    if (inputZone !== zone) bytes += inputBytes;
+  }
+  return bytes;
+}
--- /dev/null
+++ b/packages/assignment/src/engine-directory.ts
@@ -0,0 +1,216 @@
+import type {RegisteredUpstream, RouteTable} from '@hollowstack/routes';
+import {
+  DEFAULT_HEALTH_POLICY,
+  createHealthyState,
+  isCandidate,
+  listByRendezvous,
+  recordFailure,
+  recordSuccess,
+  type HealthState,
+} from '@hollowstack/routing';
+import type {
+  AssignmentProgress,
+  AssignmentRequest,
+  PromptPart,
+} from '@hollowstack/types';
+import {
+  planAssignment,
+  type AssignmentChoice,
+  type EngineView,
+} from './assignment-plan.ts';
+import {PromptCache} from './prompt-cache.ts';
+
+interface AssignedRequest {
+  readonly engine: Engine;
+  readonly unreadTokens: number;
+  readonly predictedMs: number;
+  readonly sinceMs: number;
+  isRead: boolean;
+}
+
+interface Engine {
+  record: RegisteredUpstream;
+  readonly cache: PromptCache;
+  health: HealthState;
+  backlogTokens: number;
+  activeCount: number;
+  slowness: number;
+}
+
+const DEFAULT_CACHE_TOKENS = 500_000;
+/** Part of an engine's memory that shared parts can count on. */
+const CACHE_SHARE = 0.8;
+const TOKENS_PER_MS = 55;
+const SLOWNESS_WEIGHT = 0.2;
+const MAX_SLOWNESS = 10;
+/** Requests predicted to take less than this say nothing of an engine's speed. */
+const MIN_PREDICTED_MS = 20;
+/** Assignments whose end was never told are forgotten after this. */
+const MAX_ASSIGNED_MS = 15_000;
+
+/** What the coordinator knows of all engines: what was assigned to them and what they keep. */
+export class EngineDirectory {
+  private readonly getNow: () => number;
+  private readonly engines = new Map<string, Engine>();
+  private readonly assigned = new Map<string, AssignedRequest>();
+  private cacheTokens = new Map<string, number>();
+
+  constructor(getNow: () => number) {
+    this.getNow = getNow;
+  }
+
+  /** Takes the services of a newer configuration. */
+  setConfiguration(table: RouteTable): void {
+    this.cacheTokens = new Map(
+      table.configuration.services.flatMap(({name, engine}) =>
+        engine ? [[name, engine.cacheTokens] as const] : [],
+      ),
+    );
+  }
+
+  /** Takes the upstreams that are registered now. */
+  setUpstreams(records: readonly RegisteredUpstream[]): void {
+    const listed = new Set(records.map(({id}) => id));
+    for (const id of this.engines.keys()) {
+      if (!listed.has(id)) this.engines.delete(id);
+    }
+    for (const record of records) {
+      const known = this.engines.get(record.id);
+      if (known) known.record = record;
+      else this.engines.set(record.id, this.createEngine(record));
+    }
+  }
+
+  /** Chooses an engine; one that is final counts until its end is told. */
+  assign(request: AssignmentRequest): AssignmentChoice | undefined {
+    this.removeForgotten();
+    const {parts} = request;
+    const shared = parts.slice(0, -1);
+    const promptTokens = countTokens(parts);
+    const choice = planAssignment({
+      engines: this.listViews(request, shared),
+      promptTokens,
+      sharedTokens: countTokens(shared),
+      inputBytes: new Map(request.inputs.map(({zone, bytes}) => [zone, bytes])),
+      tokensPerMs: TOKENS_PER_MS,
+    });
+    if (!choice || !request.isFinal) return choice;
+    const engine = this.engines.get(choice.id)!;
+    const kept = engine.cache.countKeptTokens(parts);
+    const unreadTokens = Math.max(0, promptTokens - kept);
+    this.endAssignment(request.requestId);
+    this.assigned.set(request.requestId, {
+      engine,
+      unreadTokens,
+      predictedMs: choice.predictedMs,
+      sinceMs: this.getNow(),
+      isRead: false,
+    });
+    engine.backlogTokens += unreadTokens;
+    engine.activeCount += 1;
+    engine.cache.recordPrompt(parts);
+    return choice;
+  }
+
+  /** Notes what an instance has seen of an assigned request. */
+  recordProgress(progress: AssignmentProgress): void {
+    const request = this.assigned.get(progress.requestId);
+    const engine = request?.engine ?? this.engines.get(progress.upstreamId);
+    if (!engine) return;
+    if (progress.step === 'failed') {
+      engine.health = recordFailure(
+        engine.health,
+        'broken',
+        DEFAULT_HEALTH_POLICY,
+        this.getNow(),
+      );
+    } else {
+      engine.health = recordSuccess(engine.health, this.getNow());
+    }
+    if (request && progress.step === 'first') {
+      this.recordRead(request, progress.firstMs);
+    }
+    if (progress.step !== 'first') this.endAssignment(progress.requestId);
+  }
+
+  private recordRead(
+    request: AssignedRequest,
+    firstMs: number | undefined,
+  ): void {
+    const {engine, predictedMs} = request;
+    this.removeBacklog(request);
+    if (firstMs === undefined || predictedMs < MIN_PREDICTED_MS) return;
+    const unslowedMs = predictedMs / engine.slowness;
+    const sample = Math.min(MAX_SLOWNESS, Math.max(1, firstMs / unslowedMs));
+    engine.slowness += (sample - engine.slowness) * SLOWNESS_WEIGHT;
+  }
+
+  private endAssignment(requestId: string): void {
+    const request = this.assigned.get(requestId);
+    if (!request) return;
+    this.assigned.delete(requestId);
+    this.removeBacklog(request);
+    request.engine.activeCount -= 1;
+  }
+
+  private removeBacklog(request: AssignedRequest): void {
+    if (request.isRead) return;
+    request.isRead = true;
+    request.engine.backlogTokens -= request.unreadTokens;
+  }
+
+  private removeForgotten(): void {
+    const oldestMs = this.getNow() - MAX_ASSIGNED_MS;
+    for (const [id, {sinceMs}] of this.assigned) {
+      if (sinceMs >= oldestMs) return;
+      this.endAssignment(id);
+    }
+  }
+
+  private listViews(
+    request: AssignmentRequest,
+    shared: readonly PromptPart[],
+  ): EngineView[] {
+    const nowMs = this.getNow();
+    const excluded = new Set(request.excluded);
+    const usable = [...this.engines.values()].filter(
+      ({record, health}) =>
+        record.service === request.service &&
+        !record.isLeaving &&
+        !excluded.has(record.id) &&
+        isCandidate(health, nowMs),
+    );
+    const key = shared.map(({id}) => id).join(',');
+    const ranking = listByRendezvous(
+      key,
+      usable.map(({record}) => record.id),
+    );
+    const ranks = new Map(ranking.map((id, rank) => [id, rank]));
+    return usable.map(engine => ({
+      id: engine.record.id,
+      zone: engine.record.zone,
+      backlogTokens: engine.backlogTokens,
+      activeCount: engine.activeCount,
+      capacity: engine.record.capacity,
+      keptTokens: engine.cache.countKeptTokens(request.parts),
+      slowness: engine.slowness,
+      homeRank: ranks.get(engine.record.id)!,
+    }));
+  }
+
+  private createEngine(record: RegisteredUpstream): Engine {
+    const tokens = this.cacheTokens.get(record.service) ?? DEFAULT_CACHE_TOKENS;
+    return {
+      record,
+      cache: new PromptCache(tokens * CACHE_SHARE),
+      health: createHealthyState(),
+      backlogTokens: 0,
+      activeCount: 0,
+      slowness: 1,
+    };
+  }
+}
+
+function countTokens(parts: readonly PromptPart[]): number {
+  return parts.reduce((sum, {tokens}) => sum + tokens, 0);
+}
--- /dev/null
+++ b/packages/assignment/src/prompt-cache.ts
@@ -0,0 +1,48 @@
+import type {PromptPart} from '@hollowstack/types';
+
+/**
+ * A model of the prompt parts that an engine keeps: a part is of use only where
+ * all parts before it are kept, and those unused longest give way.
+ */
+export class PromptCache {
+  private readonly capacityTokens: number;
+  /** Tokens by chain of part ids, the one unused longest first. */
+  private readonly kept = new Map<string, number>();
+  private keptTokens = 0;
+
+  constructor(capacityTokens: number) {
+    this.capacityTokens = capacityTokens;
+  }
+
+  /** Returns how many tokens of the prompt, from its beginning, are kept. */
+  countKeptTokens(parts: readonly PromptPart[]): number {
+    let tokens = 0;
+    let chain = '';
+    for (const part of parts) {
+      chain = `${chain}/${part.id}`;
+      if (!this.kept.has(chain)) break;
+      tokens += part.tokens;
+    }
+    return tokens;
+  }
+
+  /** Notes that the engine has read a prompt. */
+  recordPrompt(parts: readonly PromptPart[]): void {
+    let chain = '';
+    for (const {id, tokens} of parts) {
+      chain = `${chain}/${id}`;
+      this.keptTokens += tokens - (this.kept.get(chain) ?? 0);
+      this.kept.delete(chain);
+      this.kept.set(chain, tokens);
+    }
+    this.removeOldest();
+  }
+
+  private removeOldest(): void {
+    for (const [chain, tokens] of this.kept) {
+      if (this.keptTokens <= this.capacityTokens) return;
+      this.kept.delete(chain);
+      this.keptTokens -= tokens;
+    }
+  }
+}
--- a/packages/entry/src/peer-requests.ts
+++ b/packages/entry/src/peer-requests.ts
@@ -49,6 +49,8 @@
         {type: 'stage-cancel'},
         {type: 'stage-release'},
         {type: 'copy'},
+        {type: 'assign'},
+        {type: 'assignment-progress'},
         (): PeerReply => ({
           type: 'failed',
           message: 'this instance does not serve routed services',
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -21,6 +21,8 @@
   /** Results that the upstream reads, and how they are given back. */
   readonly inputs:
     {readonly header: string; readonly release: () => void} | undefined;
+  /** Called with the milliseconds to the first event of a stream. */
+  readonly handleFirst: (firstMs: number) => void;
 }
 
 /** What became of one attempt. */
@@ -190,7 +192,8 @@
     request.recordRan('yes');
     let firstMs: number | undefined;
     const relay = new StreamRelay(request, head, () => {
-      firstMs ??= this.getPassedMs();
+      firstMs = this.getPassedMs();
+      this.parts.handleFirst(firstMs);
       // A stream that may go on elsewhere needs its inputs until its end.
       if (!request.facts.route.isResumable) inputs?.release();
     });
--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -1,3 +1,4 @@
+import {EngineDirectory} from '@hollowstack/assignment';
 import type {Clock} from '@hollowstack/clock';
 import type {EventLogger} from '@hollowstack/logger';
 import {MetricsRegistry} from '@hollowstack/metrics';
@@ -20,6 +21,7 @@
   type KeyValueStore,
 } from '@hollowstack/store';
 import {CopyExchange} from './copy-exchange.ts';
+import {EngineAssigner} from './engine-assigner.ts';
 import {GatewayFront} from './gateway-front.ts';
 import {GatewayLifecycle} from './gateway-lifecycle.ts';
 import {GatewayPeerRequests} from './gateway-peer-requests.ts';
@@ -30,6 +32,7 @@
 import {RequestRunner} from './request-runner.ts';
 import {RouteHolder} from './route-holder.ts';
 import {StoreFollower} from './store-follower.ts';
+import {UpstreamChooser} from './upstream-chooser.ts';
 import {UpstreamPool} from './upstream-pool.ts';
 import {UpstreamRegistry} from './upstream-registry.ts';
 import {WindowRetryBudget} from './window-retry-budget.ts';
@@ -93,8 +96,10 @@
     membership,
     local: coordinator,
   });
+  const directory = new EngineDirectory(getNow);
   const peerRequests = new GatewayPeerRequests({
     coordinator,
+    directory,
     exchange,
     membership,
     lifecycle,
@@ -107,14 +112,17 @@
     logger,
     protocol,
     pool,
+    chooser: new UpstreamChooser({
+      pool,
+      assigner: new EngineAssigner({link, membership, local: directory}),
+      random,
+    }),
     dispatcher,
     retryBudget: new WindowRetryBudget(
       {...settings.retries, windowMs: settings.retries.windowSeconds * 1000},
       getNow,
       () => membership.getLiveCount(),
     ),
-    random,
-    zone,
   });
   const front = new GatewayFront({
     clock,
@@ -131,11 +139,13 @@
 
   holder.addListener(table => {
     coordinator.setConfiguration(table);
+    directory.setConfiguration(table);
     server.setLimits(table.configuration.limits);
   });
   registry.addListener(upstreams => {
     pool.setUpstreams(upstreams);
     coordinator.setUpstreams(upstreams);
+    directory.setUpstreams(upstreams);
   });
 
   const configurationFollower = new StoreFollower({
--- /dev/null
+++ b/packages/gateway/src/engine-assigner.ts
@@ -0,0 +1,69 @@
+import type {EngineDirectory} from '@hollowstack/assignment';
+import {
+  chooseCoordinator,
+  type Membership,
+  type PeerLink,
+} from '@hollowstack/peers';
+import type {AssignmentProgress, AssignmentRequest} from '@hollowstack/types';
+
+/** What the assigner works with. */
+export interface EngineAssignerParts {
+  readonly link: PeerLink;
+  readonly membership: Membership;
+  /** This instance's own directory. */
+  readonly local: EngineDirectory;
+}
+
+/** Where a request should go. */
+export interface EngineAssignment {
+  readonly id: string;
+  readonly zone: string;
+}
+
+/** A coordinator that takes longer is done without. */
+const ASSIGN_TIMEOUT_MS = 80;
+const PROGRESS_TIMEOUT_MS = 1000;
+
+/** Asks the coordinator which engine a request should go to. */
+export class EngineAssigner {
+  private readonly parts: EngineAssignerParts;
+
+  constructor(parts: EngineAssignerParts) {
+    this.parts = parts;
+  }
+
+  /** Returns undefined where nobody knows an engine that could take the request. */
+  async assign(
+    request: AssignmentRequest,
+  ): Promise<EngineAssignment | undefined> {
+    const {link, local, membership} = this.parts;
+    const coordinator = chooseCoordinator(membership);
+    if (!coordinator) return local.assign(request);
+    const reply = await link
+      .sendRequest(
+        coordinator.address,
+        {type: 'assign', request},
+        ASSIGN_TIMEOUT_MS,
+      )
+      .catch((): undefined => undefined);
+    if (reply?.type !== 'assigned') return local.assign(request);
+    const {upstreamId, zone} = reply;
+    if (upstreamId === undefined || zone === undefined) return undefined;
+    return {id: upstreamId, zone};
+  }
+
+  /** Tells the coordinator how far a request is. */
+  recordProgress(progress: AssignmentProgress): void {
+    const {link, local, membership} = this.parts;
+    local.recordProgress(progress);
+    const coordinator = chooseCoordinator(membership);
+    if (!coordinator) return;
+    link
+      .sendRequest(
+        coordinator.address,
+        {type: 'assignment-progress', progress},
+        PROGRESS_TIMEOUT_MS,
+      )
+      .catch(() => {});
+  }
+}
--- a/packages/gateway/src/gateway-front.ts
+++ b/packages/gateway/src/gateway-front.ts
@@ -76,6 +76,7 @@
           outgoing,
           body,
         ),
+        table,
       );
     } catch (thrown) {
       this.settleRefusal(toHollowstackError(thrown), requestId, outgoing);
@@ -126,7 +127,10 @@
     return Math.min(deadlineMs, route.timeoutMs);
   }
 
-  private async runRequest(request: RoutedRequest): Promise<void> {
+  private async runRequest(
+    request: RoutedRequest,
+    table: RouteTable,
+  ): Promise<void> {
     const {clock, protocol, runner} = this.parts;
     const {facts, outgoing, controller} = request;
     const timer = clock.schedule(request.getRemainingMs(clock), () => {
@@ -143,7 +147,7 @@
       );
     });
     try {
-      await runner.run(request);
+      await runner.run(request, table);
       this.recordSettled(request, 'answered', '');
     } catch (thrown) {
       const reason = request.signal.aborted ? request.signal.reason : thrown;
@@ -185,6 +189,7 @@
       status: request.outgoing.statusCode,
       tookMs: Math.round(tookMs),
       stagesMs: request.stagesMs,
+      firstMs: request.getFirstMs(),
     });
   }
 
--- a/packages/gateway/src/gateway-peer-requests.ts
+++ b/packages/gateway/src/gateway-peer-requests.ts
@@ -1,3 +1,4 @@
+import type {EngineDirectory} from '@hollowstack/assignment';
 import type {Membership, PeerReply, PeerRequest} from '@hollowstack/peers';
 import type {StageCoordinator} from '@hollowstack/stages';
 import {match} from 'ts-pattern';
@@ -7,6 +8,7 @@
 /** What answers to peers are made from. */
 export interface GatewayPeerParts {
   readonly coordinator: StageCoordinator;
+  readonly directory: EngineDirectory;
   readonly exchange: CopyExchange;
   readonly membership: Membership;
   readonly lifecycle: GatewayLifecycle;
@@ -21,7 +23,7 @@
   }
 
   async answerRequest(request: PeerRequest): Promise<PeerReply> {
-    const {coordinator, exchange, lifecycle} = this.parts;
+    const {coordinator, directory, exchange, lifecycle} = this.parts;
     return match<PeerRequest, Promise<PeerReply> | PeerReply>(request)
       .with({type: 'ping'}, () => ({type: 'done'}))
       .with({type: 'stage-job'}, async ({job}) => {
@@ -39,6 +41,17 @@
         coordinator.releaseResults(results);
         return {type: 'done'};
       })
+      .with({type: 'assign'}, ({request}) => {
+        if (lifecycle.isStopping()) {
+          return {type: 'failed', message: 'this instance is stopping'};
+        }
+        const choice = directory.assign(request);
+        return {type: 'assigned', upstreamId: choice?.id, zone: choice?.zone};
+      })
+      .with({type: 'assignment-progress'}, ({progress}) => {
+        directory.recordProgress(progress);
+        return {type: 'done'};
+      })
       .with({type: 'copy'}, asked => exchange.answerCopy(asked))
       .otherwise(({type}) => ({
         type: 'failed',
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -6,11 +6,7 @@
   parseGatewaySettings,
   type GatewaySettings,
 } from './gateway-settings.ts';
-export {
-  RequestProtocol,
-  type PromptPart,
-  type RequestHeaderNames,
-} from './request-protocol.ts';
+export {RequestProtocol, type RequestHeaderNames} from './request-protocol.ts';
 export {RouteHolder} from './route-holder.ts';
 export {UpstreamRegistry} from './upstream-registry.ts';
 export {WindowRetryBudget, type RetryBound} from './window-retry-budget.ts';
--- a/packages/gateway/src/request-protocol.ts
+++ b/packages/gateway/src/request-protocol.ts
@@ -1,3 +1,4 @@
+import type {PromptPart} from '@hollowstack/types';
 import type {
   RegisteredUpstream,
   RoutedConfiguration,
@@ -32,12 +33,6 @@
   readonly stageInputs: string;
 }
 
-/** One part of a prompt that requests may share. */
-export interface PromptPart {
-  readonly id: string;
-  readonly tokens: number;
-}
-
 /** How requests, configuration and registrations are written; an adapter gives names and formats. */
 export abstract class RequestProtocol {
   abstract readonly headers: RequestHeaderNames;
--- a/packages/gateway/src/request-runner.ts
+++ b/packages/gateway/src/request-runner.ts
@@ -1,12 +1,13 @@
 import type {Clock} from '@hollowstack/clock';
 import {HollowstackError} from '@hollowstack/errors';
 import type {EventLogger} from '@hollowstack/logger';
-import {isRepeatable} from '@hollowstack/routes';
+import {isRepeatable, type RouteTable} from '@hollowstack/routes';
 import {RequestStages, type StageDispatcher} from '@hollowstack/stages';
+import type {PromptPart} from '@hollowstack/types';
 import {Attempt, type AttemptOutcome, type AttemptParts} from './attempt.ts';
-import type {PromptPart, RequestProtocol} from './request-protocol.ts';
+import type {RequestProtocol} from './request-protocol.ts';
 import type {RoutedRequest} from './routed-request.ts';
-import {chooseRequestUpstream} from './upstream-choice.ts';
+import type {UpstreamChooser} from './upstream-chooser.ts';
 import type {UpstreamPool} from './upstream-pool.ts';
 import type {WindowRetryBudget} from './window-retry-budget.ts';
 
@@ -16,10 +17,9 @@
   readonly logger: EventLogger;
   readonly protocol: RequestProtocol;
   readonly pool: UpstreamPool;
+  readonly chooser: UpstreamChooser;
   readonly dispatcher: StageDispatcher;
   readonly retryBudget: WindowRetryBudget;
-  readonly random: () => number;
-  readonly zone: string;
 }
 
 /** Connections that may fail to stand before a request is refused. */
@@ -29,6 +29,14 @@
  * results between failure domains: the upstream is then chosen first.
  */
 const AFFINITY_FIRST_TOKENS = 4000;
+const RETRY_AFTER_MS = 300;
+const NO_BYTES: ReadonlyMap<string, number> = new Map();
+
+interface AttemptNeeds {
+  readonly parts: readonly PromptPart[];
+  readonly inputBytes: ReadonlyMap<string, number>;
+  readonly inputs: AttemptParts['inputs'];
+}
 
 /** Runs one routed request: its stages, its upstream, and further attempts where they may be. */
 export class RequestRunner {
@@ -39,53 +47,81 @@
   }
 
   /** Resolves once the answer is on its way to its end. @throws HollowstackError */
-  async run(request: RoutedRequest): Promise<void> {
+  async run(request: RoutedRequest, table: RouteTable): Promise<void> {
     const {protocol} = this.parts;
-    const shared = request.listSharedParts(protocol);
-    const sharedTokens = shared.reduce((sum, {tokens}) => sum + tokens, 0);
-    const affinityKey = createAffinityKey(shared);
-    const isUpstreamFirst = sharedTokens >= AFFINITY_FIRST_TOKENS;
-    const home = isUpstreamFirst
-      ? this.chooseUpstream(request, affinityKey, undefined, new Set())
-      : undefined;
-    const stages = this.createStages(request, home?.zone);
-    if (!stages) {
-      await this.runAttempts(request, affinityKey, undefined, undefined);
+    const parts = request.listPromptParts(protocol);
+    const counts = request.getHeader(protocol.headers.stageCounts);
+    if (request.facts.route.stages.length === 0 || counts === undefined) {
+      const needs = {parts, inputBytes: NO_BYTES, inputs: undefined};
+      await this.runAttempts(request, needs);
       return;
     }
+    const zone = await this.forecastZone(request, parts);
+    const pieceCounts = protocol.parseStageCounts(counts);
+    const stages = this.createStages(request, table, pieceCounts, zone);
     try {
-      const startedAtMs = this.parts.clock.getNow();
-      const inputs = await stages.run(request.signal);
-      request.stagesMs = Math.round(this.parts.clock.getNow() - startedAtMs);
-      const zone = isUpstreamFirst
-        ? undefined
-        : chooseHeaviestZone(inputs.bytesByZone);
-      const handles = inputs.results.map(({handle}) => handle);
-      await this.runAttempts(request, affinityKey, zone, {
-        header: protocol.renderStageInputs(handles),
-        release: () => stages.releaseAll(),
-      });
+      await this.runWithStages(request, stages, parts);
     } finally {
       stages.releaseAll();
     }
   }
 
+  private async runWithStages(
+    request: RoutedRequest,
+    stages: RequestStages,
+    parts: readonly PromptPart[],
+  ): Promise<void> {
+    const {clock, protocol} = this.parts;
+    const startedAtMs = clock.getNow();
+    const made = await stages.run(request.signal);
+    request.stagesMs = Math.round(clock.getNow() - startedAtMs);
+    const handles = made.results.map(({handle}) => handle);
+    await this.runAttempts(request, {
+      parts,
+      inputBytes: made.bytesByZone,
+      inputs: {
+        header: protocol.renderStageInputs(handles),
+        release: () => stages.releaseAll(),
+      },
+    });
+  }
+
+  // Where much of the prompt is shared, the engine that keeps it is worth more
+  // than where the stages would like to run.
+  private async forecastZone(
+    request: RoutedRequest,
+    parts: readonly PromptPart[],
+  ): Promise<string | undefined> {
+    const shared = parts.slice(0, -1);
+    const sharedTokens = shared.reduce((sum, {tokens}) => sum + tokens, 0);
+    if (sharedTokens < AFFINITY_FIRST_TOKENS) return undefined;
+    const home = await this.parts.chooser.choose(request, {
+      parts,
+      inputBytes: NO_BYTES,
+      excluded: new Set(),
+      isFinal: false,
+    });
+    return home?.zone;
+  }
+
   private createStages(
     request: RoutedRequest,
+    table: RouteTable,
+    pieceCounts: readonly number[],
     zone: string | undefined,
-  ): RequestStages | undefined {
+  ): RequestStages {
     const {clock, protocol, dispatcher} = this.parts;
     const {facts} = request;
-    const counts = request.getHeader(protocol.headers.stageCounts);
-    if (facts.route.stages.length === 0 || counts === undefined)
-      return undefined;
     const nowMs = clock.getNow();
     const {route} = facts;
     return new RequestStages(
       {
         requestId: facts.requestId,
         route,
-        pieceCounts: protocol.parseStageCounts(counts),
+        capacities: route.stages.map(
+          ({service}) => table.getService(service)?.stage,
+        ),
+        pieceCounts,
         key: request.getHeader(protocol.headers.stageKey),
         dueInMs: facts.arrivedAtMs + route.objectiveMs - nowMs,
         remainingMs: facts.deadlineAtMs - nowMs,
@@ -97,52 +133,29 @@
     );
   }
 
-  private chooseUpstream(
-    request: RoutedRequest,
-    affinityKey: string | undefined,
-    zone: string | undefined,
-    excluded: ReadonlySet<string>,
-  ) {
-    const {pool, random} = this.parts;
-    return chooseRequestUpstream({
-      candidates: pool.listCandidates(request.facts.service, excluded),
-      affinityKey,
-      zone,
-      random,
-    });
-  }
-
   private async runAttempts(
     request: RoutedRequest,
-    affinityKey: string | undefined,
-    zone: string | undefined,
-    inputs: AttemptParts['inputs'],
+    needs: AttemptNeeds,
   ): Promise<void> {
-    const {retryBudget, logger} = this.parts;
-    const {facts} = request;
+    const {retryBudget, chooser} = this.parts;
     const excluded = new Set<string>();
     let unsentCount = 0;
-    retryBudget.recordRequest(facts.service);
+    retryBudget.recordRequest(request.facts.service);
     for (;;) {
       request.signal.throwIfAborted();
-      const upstream = this.chooseUpstream(
-        request,
-        affinityKey,
-        zone,
+      const {parts, inputBytes, inputs} = needs;
+      const upstream = await chooser.choose(request, {
+        parts,
+        inputBytes,
         excluded,
-      );
-      if (!upstream) throw this.createUnavailable(request, 'no upstream left');
+        isFinal: true,
+      });
+      request.signal.throwIfAborted();
+      if (!upstream) throw createUnavailable(request, 'no upstream left');
       const outcome = await this.attemptOnce(request, upstream.id, inputs);
       if (outcome.type === 'answered') return;
       excluded.add(upstream.id);
-      logger.logEvent('attempt.failed', {
-        requestId: facts.requestId,
-        service: facts.service,
-        upstream: upstream.id,
-        attempt: request.sentTo.length,
-        outcome: outcome.type,
-        reason: outcome.reason,
-      });
+      this.logFailure(request, upstream.id, outcome);
       request.signal.throwIfAborted();
       if (outcome.type === 'unsent') {
         unsentCount += 1;
@@ -154,7 +167,7 @@
         outcome.passOn();
         return;
       }
-      throw this.createUnavailable(request, outcome.reason);
+      throw createUnavailable(request, outcome.reason);
     }
   }
 
@@ -163,7 +176,7 @@
     upstreamId: string,
     inputs: AttemptParts['inputs'],
   ): Promise<AttemptOutcome> {
-    const {clock, protocol, pool} = this.parts;
+    const {clock, protocol, pool, chooser} = this.parts;
     const upstream = pool.getRecord(upstreamId);
     if (!upstream) return {type: 'unsent', reason: 'the upstream is gone'};
     const attempt = new Attempt({
@@ -172,66 +185,59 @@
       request,
       upstream,
       inputs,
+      handleFirst: firstMs => {
+        request.recordFirst(clock.getNow());
+        chooser.recordFirst(request, upstreamId, firstMs);
+      },
     });
     pool.beginRequest(upstreamId);
     try {
       const outcome = await attempt.run();
-      this.recordOutcome(upstreamId, outcome);
+      chooser.recordOutcome(request, upstreamId, outcome);
       return outcome;
     } finally {
       pool.endRequest(upstreamId);
     }
   }
 
-  private recordOutcome(id: string, outcome: AttemptOutcome): void {
-    const {pool} = this.parts;
-    if (outcome.type === 'answered') pool.recordSuccess(id, outcome.firstMs);
-    else if (outcome.type === 'unsent') pool.recordFailure(id, 'refused');
-    else if (outcome.type === 'failed' && !outcome.isOwnEnd) {
-      pool.recordFailure(id, 'broken');
-    }
-  }
-
   private mayRetry(
     request: RoutedRequest,
     outcome: Exclude<AttemptOutcome, {type: 'answered'}>,
   ): boolean {
-    const {facts} = request;
-    if (request.sentTo.length >= facts.route.maxAttempts) return false;
+    const {route, service} = request.facts;
+    if (request.sentTo.length >= route.maxAttempts) return false;
     if (outcome.type === 'failed') {
-      if (!isRepeatable(facts.route) || outcome.isOwnEnd) return false;
-      if (request.outgoing.headersSent && !facts.route.isResumable)
-        return false;
+      if (!isRepeatable(route) || outcome.isOwnEnd) return false;
+      if (request.outgoing.headersSent && !route.isResumable) return false;
     }
-    return this.parts.retryBudget.acquireRetry(facts.service);
+    return this.parts.retryBudget.acquireRetry(service);
   }
 
-  private createUnavailable(
+  private logFailure(
     request: RoutedRequest,
-    reason: string,
-  ): HollowstackError {
-    const ran = request.getRan();
-    return new HollowstackError(
-      ran === 'no' ? 'upstream-unavailable' : 'upstream-failed',
-      reason,
-      {ran, retryAfterMs: ran === 'no' ? RETRY_AFTER_MS : undefined},
-    );
+    upstreamId: string,
+    outcome: Exclude<AttemptOutcome, {type: 'answered'}>,
+  ): void {
+    const {requestId, service} = request.facts;
+    this.parts.logger.logEvent('attempt.failed', {
+      requestId,
+      service,
+      upstream: upstreamId,
+      attempt: request.sentTo.length,
+      outcome: outcome.type,
+      reason: outcome.reason,
+    });
   }
 }
 
-const RETRY_AFTER_MS = 300;
-
-function createAffinityKey(shared: readonly PromptPart[]): string | undefined {
-  if (shared.length === 0) return undefined;
-  return shared.map(({id}) => id).join(',');
-}
-
-function chooseHeaviestZone(
-  bytesByZone: ReadonlyMap<string, number>,
-): string | undefined {
-  let best: string | undefined;
-  for (const [zone, bytes] of bytesByZone) {
-    if (best === undefined || bytes > bytesByZone.get(best)!) best = zone;
-  }
-  return best;
+function createUnavailable(
+  request: RoutedRequest,
+  reason: string,
+): HollowstackError {
+  const ran = request.getRan();
+  return new HollowstackError(
+    ran === 'no' ? 'upstream-unavailable' : 'upstream-failed',
+    reason,
+    {ran, retryAfterMs: ran === 'no' ? RETRY_AFTER_MS : undefined},
+  );
 }
--- a/packages/gateway/src/routed-request.ts
+++ b/packages/gateway/src/routed-request.ts
@@ -2,7 +2,8 @@
 import {HollowstackError, type Ran} from '@hollowstack/errors';
 import type {KeyedWorkspace, Route} from '@hollowstack/routes';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {PromptPart, RequestProtocol} from './request-protocol.ts';
+import type {PromptPart} from '@hollowstack/types';
+import type {RequestProtocol} from './request-protocol.ts';
 
 /** What is known of a request before it goes anywhere. */
 export interface RoutedRequestFacts {
@@ -29,6 +30,7 @@
   /** Id of the last event that the caller was sent. */
   lastEventId: string | undefined;
   private ran: Ran = 'no';
+  private firstAtMs: number | undefined;
 
   constructor(
     facts: RoutedRequestFacts,
@@ -61,6 +63,17 @@
     this.ran = ranBefore;
   }
 
+  /** Notes that the caller gets its first event now. */
+  recordFirst(nowMs: number): void {
+    this.firstAtMs ??= nowMs;
+  }
+
+  /** Returns milliseconds from arrival to the first event, if there was one. */
+  getFirstMs(): number | undefined {
+    if (this.firstAtMs === undefined) return undefined;
+    return Math.round(this.firstAtMs - this.facts.arrivedAtMs);
+  }
+
   getRan(): Ran {
     return this.ran;
   }
@@ -70,12 +83,11 @@
     return Array.isArray(value) ? value.join(', ') : value;
   }
 
-  /** Returns the parts of the prompt that other requests may share. */
-  listSharedParts(protocol: RequestProtocol): PromptPart[] {
+  /** Returns the parts of the prompt; the last is the request's or its session's own. */
+  listPromptParts(protocol: RequestProtocol): PromptPart[] {
     const value = this.getHeader(protocol.headers.promptParts);
     if (value === undefined || !this.facts.route.hasAffinity) return [];
-    // The last part is the request's or its session's own.
-    return protocol.parsePromptParts(value).slice(0, -1);
+    return protocol.parsePromptParts(value);
   }
 
   /** Makes the error that ends a request whose time has run out. */
--- /dev/null
+++ b/packages/gateway/src/upstream-chooser.ts
@@ -0,0 +1,119 @@
+import type {PromptPart} from '@hollowstack/types';
+import type {AttemptOutcome} from './attempt.ts';
+import type {EngineAssigner, EngineAssignment} from './engine-assigner.ts';
+import type {RoutedRequest} from './routed-request.ts';
+import {chooseRequestUpstream} from './upstream-choice.ts';
+import type {UpstreamPool} from './upstream-pool.ts';
+
+/** What the chooser works with. */
+export interface UpstreamChooserParts {
+  readonly pool: UpstreamPool;
+  readonly assigner: EngineAssigner;
+  readonly random: () => number;
+}
+
+/** What a choice is made for. */
+export interface ChoiceNeed {
+  readonly parts: readonly PromptPart[];
+  /** Bytes of inputs that lie in each failure domain. */
+  readonly inputBytes: ReadonlyMap<string, number>;
+  readonly excluded: ReadonlySet<string>;
+  /** Whether the request is sent now; otherwise only a forecast is asked for. */
+  readonly isFinal: boolean;
+}
+
+/**
+ * Chooses the upstream of a request: model engines over all instances together,
+ * plain services by what this instance knows.
+ */
+export class UpstreamChooser {
+  private readonly parts: UpstreamChooserParts;
+
+  constructor(parts: UpstreamChooserParts) {
+    this.parts = parts;
+  }
+
+  async choose(
+    request: RoutedRequest,
+    need: ChoiceNeed,
+  ): Promise<EngineAssignment | undefined> {
+    const {service} = request.facts;
+    const candidates = this.parts.pool.listCandidates(service, need.excluded);
+    if (need.parts.length > 0) {
+      const assigned = await this.parts.assigner.assign({
+        requestId: request.facts.requestId,
+        service,
+        parts: [...need.parts],
+        inputs: [...need.inputBytes].map(([zone, bytes]) => ({zone, bytes})),
+        excluded: [...need.excluded],
+        isFinal: need.isFinal,
+      });
+      // The coordinator may not know yet what this instance knows.
+      const isKnown = candidates.some(({id}) => id === assigned?.id);
+      if (assigned && isKnown) return assigned;
+    }
+    return chooseRequestUpstream({
+      candidates,
+      affinityKey: createAffinityKey(need.parts),
+      zone: chooseHeaviestZone(need.inputBytes),
+      random: this.parts.random,
+    });
+  }
+
+  /** Notes that an upstream's first bytes are there. */
+  recordFirst(
+    request: RoutedRequest,
+    upstreamId: string,
+    firstMs: number,
+  ): void {
+    this.recordStep(request, upstreamId, 'first', firstMs);
+  }
+
+  /** Notes what became of an attempt. */
+  recordOutcome(
+    request: RoutedRequest,
+    upstreamId: string,
+    outcome: AttemptOutcome,
+  ): void {
+    const {pool} = this.parts;
+    if (outcome.type === 'answered') {
+      pool.recordSuccess(upstreamId, outcome.firstMs);
+      this.recordStep(request, upstreamId, 'ended');
+      return;
+    }
+    const isAgainst =
+      outcome.type === 'unsent' ||
+      (outcome.type === 'failed' && !outcome.isOwnEnd && !outcome.passOn);
+    if (outcome.type === 'unsent') pool.recordFailure(upstreamId, 'refused');
+    else if (isAgainst) pool.recordFailure(upstreamId, 'broken');
+    this.recordStep(request, upstreamId, isAgainst ? 'failed' : 'ended');
+  }
+
+  private recordStep(
+    request: RoutedRequest,
+    upstreamId: string,
+    step: 'first' | 'ended' | 'failed',
+    firstMs?: number,
+  ): void {
+    if (!request.facts.route.hasAffinity) return;
+    const {requestId} = request.facts;
+    this.parts.assigner.recordProgress({requestId, upstreamId, step, firstMs});
+  }
+}
+
+function createAffinityKey(parts: readonly PromptPart[]): string | undefined {
+  // The last part is the request's own.
+  const shared = parts.slice(0, -1);
+  if (shared.length === 0) return undefined;
+  return shared.map(({id}) => id).join(',');
+}
+
+function chooseHeaviestZone(
+  bytesByZone: ReadonlyMap<string, number>,
+): string | undefined {
+  let best: string | undefined;
+  for (const [zone, bytes] of bytesByZone) {
+    if (best === undefined || bytes > bytesByZone.get(best)!) best = zone;
+  }
+  return best;
+}
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -1,4 +1,6 @@
 import {
+  assignmentProgressSchema,
+  assignmentRequestSchema,
   callOutcomeSchema,
   configurationSnapshotSchema,
   decisionSchema,
@@ -51,6 +53,11 @@
     type: z.literal('stage-release'),
     results: z.array(stageResultSchema),
   }),
+  z.object({type: z.literal('assign'), request: assignmentRequestSchema}),
+  z.object({
+    type: z.literal('assignment-progress'),
+    progress: assignmentProgressSchema,
+  }),
   z.object({
     type: z.literal('copy'),
     self: peerRecordSchema,
@@ -98,6 +105,12 @@
       .optional(),
   }),
   z.object({type: z.literal('done')}),
+  z.object({
+    type: z.literal('assigned'),
+    /** Undefined where no engine can take the request. */
+    upstreamId: z.string().optional(),
+    zone: z.string().optional(),
+  }),
   z.object({type: z.literal('stage-outcome'), outcome: stageOutcomeSchema}),
   z.object({
     type: z.literal('copy'),
--- a/packages/peers/src/peer-link.ts
+++ b/packages/peers/src/peer-link.ts
@@ -77,26 +77,38 @@
   /**
    * Asks a peer.
    *
-   * @param timeoutMs Milliseconds to wait for its answer.
+   * @param timeoutMs Milliseconds to wait for its answer, the connection included.
    * @throws HollowstackError `peer-refused` where it cannot be asked or does not answer.
    */
-  async sendRequest(
+  sendRequest(
     address: string,
     request: PeerRequest,
     timeoutMs: number,
   ): Promise<PeerReply> {
-    const peer = await this.openPeer(address);
+    const id = this.nextRequestId++;
     return new Promise((resolve, reject) => {
-      const id = this.nextRequestId++;
+      let isOver = false;
+      let peer: OpenPeer | undefined;
       const timer = this.parts.clock.schedule(timeoutMs, () => {
-        peer.pending.delete(id);
+        isOver = true;
+        peer?.pending.delete(id);
         reject(createLinkError(`no answer from ${address}`));
       });
-      peer.pending.set(id, {resolve, reject, timer});
-      this.parts.metrics.addToCounter('hollowstack_peer_requests_total', {
-        type: request.type,
-      });
-      peer.session.sendEnvelope({kind: 'request', id, request});
+      this.openPeer(address).then(
+        opened => {
+          if (isOver) return;
+          peer = opened;
+          peer.pending.set(id, {resolve, reject, timer});
+          this.parts.metrics.addToCounter('hollowstack_peer_requests_total', {
+            type: request.type,
+          });
+          peer.session.sendEnvelope({kind: 'request', id, request});
+        },
+        error => {
+          timer.cancel();
+          reject(error);
+        },
+      );
     });
   }
 
--- a/packages/routes/src/routed-configuration.ts
+++ b/packages/routes/src/routed-configuration.ts
@@ -77,6 +77,13 @@
   /** Connections that one upstream takes from all callers together. */
   maxConnections: z.number().int().positive(),
   stage: stageCapacitySchema.optional(),
+  /** Present where the upstreams are model engines. */
+  engine: z
+    .object({
+      /** Tokens of prompts that one engine can keep. */
+      cacheTokens: z.number().positive(),
+    })
+    .optional(),
 });
 /** A service with like upstreams. */
 export type RoutedService = z.infer<typeof routedServiceSchema>;
--- a/packages/stages/src/batch-plan.ts
+++ b/packages/stages/src/batch-plan.ts
@@ -58,7 +58,9 @@
 const SLOW_FACTOR = 2;
 const SLOW_RESERVE_WAIT_MS = 200;
 /** Milliseconds by which one step of priority goes before a later due time. */
-const PRIORITY_STEP_MS = 150;
+const PRIORITY_STEP_MS = 300;
+/** What a job that can no longer be in time goes behind. */
+const LATE_MS = 100_000;
 
 /**
  * Plans the calls of one service: the most urgent jobs first, each whole in one
@@ -67,7 +69,7 @@
  */
 export function planBatches(input: BatchPlanInput): Batch[] {
   const {capacity} = input;
-  const waiting = [...input.jobs].sort(compareUrgency);
+  const waiting = sortByUrgency(input);
   const left = new Map(waiting.map(job => [job.jobId, job.pieceCount]));
   const free = chooseUpstreams(input, waiting);
   const batches: Batch[] = [];
@@ -82,6 +84,7 @@
     const parts = fillBatch(eligible, left, {
       size,
       maxSize: capacity.batchSize,
+      maySplit: pieces > capacity.batchSize * free.length,
       freeBytes: upstream.freeBytes,
     });
     if (parts.length > 0) batches.push({upstreamId: upstream.id, parts});
@@ -94,6 +97,8 @@
   readonly size: number;
   /** Pieces that no call may exceed. */
   readonly maxSize: number;
+  /** Whether more waits than fits in the calls at hand. */
+  readonly maySplit: boolean;
   readonly freeBytes: number;
 }
 
@@ -111,8 +116,8 @@
     const room = countRoom(job, bounds.freeBytes - bytes);
     const fitting = Math.min(wanted, room, bounds.maxSize - pieces);
     if (fitting <= 0) continue;
-    // A job is only split where it would not fit in a call of its own either.
-    if (fitting < wanted && parts.length > 0) continue;
+    // Otherwise a job is only split where a call of its own would not hold it.
+    if (fitting < wanted && parts.length > 0 && !bounds.maySplit) continue;
     parts.push({jobId: job.jobId, pieceCount: fitting});
     left.set(job.jobId, wanted - fitting);
     pieces += fitting;
@@ -153,12 +158,19 @@
     .sort(compareUpstreams);
 }
 
-function compareUrgency(left: WaitingJob, right: WaitingJob): number {
-  return computeRank(left) - computeRank(right);
+function sortByUrgency(input: BatchPlanInput): WaitingJob[] {
+  return input.jobs
+    .map(job => ({job, rank: computeRank(job, input)}))
+    .sort((left, right) => left.rank - right.rank)
+    .map(({job}) => job);
 }
 
-function computeRank(job: WaitingJob): number {
-  return job.dueAtMs + job.priority * PRIORITY_STEP_MS;
+// Jobs that are late already would hold up those that can still be in time.
+function computeRank(job: WaitingJob, input: BatchPlanInput): number {
+  const {callMs, pieceMs} = input.capacity;
+  const finishMs = input.nowMs + callMs + pieceMs * job.pieceCount;
+  const lateMs = finishMs > job.dueAtMs ? LATE_MS : 0;
+  return job.dueAtMs + job.priority * PRIORITY_STEP_MS + lateMs;
 }
 
 function compareUpstreams(left: FreeUpstream, right: FreeUpstream): number {
--- a/packages/stages/src/request-stages.ts
+++ b/packages/stages/src/request-stages.ts
@@ -1,12 +1,17 @@
 import {HollowstackError} from '@hollowstack/errors';
-import type {Route} from '@hollowstack/routes';
+import type {Route, StageCapacity} from '@hollowstack/routes';
 import type {StageResult} from '@hollowstack/types';
 import type {StageDispatcher} from './stage-dispatcher.ts';
 
+/** Milliseconds that the request itself takes to its first bytes, at its best. */
+const REQUEST_MS = 100;
+
 /** The stages that one request needs. */
 export interface RequestStagesInput {
   readonly requestId: string;
   readonly route: Route;
+  /** How the upstreams of each stage work, where it is known. */
+  readonly capacities: readonly (StageCapacity | undefined)[];
   /** Pieces of each stage; 0 leaves a stage out. */
   readonly pieceCounts: readonly number[];
   /** What pieces without inputs are made from. */
@@ -132,7 +137,7 @@
         key: stage.after.length === 0 ? input.key : undefined,
         inputs: inputs.map(({handle}) => handle),
         resultBytes: stage.resultBytes,
-        dueInMs: input.dueInMs - passedMs,
+        dueInMs: input.dueInMs - passedMs - this.computeTailMs(index),
         remainingMs: input.remainingMs - passedMs,
         priority: input.priority,
         zone: chooseZone(inputs) ?? ownZone,
@@ -152,6 +157,24 @@
     );
   }
 
+  // What is still to be done behind a stage, at its best.
+  private computeTailMs(index: number): number {
+    const readers = this.listReaders(index);
+    if (readers.length === 0) return REQUEST_MS;
+    return Math.max(
+      ...readers.map(
+        reader => this.computeStageMs(reader) + this.computeTailMs(reader),
+      ),
+    );
+  }
+
+  private computeStageMs(index: number): number {
+    const capacity = this.input.capacities[index];
+    if (!capacity) return 0;
+    const pieces = this.input.pieceCounts[index] ?? 0;
+    return capacity.callMs + capacity.pieceMs * pieces;
+  }
+
   private countInputBytes(
     index: number,
     inputs: readonly StageResult[],
--- a/packages/stages/src/stage-dispatcher.ts
+++ b/packages/stages/src/stage-dispatcher.ts
@@ -1,8 +1,12 @@
 import {randomBytes} from 'node:crypto';
 import {waitFor, type Clock, type Timer} from '@hollowstack/clock';
 import type {EventLogger} from '@hollowstack/logger';
-import type {Membership, PeerLink, PeerRecord} from '@hollowstack/peers';
-import {listByRendezvous} from '@hollowstack/routing';
+import {
+  chooseCoordinator,
+  type Membership,
+  type PeerLink,
+  type PeerRecord,
+} from '@hollowstack/peers';
 import type {StageJob, StageOutcome, StageResult} from '@hollowstack/types';
 import type {StageCoordinator} from './stage-coordinator.ts';
 
@@ -19,7 +23,6 @@
 /** A job without the name that each submission gets. */
 export type UnsentStageJob = Omit<StageJob, 'jobId'>;
 
-const COORDINATOR_KEY = 'stage-coordinator';
 /** Times a job may be submitted: each one that follows finds its coordinator gone. */
 const MAX_SUBMISSIONS = 3;
 const REPLY_MARGIN_MS = 100;
@@ -71,7 +74,7 @@
   /** Gives results back; a failure only costs room until they run out. */
   releaseResults(results: readonly StageResult[]): void {
     if (results.length === 0) return;
-    const coordinator = this.chooseCoordinator();
+    const coordinator = chooseCoordinator(this.parts.membership);
     if (!coordinator) {
       this.parts.local.releaseResults(results);
       return;
@@ -90,7 +93,7 @@
     job: StageJob,
     signal: AbortSignal,
   ): Promise<StageOutcome | undefined> {
-    const coordinator = this.chooseCoordinator();
+    const coordinator = chooseCoordinator(this.parts.membership);
     this.recordCoordinator(
       coordinator?.id ?? this.parts.membership.getSelf().id,
     );
@@ -150,15 +153,6 @@
     }
   }
 
-  private chooseCoordinator(): PeerRecord | undefined {
-    const {membership} = this.parts;
-    const peers = membership.listReachablePeers();
-    const self = membership.getSelf();
-    const ids = [self.id, ...peers.map(({id}) => id)];
-    const [first] = listByRendezvous(COORDINATOR_KEY, ids);
-    return peers.find(({id}) => id === first);
-  }
-
   private recordCoordinator(id: string): void {
     if (id === this.lastCoordinator) return;
     this.parts.logger.logEvent('stage.coordinator', {
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -59,3 +59,11 @@
   type StageResult,
   type StoreCopy,
 } from './stage-job.ts';
+export {
+  assignmentProgressSchema,
+  assignmentRequestSchema,
+  promptPartSchema,
+  type AssignmentProgress,
+  type AssignmentRequest,
+  type PromptPart,
+} from './assignment.ts';
