--- /dev/null
+++ b/packages/assignment/src/assignment-plan.test.ts
@@ -0,0 +1,112 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+  PromptCache,
+  planAssignment,
+  type AssignmentInput,
+  type EngineView,
+} from './index.ts';
+
+function createEngine(
+  id: string,
+  changes: Partial<EngineView> = {},
+): EngineView {
+  return {
+    id,
+    zone: 'a',
+    backlogTokens: 0,
+    activeCount: 0,
+    capacity: 64,
+    keptTokens: 0,
+    slowness: 1,
+    homeRank: 0,
+    ...changes,
+  };
+}
+
+function createInput(
+  engines: readonly EngineView[],
+  changes: Partial<AssignmentInput> = {},
+): AssignmentInput {
+  return {
+    engines,
+    promptTokens: 17_000,
+    sharedTokens: 13_000,
+    inputBytes: new Map(),
+    tokensPerMs: 60,
+    ...changes,
+  };
+}
+
+test('an engine that keeps the shared part is worth a short wait', () => {
+  const engines = [
+    createEngine('keeps', {keptTokens: 13_000, backlogTokens: 12_000}),
+    createEngine('idle'),
+  ];
+  assert.equal(planAssignment(createInput(engines))?.id, 'keeps');
+});
+
+test('a long backlog is worth reading the shared part again', () => {
+  const engines = [
+    createEngine('keeps', {keptTokens: 13_000, backlogTokens: 60_000}),
+    createEngine('idle'),
+  ];
+  assert.equal(planAssignment(createInput(engines))?.id, 'idle');
+});
+
+test('where nobody keeps it, the home of the prompt is chosen', () => {
+  const engines = [
+    createEngine('second', {homeRank: 1}),
+    createEngine('home', {homeRank: 0}),
+  ];
+  assert.equal(planAssignment(createInput(engines))?.id, 'home');
+});
+
+test('a request goes where its inputs lie', () => {
+  const engines = [
+    createEngine('far', {zone: 'a'}),
+    createEngine('near', {zone: 'b', backlogTokens: 3000}),
+  ];
+  const input = createInput(engines, {
+    promptTokens: 1000,
+    sharedTokens: 0,
+    inputBytes: new Map([['b', 6_000_000]]),
+  });
+  assert.equal(planAssignment(input)?.id, 'near');
+});
+
+test('a full engine is the last choice, and none at all gives none', () => {
+  const engines = [
+    createEngine('full', {activeCount: 64}),
+    createEngine('busy', {activeCount: 20, backlogTokens: 30_000}),
+  ];
+  assert.equal(planAssignment(createInput(engines))?.id, 'busy');
+  assert.equal(planAssignment(createInput([])), undefined);
+});
+
+test('a kept part counts only where all parts before it are kept', () => {
+  const cache = new PromptCache(1000);
+  cache.recordPrompt([
+    {id: 'a', tokens: 100},
+    {id: 'b', tokens: 200},
+  ]);
+  assert.equal(
+    cache.countKeptTokens([
+      {id: 'a', tokens: 100},
+      {id: 'b', tokens: 200},
+      {id: 'c', tokens: 5},
+    ]),
+    300,
+  );
+  assert.equal(cache.countKeptTokens([{id: 'b', tokens: 200}]), 0);
+});
+
+test('parts unused longest give way', () => {
+  const cache = new PromptCache(250);
+  cache.recordPrompt([{id: 'a', tokens: 100}]);
+  cache.recordPrompt([{id: 'b', tokens: 100}]);
+  cache.recordPrompt([{id: 'a', tokens: 100}]);
+  cache.recordPrompt([{id: 'c', tokens: 100}]);
+  assert.equal(cache.countKeptTokens([{id: 'a', tokens: 100}]), 100);
+  assert.equal(cache.countKeptTokens([{id: 'b', tokens: 100}]), 0);
+});
--- /dev/null
+++ b/packages/gateway/src/event-splitter.test.ts
@@ -0,0 +1,36 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {EventSplitter} from './event-splitter.ts';
+
+test('only whole events come out, with the id of the last one', () => {
+  const splitter = new EventSplitter();
+  assert.equal(splitter.addBytes(Buffer.from('id: 1\ndata: a\n')), undefined);
+  const events = splitter.addBytes(
+    Buffer.from('\nid: 2\ndata: b\n\nid: 3\ndata'),
+  );
+  assert.equal(
+    events?.bytes.toString(),
+    'id: 1\ndata: a\n\nid: 2\ndata: b\n\n',
+  );
+  assert.equal(events?.lastId, '2');
+  assert.equal(splitter.getRest().toString(), 'id: 3\ndata');
+});
+
+test('bytes in any pieces come out the same', () => {
+  const text = 'id: 7\ndata: x\n\nid: 8\r\ndata: y\r\n\r\ndata: z\n\n';
+  for (let size = 1; size <= text.length; size++) {
+    const splitter = new EventSplitter();
+    let out = '';
+    let lastId: string | undefined;
+    for (let from = 0; from < text.length; from += size) {
+      const events = splitter.addBytes(
+        Buffer.from(text.slice(from, from + size)),
+      );
+      out += events?.bytes.toString() ?? '';
+      lastId = events?.lastId ?? lastId;
+    }
+    assert.equal(out, text);
+    assert.equal(lastId, '8');
+    assert.equal(splitter.getRest().length, 0);
+  }
+});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -63,10 +63,11 @@
     void parts.membership.start();
     void parts.exchange.start();
     this.startPauseGuard();
-    while (!parts.holder.getCurrent() && !lifecycle.isStopping()) {
+    const isEnding = () => this.isStopped || lifecycle.isStopping();
+    while (!parts.holder.getCurrent() && !isEnding()) {
       await waitFor(clock, START_POLL_MS);
     }
-    if (lifecycle.isStopping()) return;
+    if (isEnding()) return;
     lifecycle.setState('ready');
     logger.logEvent('entry.ready', {revision: parts.holder.getRevision()});
   }
@@ -108,6 +109,7 @@
   stop(): void {
     const {parts} = this;
     this.isStopped = true;
+    void parts.membership.stop();
     parts.exchange.stop();
     parts.watchHub.stop();
     for (const follower of parts.followers) follower.stop();
--- /dev/null
+++ b/packages/routes/src/route-table.test.ts
@@ -0,0 +1,97 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+  RouteTable,
+  chooseTarget,
+  isRepeatable,
+  type Route,
+  type RoutedConfiguration,
+} from './index.ts';
+
+function createRoute(changes: Partial<Route>): Route {
+  return {
+    name: 'r',
+    host: 'a.example',
+    pathPrefix: '/a/',
+    repeatability: 'repeatable',
+    timeoutMs: 1000,
+    objectiveMs: 100,
+    priority: 0,
+    targets: [{service: 's', weight: 1}],
+    maxAttempts: 1,
+    stages: [],
+    isPublic: false,
+    hasAffinity: false,
+    isResumable: false,
+    ...changes,
+  };
+}
+
+function createConfiguration(
+  routes: readonly Route[],
+  workspaces?: RoutedConfiguration['workspaces'],
+): RoutedConfiguration {
+  return {
+    revision: 1,
+    routes: [...routes],
+    services: [],
+    workspaces,
+    limits: {
+      headerBytes: 1,
+      bodyBytes: 1,
+      headerTimeoutMs: 1,
+      idleTimeoutMs: 1,
+    },
+  };
+}
+
+test('the longest prefix that begins the path wins, on its host alone', () => {
+  const table = new RouteTable(
+    createConfiguration([
+      createRoute({name: 'short', pathPrefix: '/a/'}),
+      createRoute({name: 'long', pathPrefix: '/a/b/'}),
+      createRoute({name: 'other', host: 'b.example', pathPrefix: '/'}),
+    ]),
+  );
+  assert.equal(table.findRoute('a.example', '/a/b/c')?.name, 'long');
+  assert.equal(table.findRoute('A.example', '/a/c')?.name, 'short');
+  assert.equal(table.findRoute('a.example', '/a'), undefined);
+  assert.equal(table.findRoute('b.example', '/a/b/')?.name, 'other');
+  assert.equal(table.findRoute('c.example', '/a/'), undefined);
+});
+
+test('a key that was taken away is in no workspace', () => {
+  const before = new RouteTable(
+    createConfiguration([], [{name: 'w', keys: ['k1', 'k2']}]),
+  );
+  const after = new RouteTable(
+    createConfiguration([], [{name: 'w', keys: ['k2']}]),
+  );
+  assert.equal(before.findWorkspace('k1')?.name, 'w');
+  assert.equal(after.findWorkspace('k1'), undefined);
+  assert.equal(after.findWorkspace('k2')?.name, 'w');
+  assert.equal(new RouteTable(createConfiguration([])).hasWorkspaces(), false);
+});
+
+test('targets are drawn by their weights, and none of weight 0', () => {
+  const route = createRoute({
+    targets: [
+      {service: 'none', weight: 0},
+      {service: 'few', weight: 10},
+      {service: 'many', weight: 90},
+    ],
+  });
+  assert.equal(chooseTarget(route, 0), 'few');
+  assert.equal(chooseTarget(route, 0.0999), 'few');
+  assert.equal(chooseTarget(route, 0.1), 'many');
+  assert.equal(chooseTarget(route, 0.9999), 'many');
+});
+
+test('a stream may only run again where it can be resumed', () => {
+  assert.equal(isRepeatable(createRoute({repeatability: 'once'})), false);
+  assert.equal(isRepeatable(createRoute({repeatability: 'stream'})), false);
+  assert.equal(
+    isRepeatable(createRoute({repeatability: 'stream', isResumable: true})),
+    true,
+  );
+});
--- /dev/null
+++ b/packages/stages/src/batch-plan.test.ts
@@ -0,0 +1,152 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+  planBatches,
+  type BatchPlanInput,
+  type FreeUpstream,
+  type WaitingJob,
+} from './batch-plan.ts';
+
+function createJob(
+  jobId: string,
+  changes: Partial<WaitingJob> = {},
+): WaitingJob {
+  return {
+    jobId,
+    pieceCount: 1,
+    resultBytes: 10,
+    queuedAtMs: 0,
+    dueAtMs: 1000,
+    priority: 0,
+    zone: undefined,
+    crossingBytes: 0,
+    ...changes,
+  };
+}
+
+function createUpstream(
+  id: string,
+  changes: Partial<FreeUpstream> = {},
+): FreeUpstream {
+  return {
+    id,
+    zone: 'a',
+    freeBytes: 1000,
+    slowness: 1,
+    idleSinceMs: 0,
+    ...changes,
+  };
+}
+
+function createInput(
+  jobs: readonly WaitingJob[],
+  free: readonly FreeUpstream[],
+  nowMs = 0,
+): BatchPlanInput {
+  return {
+    nowMs,
+    capacity: {
+      concurrency: 1,
+      backlog: 2,
+      batchSize: 8,
+      callMs: 150,
+      pieceMs: 10,
+      resultBytes: 1000,
+      resultTtlMs: 4000,
+    },
+    jobs,
+    free,
+    zonesInUse: new Set(free.map(({zone}) => zone)),
+    upstreamsInUse: free.length,
+  };
+}
+
+test('pieces of several requests share a call', () => {
+  const jobs = [createJob('x', {pieceCount: 3}), createJob('y')];
+  assert.deepEqual(planBatches(createInput(jobs, [createUpstream('u')])), [
+    {
+      upstreamId: 'u',
+      parts: [
+        {jobId: 'x', pieceCount: 3},
+        {jobId: 'y', pieceCount: 1},
+      ],
+    },
+  ]);
+});
+
+test('free upstreams share what waits', () => {
+  const jobs = [
+    createJob('x', {pieceCount: 4}),
+    createJob('y', {pieceCount: 4}),
+  ];
+  const free = [createUpstream('u'), createUpstream('v')];
+  assert.deepEqual(planBatches(createInput(jobs, free)), [
+    {upstreamId: 'u', parts: [{jobId: 'x', pieceCount: 4}]},
+    {upstreamId: 'v', parts: [{jobId: 'y', pieceCount: 4}]},
+  ]);
+});
+
+test('a job that is late already goes behind one that can be in time', () => {
+  const jobs = [
+    createJob('late', {dueAtMs: 100, pieceCount: 8}),
+    createJob('in-time', {dueAtMs: 900, pieceCount: 8}),
+  ];
+  const [batch] = planBatches(createInput(jobs, [createUpstream('u')]));
+  assert.equal(batch.parts[0].jobId, 'in-time');
+});
+
+test('a more urgent job goes before one that is due a little earlier', () => {
+  const jobs = [
+    createJob('less', {dueAtMs: 900, priority: 2, pieceCount: 8}),
+    createJob('more', {dueAtMs: 1000, priority: 0, pieceCount: 8}),
+  ];
+  const [batch] = planBatches(createInput(jobs, [createUpstream('u')]));
+  assert.equal(batch.parts[0].jobId, 'more');
+});
+
+test('jobs are split only while more waits than the calls hold', () => {
+  const jobs = [
+    createJob('x', {pieceCount: 6}),
+    createJob('y', {pieceCount: 6, dueAtMs: 1001}),
+  ];
+  assert.deepEqual(planBatches(createInput(jobs, [createUpstream('u')])), [
+    {
+      upstreamId: 'u',
+      parts: [
+        {jobId: 'x', pieceCount: 6},
+        {jobId: 'y', pieceCount: 2},
+      ],
+    },
+  ]);
+  const two = [createUpstream('u'), createUpstream('v')];
+  assert.deepEqual(
+    planBatches(createInput(jobs, two)).map(({parts}) => parts.length),
+    [1, 1],
+  );
+});
+
+test('no call is planned whose results would find no room', () => {
+  const jobs = [createJob('x', {pieceCount: 3, resultBytes: 400})];
+  const [batch] = planBatches(createInput(jobs, [createUpstream('u')]));
+  assert.deepEqual(batch.parts, [{jobId: 'x', pieceCount: 2}]);
+  const full = [createUpstream('u', {freeBytes: 399})];
+  assert.deepEqual(planBatches(createInput(jobs, full)), []);
+});
+
+test('a job waits a while for an upstream near its large inputs, then goes anywhere', () => {
+  const jobs = [createJob('x', {zone: 'b', crossingBytes: 5_000_000})];
+  const free = [createUpstream('u', {zone: 'a'})];
+  const input = {...createInput(jobs, free), zonesInUse: new Set(['a', 'b'])};
+  assert.deepEqual(planBatches(input), []);
+  assert.equal(planBatches({...input, nowMs: 400}).length, 1);
+  const none = {...input, zonesInUse: new Set(['a'])};
+  assert.equal(planBatches(none).length, 1);
+});
+
+test('a slow upstream is left out until others cannot keep up', () => {
+  const jobs = [createJob('x')];
+  const free = [createUpstream('u', {slowness: 4})];
+  const input = {...createInput(jobs, free), upstreamsInUse: 3};
+  assert.deepEqual(planBatches(input), []);
+  assert.equal(planBatches({...input, nowMs: 300}).length, 1);
+});
