Make lost inputs again, learn missing room, and leave silent engines

Silent engines held requests until their deadlines.

Change: room is free once the release was answered; missing room is noticed and tried again after 0.4 s, uncounted; lost inputs are made again once; an upstream that answers 421 was not sent anything; a repeatable request leaves an upstream that is silent, and any silence counts against it.

--- a/packages/assignment/src/prompt-cache.ts
+++ b/packages/assignment/src/prompt-cache.ts
@@ -6,7 +6,7 @@
  */
 export class PromptCache {
   private readonly capacityTokens: number;
-  /** Tokens by chain of part ids, the one unused longest first. */
+  /** Tokens by part id, the one unused longest first. */
   private readonly kept = new Map<string, number>();
   private keptTokens = 0;
 
@@ -17,10 +17,8 @@
   /** Returns how many tokens of the prompt, from its beginning, are kept. */
   countKeptTokens(parts: readonly PromptPart[]): number {
     let tokens = 0;
-    let chain = '';
     for (const part of parts) {
-      chain = `${chain}/${part.id}`;
-      if (!this.kept.has(chain)) break;
+      if (!this.kept.has(part.id)) break;
       tokens += part.tokens;
     }
     return tokens;
@@ -28,20 +26,18 @@
 
   /** Notes that the engine has read a prompt. */
   recordPrompt(parts: readonly PromptPart[]): void {
-    let chain = '';
     for (const {id, tokens} of parts) {
-      chain = `${chain}/${id}`;
-      this.keptTokens += tokens - (this.kept.get(chain) ?? 0);
-      this.kept.delete(chain);
-      this.kept.set(chain, tokens);
+      this.keptTokens += tokens - (this.kept.get(id) ?? 0);
+      this.kept.delete(id);
+      this.kept.set(id, tokens);
     }
     this.removeOldest();
   }
 
   private removeOldest(): void {
-    for (const [chain, tokens] of this.kept) {
+    for (const [id, tokens] of this.kept) {
       if (this.keptTokens <= this.capacityTokens) return;
-      this.kept.delete(chain);
+      this.kept.delete(id);
       this.keptTokens -= tokens;
     }
   }
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,4 +1,4 @@
-import type {Clock} from '@hollowstack/clock';
+import type {Clock, Timer} from '@hollowstack/clock';
 import type {RegisteredUpstream} from '@hollowstack/routes';
 import {
   SingleCall,
@@ -23,6 +23,12 @@
     {readonly header: string; readonly release: () => void} | undefined;
   /** Called with the milliseconds to the first event of a stream. */
   readonly handleFirst: (firstMs: number) => void;
+  readonly silence: {
+    /** Milliseconds without a byte after which the upstream counts as silent. */
+    readonly limitMs: number;
+    /** Returns whether the attempt is given up for another one. */
+    readonly handleSilence: () => boolean;
+  };
 }
 
 /** What became of one attempt. */
@@ -32,7 +38,14 @@
   /** No byte of the request has left. */
   | {readonly type: 'unsent'; readonly reason: string}
   /** The upstream promises that it has not run the request. */
-  | {readonly type: 'not-run'; readonly reason: string}
+  | {
+      readonly type: 'not-run';
+      readonly reason: string;
+      /** Whether the upstream that was meant is no longer there. */
+      readonly isOtherUpstream: boolean;
+      /** Whether a result that the request reads was lost. */
+      readonly isInputGone: boolean;
+    }
   /** It may have run. */
   | {
       readonly type: 'failed';
@@ -46,11 +59,13 @@
 const CONNECT_TIMEOUT_MS = 400;
 const MAX_KEPT_BYTES = 8 * 1024 * 1024;
 const MISDIRECTED = 421;
+const INPUT_GONE = 409;
 
 /** Sends a request to one upstream and its answer to the caller. */
 export class Attempt {
   private readonly parts: AttemptParts;
   private readonly startedAtMs: number;
+  private silenceTimer: Timer | undefined;
 
   constructor(parts: AttemptParts) {
     this.parts = parts;
@@ -74,29 +89,42 @@
     const cancelCall = () => call.abort('the request was given up');
     request.signal.addEventListener('abort', cancelCall, {once: true});
     request.recordRan('unknown');
+    request.sentTo.push(upstream.id);
+    this.watchSilence(call);
     try {
       const head = await call.response;
-      request.sentTo.push(upstream.id);
-      const outcome = await this.handleHead(head);
+      const outcome = await this.handleHead(head, call);
       if (outcome.type === 'not-run') request.recordNotRun(ranBefore);
+      if (outcome.type === 'not-run' && outcome.isOtherUpstream) {
+        request.sentTo.pop();
+      }
       return outcome;
     } catch (error) {
       const isUnsent =
         error instanceof TransportError && error.progress === 'none';
       const reason = error instanceof Error ? error.message : String(error);
       if (isUnsent && !call.mayHaveLeft()) {
+        request.sentTo.pop();
         request.recordNotRun(ranBefore);
         return {type: 'unsent', reason};
       }
-      if (request.sentTo.at(-1) !== upstream.id)
-        request.sentTo.push(upstream.id);
       return {type: 'failed', reason, isOwnEnd: request.signal.aborted};
     } finally {
       request.signal.removeEventListener('abort', cancelCall);
+      this.silenceTimer?.cancel();
       call.abort('done');
     }
   }
 
+  // An upstream may die without a word, or run a request and lose its answer.
+  private watchSilence(call: SingleCall): void {
+    const {clock, silence} = this.parts;
+    this.silenceTimer?.cancel();
+    this.silenceTimer = clock.schedule(silence.limitMs, () => {
+      if (silence.handleSilence()) call.abort('the upstream is silent');
+    });
+  }
+
   private createHeaders(): string[] {
     const {protocol, request, upstream, inputs, clock} = this.parts;
     const names = protocol.headers;
@@ -131,18 +159,28 @@
     ];
   }
 
-  private async handleHead(head: IncomingMessage): Promise<AttemptOutcome> {
+  private async handleHead(
+    head: IncomingMessage,
+    call: SingleCall,
+  ): Promise<AttemptOutcome> {
     const {request, protocol} = this.parts;
     const names = protocol.headers;
     const status = head.statusCode ?? 0;
     if (status === MISDIRECTED || head.headers[names.notRun] !== undefined) {
-      return {type: 'not-run', reason: `answered ${status}, not run`};
+      return {
+        type: 'not-run',
+        reason: `answered ${status}, not run`,
+        isOtherUpstream: status === MISDIRECTED,
+        isInputGone: status === INPUT_GONE,
+      };
     }
     const problem = this.findProblem(head);
     if (problem) return {type: 'failed', reason: problem, isOwnEnd: false};
     const isStream =
       request.facts.route.repeatability === 'stream' && isSuccess(status);
-    return isStream ? this.relayStream(head) : this.relayWhole(head, status);
+    return isStream
+      ? this.relayStream(head, call)
+      : this.relayWhole(head, status);
   }
 
   private findProblem(head: IncomingMessage): string | undefined {
@@ -187,11 +225,16 @@
     return {type: 'answered', firstMs: this.getPassedMs()};
   }
 
-  private async relayStream(head: IncomingMessage): Promise<AttemptOutcome> {
+  private async relayStream(
+    head: IncomingMessage,
+    call: SingleCall,
+  ): Promise<AttemptOutcome> {
     const {request, inputs} = this.parts;
     request.recordRan('yes');
     let firstMs: number | undefined;
     const relay = new StreamRelay(request, head, () => {
+      this.watchSilence(call);
+      if (firstMs !== undefined) return;
       firstMs = this.getPassedMs();
       this.parts.handleFirst(firstMs);
       // A stream that may go on elsewhere needs its inputs until its end.
--- a/packages/gateway/src/request-runner.ts
+++ b/packages/gateway/src/request-runner.ts
@@ -30,6 +30,12 @@
  */
 const AFFINITY_FIRST_TOKENS = 4000;
 const RETRY_AFTER_MS = 300;
+/** Milliseconds without an event after which the engine of a stream counts as silent. */
+const STREAM_SILENCE_MS = 1500;
+const MIN_SILENCE_MS = 100;
+/** Times of what is usual, and share of the objective, for a plain answer. */
+const SILENCE_FACTOR = 2.5;
+const SILENCE_SHARE = 0.6;
 const NO_BYTES: ReadonlyMap<string, number> = new Map();
 
 interface AttemptNeeds {
@@ -71,19 +77,29 @@
     stages: RequestStages,
     parts: readonly PromptPart[],
   ): Promise<void> {
-    const {clock, protocol} = this.parts;
+    const {clock, protocol, retryBudget} = this.parts;
     const startedAtMs = clock.getNow();
-    const made = await stages.run(request.signal);
-    request.stagesMs = Math.round(clock.getNow() - startedAtMs);
-    const handles = made.results.map(({handle}) => handle);
-    await this.runAttempts(request, {
-      parts,
-      inputBytes: made.bytesByZone,
-      inputs: {
-        header: protocol.renderStageInputs(handles),
-        release: () => stages.releaseAll(),
-      },
-    });
+    for (;;) {
+      const made = await stages.run(request.signal);
+      request.stagesMs = Math.round(clock.getNow() - startedAtMs);
+      const handles = made.results.map(({handle}) => handle);
+      try {
+        await this.runAttempts(request, {
+          parts,
+          inputBytes: made.bytesByZone,
+          inputs: {
+            header: protocol.renderStageInputs(handles),
+            release: () => stages.releaseAll(),
+          },
+        });
+        return;
+      } catch (error) {
+        const isGone = error instanceof InputGoneError;
+        if (!isGone || request.sentTo.length > 1) throw error;
+        if (!retryBudget.acquireRetry(request.facts.service)) throw error;
+        stages.releaseAll();
+      }
+    }
   }
 
   // Where much of the prompt is shared, the engine that keeps it is worth more
@@ -144,12 +160,14 @@
     for (;;) {
       request.signal.throwIfAborted();
       const {parts, inputBytes, inputs} = needs;
-      const upstream = await chooser.choose(request, {
-        parts,
-        inputBytes,
-        excluded,
-        isFinal: true,
-      });
+      const upstream =
+        this.findPinned(request) ??
+        (await chooser.choose(request, {
+          parts,
+          inputBytes,
+          excluded,
+          isFinal: true,
+        }));
       request.signal.throwIfAborted();
       if (!upstream) throw createUnavailable(request, 'no upstream left');
       const outcome = await this.attemptOnce(request, upstream.id, inputs);
@@ -157,7 +175,10 @@
       excluded.add(upstream.id);
       this.logFailure(request, upstream.id, outcome);
       request.signal.throwIfAborted();
-      if (outcome.type === 'unsent') {
+      if (outcome.type === 'not-run' && outcome.isInputGone) {
+        throw new InputGoneError(outcome.reason, request);
+      }
+      if (isUnsent(outcome)) {
         unsentCount += 1;
         if (unsentCount < MAX_UNSENT) continue;
       } else if (this.mayRetry(request, outcome)) {
@@ -171,6 +192,14 @@
     }
   }
 
+  // A request that may go to no further upstream goes to the same one again,
+  // once its lost inputs are made.
+  private findPinned(request: RoutedRequest): {id: string} | undefined {
+    const {route} = request.facts;
+    if (request.sentTo.length < route.maxAttempts) return undefined;
+    return this.parts.pool.getRecord(request.sentTo[0]);
+  }
+
   private async attemptOnce(
     request: RoutedRequest,
     upstreamId: string,
@@ -189,6 +218,10 @@
         request.recordFirst(clock.getNow());
         chooser.recordFirst(request, upstreamId, firstMs);
       },
+      silence: {
+        limitMs: this.computeSilenceMs(request),
+        handleSilence: () => this.handleSilence(request, upstreamId),
+      },
     });
     pool.beginRequest(upstreamId);
     try {
@@ -200,6 +233,27 @@
     }
   }
 
+  private computeSilenceMs(request: RoutedRequest): number {
+    const {route, service} = request.facts;
+    if (route.repeatability === 'stream') return STREAM_SILENCE_MS;
+    const usualMs = this.parts.pool.getMeanMs(service) ?? 0;
+    return Math.max(
+      MIN_SILENCE_MS,
+      SILENCE_FACTOR * usualMs,
+      SILENCE_SHARE * route.objectiveMs,
+    );
+  }
+
+  private handleSilence(request: RoutedRequest, upstreamId: string): boolean {
+    const {chooser, pool, retryBudget} = this.parts;
+    const {route, service} = request.facts;
+    chooser.recordSilence(request, upstreamId);
+    const hasAttempt = request.sentTo.length < route.maxAttempts;
+    if (!hasAttempt || !isRepeatable(route)) return false;
+    const others = pool.listCandidates(service, new Set(request.sentTo));
+    return others.length > 0 && retryBudget.hasRetry(service);
+  }
+
   private mayRetry(
     request: RoutedRequest,
     outcome: Exclude<AttemptOutcome, {type: 'answered'}>,
@@ -230,6 +284,24 @@
   }
 }
 
+/** An input of the request was lost; nothing has run. */
+class InputGoneError extends HollowstackError {
+  constructor(reason: string, request: RoutedRequest) {
+    super('upstream-unavailable', reason, {
+      ran: request.getRan(),
+      retryAfterMs: RETRY_AFTER_MS,
+    });
+  }
+}
+
+// An upstream that was not there has not been sent anything.
+function isUnsent(outcome: AttemptOutcome): boolean {
+  return (
+    outcome.type === 'unsent' ||
+    (outcome.type === 'not-run' && outcome.isOtherUpstream)
+  );
+}
+
 function createUnavailable(
   request: RoutedRequest,
   reason: string,
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -8,31 +8,29 @@
 export class StreamRelay {
   private readonly request: RoutedRequest;
   private readonly head: IncomingMessage;
-  private readonly handleFirst: () => void;
+  private readonly handleEvents: () => void;
   private readonly splitter = new EventSplitter();
 
-  /** @param handleFirst Called with the first event. */
+  /** @param handleEvents Called whenever whole events have come. */
   constructor(
     request: RoutedRequest,
     head: IncomingMessage,
-    handleFirst: () => void,
+    handleEvents: () => void,
   ) {
     this.request = request;
     this.head = head;
-    this.handleFirst = handleFirst;
+    this.handleEvents = handleEvents;
   }
 
   /** Resolves once the stream has ended whole. @throws TransportError where it breaks off. */
   async run(): Promise<void> {
     const {request, head, splitter} = this;
     const {outgoing} = request;
-    let isFirst = true;
     try {
       for await (const chunk of head) {
         const events = splitter.addBytes(chunk);
         if (!events) continue;
-        if (isFirst) this.handleFirst();
-        isFirst = false;
+        this.handleEvents();
         await this.writeEvents(events.bytes);
         if (events.lastId !== undefined) request.lastEventId = events.lastId;
       }
--- a/packages/gateway/src/upstream-chooser.ts
+++ b/packages/gateway/src/upstream-chooser.ts
@@ -69,6 +69,13 @@
     this.recordStep(request, upstreamId, 'first', firstMs);
   }
 
+  /** Notes that an upstream has been silent for too long. */
+  recordSilence(request: RoutedRequest, upstreamId: string): void {
+    // One silent answer may be a lost one; several in a row are an upstream.
+    this.parts.pool.recordFailure(upstreamId, 'broken');
+    this.recordStep(request, upstreamId, 'failed');
+  }
+
   /** Notes what became of an attempt. */
   recordOutcome(
     request: RoutedRequest,
@@ -81,10 +88,13 @@
       this.recordStep(request, upstreamId, 'ended');
       return;
     }
+    const isOther = outcome.type === 'not-run' && outcome.isOtherUpstream;
     const isAgainst =
       outcome.type === 'unsent' ||
+      isOther ||
       (outcome.type === 'failed' && !outcome.isOwnEnd && !outcome.passOn);
-    if (outcome.type === 'unsent') pool.recordFailure(upstreamId, 'refused');
+    if (outcome.type === 'unsent' || isOther)
+      pool.recordFailure(upstreamId, 'refused');
     else if (isAgainst) pool.recordFailure(upstreamId, 'broken');
     this.recordStep(request, upstreamId, isAgainst ? 'failed' : 'ended');
   }
--- a/packages/gateway/src/upstream-pool.ts
+++ b/packages/gateway/src/upstream-pool.ts
@@ -116,6 +116,11 @@
     }));
   }
 
+  /** Returns milliseconds to the first bytes of a usual request of a service. */
+  getMeanMs(service: string): number | undefined {
+    return this.meanMs.get(service);
+  }
+
   recordFailure(id: string, kind: FailureKind): void {
     this.update(id, ({health}) => ({
       health: recordFailure(health, kind, DEFAULT_HEALTH_POLICY, this.getNow()),
--- a/packages/gateway/src/window-retry-budget.ts
+++ b/packages/gateway/src/window-retry-budget.ts
@@ -43,15 +43,20 @@
 
   /** Takes one retry from the budget; returns false where none is left. */
   acquireRetry(service: string): boolean {
-    const bucket = this.getBucket(service);
+    if (!this.hasRetry(service)) return false;
+    this.getBucket(service).retries += 1;
+    return true;
+  }
+
+  /** Returns whether a retry is left. */
+  hasRetry(service: string): boolean {
+    this.getBucket(service);
     const buckets = this.buckets.get(service)!;
     const requests = buckets.reduce((sum, each) => sum + each.requests, 0);
     const retries = buckets.reduce((sum, each) => sum + each.retries, 0);
     const {ratio, burst} = this.bound;
     const share = (burst * BURST_SHARE) / Math.max(1, this.getInstanceCount());
-    if (retries + 1 > ratio * RATIO_SHARE * requests + share) return false;
-    bucket.retries += 1;
-    return true;
+    return retries + 1 <= ratio * RATIO_SHARE * requests + share;
   }
 
   private getBucket(service: string): Bucket {
--- a/packages/stages/src/index.ts
+++ b/packages/stages/src/index.ts
@@ -29,6 +29,7 @@
 } from './stage-protocol.ts';
 export {
   RequestStages,
+  StageError,
   type RequestStagesInput,
   type StageInputs,
 } from './request-stages.ts';
--- a/packages/stages/src/request-stages.ts
+++ b/packages/stages/src/request-stages.ts
@@ -1,6 +1,6 @@
 import {HollowstackError} from '@hollowstack/errors';
 import type {Route, StageCapacity} from '@hollowstack/routes';
-import type {StageResult} from '@hollowstack/types';
+import type {StageFailure, StageResult} from '@hollowstack/types';
 import type {StageDispatcher} from './stage-dispatcher.ts';
 
 /** Milliseconds that the request itself takes to its first bytes, at its best. */
@@ -23,6 +23,19 @@
   readonly zone: string | undefined;
 }
 
+/** A stage has no results. */
+export class StageError extends HollowstackError {
+  readonly failure: StageFailure;
+
+  constructor(failure: StageFailure, message: string) {
+    const kind =
+      failure === 'late' ? 'deadline-exceeded' : 'upstream-unavailable';
+    super(kind, message, {ran: 'no'});
+    this.name = 'StageError';
+    this.failure = failure;
+  }
+}
+
 /** Results that the request itself reads. */
 export interface StageInputs {
   readonly results: readonly StageResult[];
@@ -36,10 +49,9 @@
   private readonly dispatcher: StageDispatcher;
   private readonly getNow: () => number;
   private readonly startedAtMs: number;
-  private readonly runs: Array<Promise<readonly StageResult[]> | undefined> =
-    [];
+  private runs: Array<Promise<readonly StageResult[]> | undefined> = [];
   private readonly unreleased = new Map<number, readonly StageResult[]>();
-  private readonly readersLeft: number[];
+  private readersLeft: number[] = [];
 
   constructor(
     input: RequestStagesInput,
@@ -50,18 +62,29 @@
     this.dispatcher = dispatcher;
     this.getNow = getNow;
     this.startedAtMs = getNow();
-    this.readersLeft = input.route.stages.map(
-      (_, index) => this.listReaders(index).length,
-    );
   }
 
   /**
    * Runs all stages and resolves with the results that no other stage reads.
+   * Results that were lost underway are made again, once.
    *
    * @throws HollowstackError where a stage has no results.
    */
   async run(signal: AbortSignal): Promise<StageInputs> {
+    try {
+      return await this.runAll(signal);
+    } catch (error) {
+      const isGone =
+        error instanceof StageError && error.failure === 'input-gone';
+      if (!isGone || signal.aborted) throw error;
+      return this.runAll(signal);
+    }
+  }
+
+  private async runAll(signal: AbortSignal): Promise<StageInputs> {
     const {stages} = this.input.route;
+    this.runs = [];
+    this.readersLeft = stages.map((_, index) => this.listReaders(index).length);
     const failing = new AbortController();
     const both = AbortSignal.any([signal, failing.signal]);
     const runs = stages.map((_, index) => this.runStage(index, both));
@@ -150,10 +173,9 @@
       signal,
     );
     if (outcome.type === 'made') return outcome.results;
-    throw new HollowstackError(
-      outcome.failure === 'late' ? 'deadline-exceeded' : 'upstream-unavailable',
+    throw new StageError(
+      outcome.failure,
       `stage ${index} (${stage.service}): ${outcome.message}`,
-      {ran: 'no'},
     );
   }
 
--- a/packages/stages/src/result-releaser.ts
+++ b/packages/stages/src/result-releaser.ts
@@ -9,11 +9,18 @@
 export class ResultReleaser {
   private readonly clock: Clock;
   private readonly caller: StageCaller;
+  private readonly handleReleased: (handles: readonly string[]) => void;
   private readonly pending = new Map<string, string[]>();
 
-  constructor(clock: Clock, caller: StageCaller) {
+  /** @param handleReleased Called once an upstream has given the room up. */
+  constructor(
+    clock: Clock,
+    caller: StageCaller,
+    handleReleased: (handles: readonly string[]) => void,
+  ) {
     this.clock = clock;
     this.caller = caller;
+    this.handleReleased = handleReleased;
   }
 
   addResults(results: readonly StageResult[]): void {
@@ -29,7 +36,9 @@
     this.clock.schedule(GATHER_MS, () => {
       const handles = this.pending.get(address) ?? [];
       this.pending.delete(address);
-      void this.caller.releaseResults(address, handles);
+      void this.caller
+        .releaseResults(address, handles)
+        .then(() => this.handleReleased(handles));
     });
   }
 }
--- a/packages/stages/src/stage-coordinator.ts
+++ b/packages/stages/src/stage-coordinator.ts
@@ -27,6 +27,8 @@
 const REPLAN_MS = 20;
 /** Milliseconds for which an upstream that was full is left alone. */
 const FULL_PAUSE_MS = 60;
+/** Results may be somewhat larger than their stage says. */
+const SIZE_MARGIN = 1.05;
 const CALL_TIMEOUT_FACTOR = 3;
 const CALL_TIMEOUT_MARGIN_MS = 400;
 
@@ -45,7 +47,10 @@
 
   constructor(parts: StageCoordinatorParts) {
     this.parts = parts;
-    this.releaser = new ResultReleaser(parts.clock, parts.caller);
+    this.releaser = new ResultReleaser(parts.clock, parts.caller, handles => {
+      for (const handle of handles) this.room.release(handle);
+      this.planSoon();
+    });
   }
 
   /** Takes the stage services of a newer configuration. */
@@ -96,9 +101,7 @@
 
   /** Gives results back to the upstreams that keep them. */
   releaseResults(results: readonly StageResult[]): void {
-    for (const result of results) this.room.release(result.handle);
     this.releaser.addResults(results);
-    if (results.length > 0) this.planSoon();
   }
 
   /** Fails all jobs: after a pause their submitters have gone elsewhere. */
@@ -167,8 +170,7 @@
         .map(upstream => ({
           id: upstream.record.id,
           zone: upstream.record.zone,
-          freeBytes:
-            capacity.resultBytes - this.room.getUsedBytes(upstream.record.id),
+          freeBytes: this.countFreeBytes(upstream, capacity, nowMs),
           slowness: upstream.slowness,
           idleSinceMs: upstream.idleSinceMs,
         })),
@@ -178,6 +180,16 @@
     for (const batch of batches) void this.runBatch(batch, capacity, nowMs);
   }
 
+  private countFreeBytes(
+    upstream: StageUpstream,
+    capacity: StageCapacity,
+    nowMs: number,
+  ): number {
+    const used = this.room.getUsedBytes(upstream.record.id);
+    const unknown = upstream.getUnknownBytes(nowMs);
+    return capacity.resultBytes / SIZE_MARGIN - used - unknown;
+  }
+
   private async runBatch(
     batch: Batch,
     capacity: StageCapacity,
@@ -201,7 +213,7 @@
       this.handleAnswer(upstream, taken, answer, {
         startedAtMs: nowMs,
         expectedMs,
-        ttlMs: capacity.resultTtlMs,
+        capacity,
       });
     } catch (error) {
       this.handleFailure(upstream, taken, error);
@@ -215,7 +227,7 @@
     upstream: StageUpstream,
     taken: readonly TakenPiece[],
     answer: RunAnswer,
-    call: {startedAtMs: number; expectedMs: number; ttlMs: number},
+    call: {startedAtMs: number; expectedMs: number; capacity: StageCapacity},
   ): void {
     const nowMs = this.parts.clock.getNow();
     if (answer.type === 'unreadable') {
@@ -242,7 +254,7 @@
       tookMs,
     );
     taken.forEach((piece, index) =>
-      this.settlePiece(upstream, piece, answer.outcomes[index], call.ttlMs),
+      this.settlePiece(upstream, piece, answer.outcomes[index], call.capacity),
     );
   }
 
@@ -250,7 +262,7 @@
     upstream: StageUpstream,
     taken: TakenPiece,
     outcome: PieceOutcome,
-    ttlMs: number,
+    capacity: StageCapacity,
   ): void {
     const nowMs = this.parts.clock.getNow();
     const {id, zone} = upstream.record;
@@ -258,7 +270,12 @@
     if (outcome.type === 'made') {
       const {handle, address} = outcome;
       const result: StageResult = {handle, address, zone};
-      this.room.recordResult(handle, id, job.resultBytes, nowMs + ttlMs);
+      this.room.recordResult(
+        handle,
+        id,
+        job.resultBytes,
+        nowMs + capacity.resultTtlMs,
+      );
       if (!state.recordResult(piece.piece, result)) {
         this.releaseResults([result]);
       }
@@ -271,7 +288,13 @@
       this.releaseResults(state.listResults());
       return;
     }
-    if (failure === 'no-room') upstream.pausedUntilMs = nowMs + FULL_PAUSE_MS;
+    if (failure === 'no-room') {
+      // Somebody else's results lie there, of an instance that is gone maybe.
+      const free = this.countFreeBytes(upstream, capacity, nowMs);
+      upstream.addUnknownBytes(free - job.resultBytes + 1, nowMs);
+      state.returnPiece(piece.piece);
+      return;
+    }
     this.returnOrFail(taken, `upstream ${id} answered ${failure}`);
   }
 
--- a/packages/stages/src/stage-upstreams.ts
+++ b/packages/stages/src/stage-upstreams.ts
@@ -13,6 +13,9 @@
 /** Weight of the newest call in the slowness. */
 const SLOWNESS_WEIGHT = 0.3;
 
+/** Milliseconds after which room that was missing is tried again. */
+const UNKNOWN_ROOM_MS = 400;
+
 /** An upstream of a stage service with what the coordinator knows of it. */
 export class StageUpstream {
   record: RegisteredUpstream;
@@ -21,6 +24,8 @@
   slowness = 1;
   /** The upstream called itself full; it is left alone until then. */
   pausedUntilMs = 0;
+  private unknownBytes = 0;
+  private unknownUntilMs = 0;
   private health: HealthState = createHealthyState();
 
   constructor(record: RegisteredUpstream) {
@@ -41,6 +46,18 @@
     );
   }
 
+  /** Returns the bytes that results of others take there, as far as was noticed. */
+  getUnknownBytes(nowMs: number): number {
+    return nowMs < this.unknownUntilMs ? this.unknownBytes : 0;
+  }
+
+  /** Notes that the upstream has less room than was reckoned. */
+  addUnknownBytes(bytes: number, nowMs: number): void {
+    if (bytes <= 0) return;
+    this.unknownBytes = this.getUnknownBytes(nowMs) + bytes;
+    this.unknownUntilMs = nowMs + UNKNOWN_ROOM_MS;
+  }
+
   beginCall(): void {
     this.callsInFlight += 1;
     this.health = recordTrial(this.health);
