Admit requests with stages by their predicted finish, and let the oldest coordinate

After restarts instances chose different coordinators for up to 10 s, and each found the others' results.

Change: the coordinator reckons the work that admitted requests still bring to each service, predicts a finish over the request's stages, and refuses at once, with a time to come back, what would be late and has that time. The instance that registered first coordinates; a new registration clears 'unreachable'; a dead instance is off the list after 6 s instead of 30 s. Pieces are given up when the rest of the request no longer fits.

--- a/packages/entry/src/peer-requests.ts
+++ b/packages/entry/src/peer-requests.ts
@@ -47,6 +47,8 @@
       .with(
         {type: 'stage-job'},
         {type: 'stage-cancel'},
+        {type: 'stage-admit'},
+        {type: 'stage-end'},
         {type: 'stage-release'},
         {type: 'copy'},
         {type: 'assign'},
--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -49,6 +49,9 @@
   readonly stageProtocol: StageProtocol;
 }
 
+/** Milliseconds after which an instance that died is off the list. */
+const MEMBER_LEASE_MS = 6000;
+
 /** Wires all parts of a gateway; the only place where they are constructed. */
 export function createGateway(
   settings: GatewaySettings,
@@ -64,7 +67,13 @@
   const registry = new UpstreamRegistry(protocol, logger);
 
   const self = {id, zone, address: settings.listen.peerAddress};
-  const membership = new Membership({self, store, clock, random});
+  const membership = new Membership({
+    self,
+    store,
+    clock,
+    random,
+    leaseMs: MEMBER_LEASE_MS,
+  });
   const link = new PeerLink({
     identity: {id, zone},
     network: environment.peerNetwork,
--- a/packages/gateway/src/gateway-peer-requests.ts
+++ b/packages/gateway/src/gateway-peer-requests.ts
@@ -33,6 +33,16 @@
         const outcome = await coordinator.submitJob(job);
         return {type: 'stage-outcome', outcome};
       })
+      .with({type: 'stage-admit'}, ({request: asked}) => {
+        if (lifecycle.isStopping()) {
+          return {type: 'failed', message: 'this instance is stopping'};
+        }
+        return {type: 'stage-admission', ...coordinator.admitRequest(asked)};
+      })
+      .with({type: 'stage-end'}, ({requestId}) => {
+        coordinator.endRequest(requestId);
+        return {type: 'done'};
+      })
       .with({type: 'stage-cancel'}, ({jobId}) => {
         coordinator.cancelJob(jobId);
         return {type: 'done'};
--- a/packages/gateway/src/request-runner.ts
+++ b/packages/gateway/src/request-runner.ts
@@ -32,6 +32,11 @@
 const RETRY_AFTER_MS = 300;
 /** Milliseconds without an event after which the engine of a stream counts as silent. */
 const STREAM_SILENCE_MS = 1500;
+/**
+ * Share of the route's time that a caller must have left to be told to come
+ * back; one that has less has come back before, or never had the time.
+ */
+const COME_BACK_SHARE = 0.8;
 const MIN_SILENCE_MS = 100;
 /** Times of what is usual, and share of the objective, for a plain answer. */
 const SILENCE_FACTOR = 2.5;
@@ -66,6 +71,7 @@
     const pieceCounts = protocol.parseStageCounts(counts);
     const stages = this.createStages(request, table, pieceCounts, zone);
     try {
+      await stages.admit();
       await this.runWithStages(request, stages, parts);
     } finally {
       stages.releaseAll();
@@ -143,6 +149,8 @@
         remainingMs: facts.deadlineAtMs - nowMs,
         priority: facts.workspace?.priority ?? route.priority,
         zone,
+        mayComeBack:
+          facts.deadlineAtMs - nowMs >= COME_BACK_SHARE * route.timeoutMs,
       },
       dispatcher,
       () => clock.getNow(),
--- a/packages/peers/src/coordinator.ts
+++ b/packages/peers/src/coordinator.ts
@@ -5,9 +5,10 @@
 const COORDINATOR_KEY = 'coordinator';
 
 /**
- * Chooses the instance that decides for all: the first of the reachable ones by
- * rendezvous, so that all agree without asking anybody. While they differ, each
- * decides with less knowledge, and nothing else.
+ * Chooses the instance that decides for all: of the reachable ones the one that
+ * registered first, so that all agree without asking anybody and a restart
+ * moves nothing back. Where no registration is known, the first by rendezvous.
+ * While instances differ, each decides with less knowledge, and nothing else.
  *
  * @returns undefined where it is this instance.
  */
@@ -15,7 +16,27 @@
   membership: Membership,
 ): PeerRecord | undefined {
   const peers = membership.listReachablePeers();
-  const ids = [membership.getSelf().id, ...peers.map(({id}) => id)];
-  const [first] = listByRendezvous(COORDINATOR_KEY, ids);
+  const self = membership.getSelf();
+  const ids = [self.id, ...peers.map(({id}) => id)];
+  const first = findOldest(membership, ids) ?? findByRendezvous(ids);
   return peers.find(({id}) => id === first);
 }
+
+function findOldest(
+  membership: Membership,
+  ids: readonly string[],
+): string | undefined {
+  let oldest: string | undefined;
+  let oldestRevision = Infinity;
+  for (const id of ids) {
+    const revision = membership.getRegistrationRevision(id);
+    if (revision === undefined || revision >= oldestRevision) continue;
+    oldest = id;
+    oldestRevision = revision;
+  }
+  return oldest;
+}
+
+function findByRendezvous(ids: readonly string[]): string {
+  return listByRendezvous(COORDINATOR_KEY, ids)[0];
+}
--- a/packages/peers/src/membership.ts
+++ b/packages/peers/src/membership.ts
@@ -11,8 +11,9 @@
 /** Prefix of the instances that have registered themselves. */
 export const PEER_PREFIX = 'hollowstack/instances/';
 
-const LEASE_MS = 30_000;
-const RENEW_MS = 10_000;
+const DEFAULT_LEASE_MS = 30_000;
+/** Renewals that a lease lasts for. */
+const RENEWALS_IN_LEASE = 3;
 const RETRY_MS = 2000;
 /** Milliseconds for which a peer counts as live after it was heard of directly. */
 const HEARD_MS = 15_000;
@@ -25,6 +26,14 @@
   readonly store: KeyValueStore;
   readonly clock: Clock;
   readonly random: () => number;
+  /** Milliseconds for which a registration outlives its instance. */
+  readonly leaseMs?: number;
+}
+
+interface RegisteredPeer {
+  readonly record: PeerRecord;
+  /** Store revision of the registration; a restart brings a new one. */
+  readonly revision: number;
 }
 
 /**
@@ -34,7 +43,7 @@
 export class Membership implements WatchSubscription {
   readonly range: KeyRange = createPrefixRange(PEER_PREFIX);
   private readonly parts: MembershipParts;
-  private readonly registered = new Map<string, PeerRecord>();
+  private readonly registered = new Map<string, RegisteredPeer>();
   private readonly heard = new Map<
     string,
     {record: PeerRecord; atMs: number}
@@ -42,13 +51,15 @@
   private readonly listeners: Array<() => void> = [];
   private readonly task: RepeatingTask;
   private readonly unreachable = new Map<string, number>();
+  private readonly leaseMs: number;
   private leaseId: string | undefined;
 
   constructor(parts: MembershipParts) {
     this.parts = parts;
+    this.leaseMs = parts.leaseMs ?? DEFAULT_LEASE_MS;
     this.task = new RepeatingTask(parts.clock, parts.random, async () => {
       const isRegistered = await this.renew().catch(() => false);
-      return isRegistered ? RENEW_MS : RETRY_MS;
+      return isRegistered ? this.leaseMs / RENEWALS_IN_LEASE : RETRY_MS;
     });
   }
 
@@ -58,7 +69,8 @@
 
   /** Returns the live peers, this instance left out. */
   listPeers(): PeerRecord[] {
-    const peers = new Map(this.registered);
+    const peers = new Map<string, PeerRecord>();
+    for (const [id, {record}] of this.registered) peers.set(id, record);
     const freshMs = this.parts.clock.getNow() - HEARD_MS;
     for (const [id, {record, atMs}] of this.heard) {
       if (atMs >= freshMs) peers.set(id, record);
@@ -84,6 +96,11 @@
     return this.listPeers().find(peer => peer.id === id);
   }
 
+  /** Returns the store revision of an instance's registration, if it has one. */
+  getRegistrationRevision(id: string): number | undefined {
+    return this.registered.get(id)?.revision;
+  }
+
   /** Notes that a peer was heard of just now. */
   recordHeard(record: PeerRecord): void {
     const isNew = !this.heard.has(record.id) && !this.registered.has(record.id);
@@ -111,15 +128,21 @@
   /** Stops renewing and takes this instance off the list. */
   async stop(): Promise<void> {
     this.task.stop();
-    if (this.leaseId === undefined) return;
-    await this.parts.store.revokeLease(this.leaseId).catch(() => {});
+    const {leaseId} = this;
+    this.leaseId = undefined;
+    if (leaseId === undefined) return;
+    await this.parts.store.revokeLease(leaseId).catch(() => {});
   }
 
   handleEvents(events: readonly WatchEvent[]): void {
     for (const event of events) {
       const id = event.key.slice(PEER_PREFIX.length);
-      if (event.type === 'delete') this.registered.delete(id);
-      else this.setRegistered(id, event.value);
+      if (event.type === 'delete') this.removeRegistered(id);
+      else {
+        // Who registers anew has just started.
+        this.unreachable.delete(id);
+        this.setRegistered(id, event.value, event.modRevision);
+      }
     }
     this.callListeners();
   }
@@ -135,8 +158,8 @@
       .catch(() => undefined);
     if (!found) return;
     this.registered.clear();
-    for (const {key, value} of found.keyValues) {
-      this.setRegistered(key.slice(PEER_PREFIX.length), value);
+    for (const {key, value, modRevision} of found.keyValues) {
+      this.setRegistered(key.slice(PEER_PREFIX.length), value, modRevision);
     }
     this.callListeners();
     await this.renewIfMissing();
@@ -157,7 +180,7 @@
       return true;
     }
     this.leaseId = undefined;
-    const lease = await store.grantLease(LEASE_MS);
+    const lease = await store.grantLease(this.leaseMs);
     await store.runTransaction({
       comparisons: [],
       onSuccess: [
@@ -173,9 +196,16 @@
     return true;
   }
 
-  private setRegistered(id: string, value: string): void {
+  private setRegistered(id: string, value: string, revision: number): void {
     const record = peerRecordSchema.safeParse(JSON.parse(value));
-    if (record.success) this.registered.set(id, record.data);
+    if (record.success)
+      this.registered.set(id, {record: record.data, revision});
+  }
+
+  private removeRegistered(id: string): void {
+    this.registered.delete(id);
+    // Leases may have run out in an outage while all instances live.
+    if (id === this.parts.self.id) void this.renewIfMissing();
   }
 
   private callListeners(): void {
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -4,6 +4,7 @@
   callOutcomeSchema,
   configurationSnapshotSchema,
   decisionSchema,
+  stageAdmissionRequestSchema,
   stageJobSchema,
   stageOutcomeSchema,
   stageResultSchema,
@@ -48,6 +49,11 @@
   z.object({type: z.literal('why'), requestId: z.string()}),
   z.object({type: z.literal('ping')}),
   z.object({type: z.literal('stage-job'), job: stageJobSchema}),
+  z.object({
+    type: z.literal('stage-admit'),
+    request: stageAdmissionRequestSchema,
+  }),
+  z.object({type: z.literal('stage-end'), requestId: z.string()}),
   z.object({type: z.literal('stage-cancel'), jobId: z.string()}),
   z.object({
     type: z.literal('stage-release'),
@@ -111,6 +117,12 @@
     upstreamId: z.string().optional(),
     zone: z.string().optional(),
   }),
+  z.object({
+    type: z.literal('stage-admission'),
+    isAdmitted: z.boolean(),
+    predictedMs: z.number(),
+    retryAfterMs: z.number(),
+  }),
   z.object({type: z.literal('stage-outcome'), outcome: stageOutcomeSchema}),
   z.object({
     type: z.literal('copy'),
--- a/packages/stages/src/index.ts
+++ b/packages/stages/src/index.ts
@@ -18,6 +18,17 @@
   type StageDispatcherParts,
   type UnsentStageJob,
 } from './stage-dispatcher.ts';
+export {
+  StageAdmission,
+  type StageAdmissionDecision,
+  type StageAdmissionParts,
+} from './stage-admission.ts';
+export {
+  WorkLedger,
+  computeWorkMs,
+  predictFinishMs,
+  type FinishInput,
+} from './work-ledger.ts';
 export {
   StageProtocol,
   type EncodedAnswer,
--- a/packages/stages/src/request-stages.ts
+++ b/packages/stages/src/request-stages.ts
@@ -19,6 +19,8 @@
   readonly dueInMs: number;
   readonly remainingMs: number;
   readonly priority: number;
+  /** Whether the caller has the time to come back. */
+  readonly mayComeBack: boolean;
   /** Failure domain of the upstream that will read the last results, if chosen. */
   readonly zone: string | undefined;
 }
@@ -64,6 +66,30 @@
     this.startedAtMs = getNow();
   }
 
+  /** Asks whether the stages may begin. @throws HollowstackError where they cannot be in time. */
+  async admit(): Promise<void> {
+    const {input} = this;
+    const decision = await this.dispatcher.admitRequest({
+      requestId: input.requestId,
+      steps: input.route.stages.map(({service, after}, index) => ({
+        service,
+        after,
+        pieceCount: input.pieceCounts[index] ?? 0,
+      })),
+      dueInMs: input.dueInMs,
+      remainingMs: input.remainingMs,
+      priority: input.priority,
+      mayComeBack: input.mayComeBack,
+    });
+    if (decision.isAdmitted) return;
+    const {predictedMs, retryAfterMs} = decision;
+    throw new HollowstackError(
+      'overloaded',
+      `predicted ${Math.round(predictedMs)} ms, objective in ${Math.round(input.dueInMs)} ms`,
+      {ran: 'no', retryAfterMs},
+    );
+  }
+
   /**
    * Runs all stages and resolves with the results that no other stage reads.
    * Results that were lost underway are made again, once.
@@ -92,6 +118,7 @@
     const settled = await Promise.allSettled(runs);
     if (settled.some(({status}) => status === 'rejected')) {
       this.releaseAll();
+      this.dispatcher.endRequest(this.input.requestId);
       throw failing.signal.reason;
     }
     const results: StageResult[] = [];
@@ -148,6 +175,7 @@
     const {input} = this;
     const stage = input.route.stages[index];
     const passedMs = this.getNow() - this.startedAtMs;
+    const tailMs = this.computeTailMs(index);
     const isRead = this.listReaders(index).length > 0;
     const ownZone = isRead ? undefined : input.zone;
     const inputBytes = this.countInputBytes(index, inputs);
@@ -160,8 +188,9 @@
         key: stage.after.length === 0 ? input.key : undefined,
         inputs: inputs.map(({handle}) => handle),
         resultBytes: stage.resultBytes,
-        dueInMs: input.dueInMs - passedMs - this.computeTailMs(index),
-        remainingMs: input.remainingMs - passedMs,
+        dueInMs: input.dueInMs - passedMs - tailMs,
+        // What cannot be read any more need not be made.
+        remainingMs: input.remainingMs - passedMs - tailMs,
         priority: input.priority,
         zone: chooseZone(inputs) ?? ownZone,
         // Each piece reads all inputs.
--- a/packages/stages/src/stage-coordinator.ts
+++ b/packages/stages/src/stage-coordinator.ts
@@ -6,11 +6,20 @@
   RouteTable,
   StageCapacity,
 } from '@hollowstack/routes';
-import type {StageJob, StageOutcome, StageResult} from '@hollowstack/types';
+import type {
+  StageAdmissionRequest,
+  StageJob,
+  StageOutcome,
+  StageResult,
+} from '@hollowstack/types';
 import {planBatches, type Batch} from './batch-plan.ts';
 import {JobState, type TakenPiece} from './job-state.ts';
 import {ResultReleaser} from './result-releaser.ts';
 import {ResultRoom} from './result-room.ts';
+import {
+  StageAdmission,
+  type StageAdmissionDecision,
+} from './stage-admission.ts';
 import {StageCallError, type StageCaller} from './stage-caller.ts';
 import type {PieceOutcome, RunAnswer} from './stage-protocol.ts';
 import {StageUpstream} from './stage-upstreams.ts';
@@ -42,17 +51,33 @@
   private readonly upstreams = new Map<string, StageUpstream>();
   private readonly room = new ResultRoom();
   private readonly releaser: ResultReleaser;
+  private readonly admission: StageAdmission;
   private capacities = new Map<string, StageCapacity>();
   private timer: Timer | undefined;
 
   constructor(parts: StageCoordinatorParts) {
     this.parts = parts;
+    this.admission = new StageAdmission({
+      clock: parts.clock,
+      getCapacity: service => this.capacities.get(service),
+      countPlaces: service => this.countPlaces(service),
+    });
     this.releaser = new ResultReleaser(parts.clock, parts.caller, handles => {
       for (const handle of handles) this.room.release(handle);
       this.planSoon();
     });
   }
 
+  /** Decides whether the stages of a request may begin. */
+  admitRequest(request: StageAdmissionRequest): StageAdmissionDecision {
+    return this.admission.decide(request);
+  }
+
+  /** Notes that a request needs no more stages. */
+  endRequest(requestId: string): void {
+    this.admission.recordEnded(requestId);
+  }
+
   /** Takes the stage services of a newer configuration. */
   setConfiguration(table: RouteTable): void {
     this.capacities = new Map(
@@ -84,6 +109,7 @@
     return new Promise(resolve => {
       const state = new JobState(job, this.parts.clock.getNow(), outcome => {
         this.jobs.delete(job.jobId);
+        this.admission.recordDone(job.service, job.requestId, job.stage);
         resolve(outcome);
       });
       this.jobs.set(job.jobId, state);
@@ -118,9 +144,21 @@
 
   stop(): void {
     this.timer?.cancel();
+    this.admission.stop();
     this.failAllJobs('the instance stops');
   }
 
+  private countPlaces(service: string): number {
+    const nowMs = this.parts.clock.getNow();
+    const concurrency = this.capacities.get(service)?.concurrency ?? 1;
+    let places = 0;
+    for (const upstream of this.upstreams.values()) {
+      if (upstream.record.service !== service) continue;
+      if (upstream.isUsable(nowMs)) places += concurrency / upstream.slowness;
+    }
+    return places;
+  }
+
   private planSoon(): void {
     this.timer?.cancel();
     this.timer = this.parts.clock.schedule(0, () => this.plan());
--- a/packages/stages/src/stage-dispatcher.ts
+++ b/packages/stages/src/stage-dispatcher.ts
@@ -7,7 +7,13 @@
   type PeerLink,
   type PeerRecord,
 } from '@hollowstack/peers';
-import type {StageJob, StageOutcome, StageResult} from '@hollowstack/types';
+import type {
+  StageAdmissionRequest,
+  StageJob,
+  StageOutcome,
+  StageResult,
+} from '@hollowstack/types';
+import type {StageAdmissionDecision} from './stage-admission.ts';
 import type {StageCoordinator} from './stage-coordinator.ts';
 
 /** What the dispatcher works with. */
@@ -29,6 +35,7 @@
 const PING_EVERY_MS = 150;
 const PING_TIMEOUT_MS = 450;
 const RELEASE_TIMEOUT_MS = 1000;
+const ADMIT_TIMEOUT_MS = 100;
 const JOB_ID_BYTES = 8;
 
 /**
@@ -44,6 +51,44 @@
     this.parts = parts;
   }
 
+  /**
+   * Asks whether the stages of a request may begin. Without an answer they do:
+   * a coordinator that is gone must not cost more than its knowledge.
+   */
+  async admitRequest(
+    request: StageAdmissionRequest,
+  ): Promise<StageAdmissionDecision> {
+    const {link, local, membership} = this.parts;
+    const coordinator = chooseCoordinator(membership);
+    if (!coordinator) return local.admitRequest(request);
+    const reply = await link
+      .sendRequest(
+        coordinator.address,
+        {type: 'stage-admit', request},
+        ADMIT_TIMEOUT_MS,
+      )
+      .catch((): undefined => undefined);
+    if (reply?.type === 'stage-admission') return reply;
+    return {isAdmitted: true, predictedMs: 0, retryAfterMs: 0};
+  }
+
+  /** Tells the coordinator that a request needs no more stages. */
+  endRequest(requestId: string): void {
+    const {link, local, membership} = this.parts;
+    const coordinator = chooseCoordinator(membership);
+    if (!coordinator) {
+      local.endRequest(requestId);
+      return;
+    }
+    link
+      .sendRequest(
+        coordinator.address,
+        {type: 'stage-end', requestId},
+        RELEASE_TIMEOUT_MS,
+      )
+      .catch(() => {});
+  }
+
   /** Has a job done; rejects with the signal's reason once it aborts. */
   async runJob(
     unsent: UnsentStageJob,
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -49,14 +49,18 @@
 export {addressSchema, splitAddress} from './address.ts';
 export {
   STAGE_FAILURES,
+  stageAdmissionRequestSchema,
   stageJobSchema,
   stageOutcomeSchema,
   stageResultSchema,
+  stageStepSchema,
   storeCopySchema,
+  type StageAdmissionRequest,
   type StageFailure,
   type StageJob,
   type StageOutcome,
   type StageResult,
+  type StageStep,
   type StoreCopy,
 } from './stage-job.ts';
 export {
--- a/packages/types/src/stage-job.ts
+++ b/packages/types/src/stage-job.ts
@@ -69,3 +69,28 @@
 });
 /** A copy of what the store held of the upstreams at a revision. */
 export type StoreCopy = z.infer<typeof storeCopySchema>;
+
+/** One stage of a request, as admission sees it. */
+export const stageStepSchema = z.object({
+  service: z.string(),
+  pieceCount: z.number().int().nonnegative(),
+  /** Indexes of the steps that come before it. */
+  after: z.array(z.number().int().nonnegative()),
+});
+/** One stage of a request, as admission sees it. */
+export type StageStep = z.infer<typeof stageStepSchema>;
+
+/** A question whether the stages of a request can be done in time. */
+export const stageAdmissionRequestSchema = z.object({
+  requestId: z.string(),
+  steps: z.array(stageStepSchema),
+  /** Milliseconds until the request's objective. */
+  dueInMs: z.number(),
+  /** Milliseconds until the request is given up. */
+  remainingMs: z.number(),
+  priority: z.number(),
+  /** Whether the caller has the time to come back. */
+  mayComeBack: z.boolean(),
+});
+/** A question whether the stages of a request can be done in time. */
+export type StageAdmissionRequest = z.infer<typeof stageAdmissionRequestSchema>;
