--- a/packages/gateway/src/copy-exchange.ts
+++ b/packages/gateway/src/copy-exchange.ts
@@ -23,6 +23,8 @@
 const ROUND_MS = 700;
 const TIMEOUT_MS = 700;
 const SEEDS_EVERY_ROUNDS = 8;
+/** Peers asked in a round of whom nothing was heard yet. */
+const MAX_UNCONFIRMED = 12;
 
 /**
  * Compares with one peer at a time what each knows of configuration and
@@ -50,6 +52,13 @@
     this.task.stop();
   }
 
+  /** Asks all peers that were on the list before this instance began. */
+  async confirmPeers(): Promise<void> {
+    const {membership} = this.parts;
+    const peers = membership.listUnconfirmedPeers().slice(0, MAX_UNCONFIRMED);
+    await Promise.all(peers.map(({address}) => this.askPeer(address)));
+  }
+
   /** Asks one peer, or the seeds while no peer is known. */
   async runRound(): Promise<void> {
     const addresses = this.chooseAddresses();
@@ -67,6 +76,7 @@
       registry.computeDigest() !== asked.digest;
     return {
       type: 'copy',
+      self: membership.getSelf(),
       storeRevision: registry.getStoreRevision(),
       configurationText: isConfigurationNews ? holder.getText() : undefined,
       upstreams: areUpstreamsNews ? registry.createCopy() : undefined,
@@ -81,12 +91,16 @@
     const others = seeds.filter(address => address !== own);
     this.round += 1;
     if (peers.length === 0) return others;
+    const unconfirmed = membership
+      .listUnconfirmedPeers()
+      .slice(0, MAX_UNCONFIRMED)
+      .map(({address}) => address);
     const peer = peers[Math.floor(random() * peers.length)];
-    if (this.round % SEEDS_EVERY_ROUNDS !== 0 || others.length === 0) {
-      return [peer.address];
+    const chosen = [peer.address, ...unconfirmed];
+    if (this.round % SEEDS_EVERY_ROUNDS === 0 && others.length > 0) {
+      chosen.push(others[Math.floor(random() * others.length)]);
     }
-    const seed = others[Math.floor(random() * others.length)];
-    return [...new Set([peer.address, seed])];
+    return [...new Set(chosen)];
   }
 
   private async askPeer(address: string): Promise<void> {
@@ -109,6 +123,7 @@
       return;
     }
     const source = `peer ${address}`;
+    membership.recordHeard(reply.self);
     if (reply.configurationText !== undefined) {
       holder.offerText(reply.configurationText, source);
     }
--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -166,6 +166,7 @@
     directory.setConfiguration(table);
     server.setLimits(table.configuration.limits);
   });
+  membership.addListener(() => void exchange.confirmPeers());
   registry.addListener(upstreams => {
     pool.setUpstreams(upstreams);
     coordinator.setUpstreams(upstreams);
--- a/packages/peers/src/coordinator.ts
+++ b/packages/peers/src/coordinator.ts
@@ -5,7 +5,7 @@
 const COORDINATOR_KEY = 'coordinator';
 
 /**
- * Chooses the instance that decides for all: of the reachable ones the one that
+ * Chooses the instance that decides for all: of those known to live the one that
  * registered first, so that all agree without asking anybody and a restart
  * moves nothing back. Where no registration is known, the first by rendezvous.
  * While instances differ, each decides with less knowledge, and nothing else.
@@ -15,7 +15,7 @@
 export function chooseCoordinator(
   membership: Membership,
 ): PeerRecord | undefined {
-  const peers = membership.listReachablePeers();
+  const peers = membership.listConfirmedPeers();
   const self = membership.getSelf();
   const ids = [self.id, ...peers.map(({id}) => id)];
   const first = findOldest(membership, ids) ?? findByRendezvous(ids);
--- a/packages/peers/src/membership.ts
+++ b/packages/peers/src/membership.ts
@@ -51,6 +51,8 @@
   private readonly listeners: Array<() => void> = [];
   private readonly task: RepeatingTask;
   private readonly unreachable = new Map<string, number>();
+  /** Peers that gave a sign of life while this instance ran. */
+  private readonly confirmed = new Set<string>();
   private readonly leaseMs: number;
   private leaseId: string | undefined;
 
@@ -87,6 +89,20 @@
     );
   }
 
+  /**
+   * Returns the reachable peers that gave a sign of life while this instance
+   * ran. Those that were on the list before may be dead: a registration
+   * outlives its instance.
+   */
+  listConfirmedPeers(): PeerRecord[] {
+    return this.listReachablePeers().filter(({id}) => this.confirmed.has(id));
+  }
+
+  /** Returns the reachable peers of whom nothing was heard yet. */
+  listUnconfirmedPeers(): PeerRecord[] {
+    return this.listReachablePeers().filter(({id}) => !this.confirmed.has(id));
+  }
+
   /** Returns how many instances are live, this one counted. */
   getLiveCount(): number {
     return this.listPeers().length + 1;
@@ -105,6 +121,7 @@
   recordHeard(record: PeerRecord): void {
     const isNew = !this.heard.has(record.id) && !this.registered.has(record.id);
     this.unreachable.delete(record.id);
+    this.confirmed.add(record.id);
     this.heard.set(record.id, {record, atMs: this.parts.clock.getNow()});
     if (isNew) this.callListeners();
   }
@@ -112,6 +129,7 @@
   /** Notes that a peer does not answer; the list alone decides about it again. */
   recordUnreachable(id: string): void {
     this.heard.delete(id);
+    this.confirmed.delete(id);
     this.unreachable.set(id, this.parts.clock.getNow());
   }
 
@@ -141,6 +159,7 @@
       else {
         // Who registers anew has just started.
         this.unreachable.delete(id);
+        this.confirmed.add(id);
         this.setRegistered(id, event.value, event.modRevision);
       }
     }
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -126,6 +126,7 @@
   z.object({type: z.literal('stage-outcome'), outcome: stageOutcomeSchema}),
   z.object({
     type: z.literal('copy'),
+    self: peerRecordSchema,
     storeRevision: z.number(),
     /** The stored text of a configuration newer than the asker's. */
     configurationText: z.string().optional(),
--- a/packages/stages/src/stage-dispatcher.ts
+++ b/packages/stages/src/stage-dispatcher.ts
@@ -30,7 +30,7 @@
 export type UnsentStageJob = Omit<StageJob, 'jobId'>;
 
 /** Times a job may be submitted: each one that follows finds its coordinator gone. */
-const MAX_SUBMISSIONS = 3;
+const MAX_SUBMISSIONS = 2;
 const REPLY_MARGIN_MS = 100;
 const PING_EVERY_MS = 150;
 const PING_TIMEOUT_MS = 450;
@@ -98,21 +98,30 @@
     const startedAtMs = clock.getNow();
     let outcome: StageOutcome | undefined;
     for (let submission = 0; submission < MAX_SUBMISSIONS; submission++) {
-      const passedMs = clock.getNow() - startedAtMs;
-      const job: StageJob = {
-        ...unsent,
-        jobId: randomBytes(JOB_ID_BYTES).toString('hex'),
-        dueInMs: unsent.dueInMs - passedMs,
-        remainingMs: unsent.remainingMs - passedMs,
-      };
+      const job = this.createJob(unsent, startedAtMs);
       if (job.remainingMs <= 0) break;
       outcome = await this.submitOnce(job, signal);
       if (outcome) return outcome;
     }
+    return this.submitAlone(unsent, startedAtMs, signal);
+  }
+
+  // Where no coordinator answers, this instance does without one.
+  private submitAlone(
+    unsent: UnsentStageJob,
+    startedAtMs: number,
+    signal: AbortSignal,
+  ): Promise<StageOutcome> {
+    return this.submitLocally(this.createJob(unsent, startedAtMs), signal);
+  }
+
+  private createJob(unsent: UnsentStageJob, startedAtMs: number): StageJob {
+    const passedMs = this.parts.clock.getNow() - startedAtMs;
     return {
-      type: 'failed',
-      failure: 'overloaded',
-      message: 'no coordinator answered',
+      ...unsent,
+      jobId: randomBytes(JOB_ID_BYTES).toString('hex'),
+      dueInMs: unsent.dueInMs - passedMs,
+      remainingMs: unsent.remainingMs - passedMs,
     };
   }
 
