--- a/packages/cli/src/commands/gateway/index.ts
+++ b/packages/cli/src/commands/gateway/index.ts
@@ -4,7 +4,7 @@
   parseGatewaySettings,
   type GatewaySettings,
 } from '@hollowstack/gateway';
-import {TslogEventLogger} from '@hollowstack/logger';
+import {BoundedEventLogger, TslogEventLogger} from '@hollowstack/logger';
 import {TcpPeerNetwork} from '@hollowstack/peers';
 import {
   PlatformEngines,
@@ -68,7 +68,10 @@
     const client = new NodeHttpClient();
     const gateway = createGateway(settings, {
       clock,
-      logger: new TslogEventLogger(instance.id, log.level, log.format),
+      logger: new BoundedEventLogger(
+        new TslogEventLogger(instance.id, log.level, log.format),
+        () => clock.getNow(),
+      ),
       random: Math.random,
       peerNetwork: new TcpPeerNetwork(),
       store: new PlatformStore(client, clock, store),
--- a/packages/gateway/src/request-runner.ts
+++ b/packages/gateway/src/request-runner.ts
@@ -23,7 +23,7 @@
 }
 
 /** Connections that may fail to stand before a request is refused. */
-const MAX_UNSENT = 3;
+const MAX_UNSENT = 8;
 /**
  * Shared tokens from which on reading them again costs more than moving stage
  * results between failure domains: the upstream is then chosen first.
--- /dev/null
+++ b/packages/logger/src/bounded-event-logger.test.ts
@@ -0,0 +1,40 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+  BoundedEventLogger,
+  EventLogger,
+  type EventFields,
+  type EventName,
+} from './index.ts';
+
+class ListingLogger extends EventLogger {
+  readonly lines: Array<{name: EventName; fields: EventFields}> = [];
+
+  logEvent(name: EventName, fields: EventFields = {}): void {
+    this.lines.push({name, fields});
+  }
+}
+
+test('lines stay within the bound, failures are left out last and all are counted', () => {
+  let nowMs = 0;
+  const target = new ListingLogger();
+  const logger = new BoundedEventLogger(target, () => nowMs, {
+    linesPerSecond: 10,
+    burst: 20,
+  });
+  for (let line = 0; line < 100; line++) logger.logEvent('request.settled');
+  const ordinary = target.lines.length;
+  assert.ok(ordinary >= 10 && ordinary <= 11, `${ordinary}`);
+  logger.logEvent('attempt.failed');
+  const names = target.lines.map(({name}) => name);
+  assert.equal(names.at(-2), 'attempt.failed');
+  assert.equal(names.at(-1), 'log.omitted');
+  assert.deepEqual(target.lines.at(-1)?.fields, {
+    'request.settled': 100 - ordinary,
+  });
+  for (let line = 0; line < 100; line++) logger.logEvent('attempt.failed');
+  assert.ok(target.lines.length <= 20);
+  nowMs = 10_000;
+  logger.logEvent('request.settled');
+  assert.equal(target.lines.at(-1)?.name, 'log.omitted');
+});
--- a/packages/logger/src/event-logger.ts
+++ b/packages/logger/src/event-logger.ts
@@ -42,11 +42,14 @@
 
   logEvent(name: EventName, fields: EventFields = {}): void {
     const event = EVENTS[name];
+    const given = Object.entries(fields).filter(
+      ([, value]) => value !== undefined,
+    );
     const record = {
       event: event.number,
       name,
       instance: this.instance,
-      ...fields,
+      ...Object.fromEntries(given),
     };
     this.logger[event.level](event.text, record);
   }
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -32,6 +32,11 @@
     level: 'warn',
     text: 'the process stood still; what it knew is read again',
   },
+  'log.omitted': {
+    number: 107,
+    level: 'warn',
+    text: 'lines were left out to keep within the bound; their counts by kind',
+  },
   'request.refused': {number: 201, level: 'info', text: 'request was refused'},
   'request.failed': {number: 202, level: 'warn', text: 'request failed'},
   'request.internal': {
