Never frame an answer as complete that came without a length

Such answers now go on without a length and end with the connection; a stream that was begun in chunks does not end on one.

Ruled out: refusing such answers, since whole ones count.

--- a/packages/gateway/src/answer-writer.ts
+++ b/packages/gateway/src/answer-writer.ts
@@ -7,12 +7,30 @@
 const LENGTH: ReadonlySet<string> = new Set(['content-length']);
 const DEFAULT_RETRY_AFTER_MS = 500;
 
+/**
+ * Returns whether an answer ends with its connection and nothing else, so that
+ * nobody can tell whether it is whole.
+ */
+export function isUnframed(head: IncomingMessage): boolean {
+  return (
+    head.headers['content-length'] === undefined &&
+    head.headers['transfer-encoding'] === undefined
+  );
+}
+
+// What came without a length must not be framed as complete here.
+function useCloseAsEnd(outgoing: ServerResponse): void {
+  outgoing.useChunkedEncodingByDefault = false;
+  outgoing.shouldKeepAlive = false;
+}
+
 /** Sends on the head of an upstream's answer whose body follows as it arrives. */
 export function writeUpstreamHead(
   outgoing: ServerResponse,
   head: IncomingMessage,
 ): void {
   const headers = copyEndToEndHeaders(head.rawHeaders, NONE);
+  if (isUnframed(head)) useCloseAsEnd(outgoing);
   outgoing.writeHead(head.statusCode!, head.statusMessage, headers);
 }
 
@@ -25,6 +43,12 @@
   const headers = copyEndToEndHeaders(head.rawHeaders, LENGTH);
   const status = head.statusCode!;
   const mayHaveBody = status !== 204 && status !== 304;
+  if (isUnframed(head) && mayHaveBody) {
+    useCloseAsEnd(outgoing);
+    outgoing.writeHead(status, head.statusMessage, headers);
+    outgoing.end(body);
+    return;
+  }
   if (head.headers['content-length'] !== undefined || mayHaveBody) {
     const isHeadAnswer = outgoing.req.method === 'HEAD';
     const length = isHeadAnswer
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -1,6 +1,6 @@
 import {TransportError} from '@hollowstack/transport';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {writeUpstreamHead} from './answer-writer.ts';
+import {isUnframed, writeUpstreamHead} from './answer-writer.ts';
 import {EventSplitter} from './event-splitter.ts';
 import type {RoutedRequest} from './routed-request.ts';
 
@@ -41,6 +41,11 @@
     if (!head.complete || splitter.getRest().length > 0) {
       throw new TransportError('the stream broke off', 'some');
     }
+    // The end of an answer without a length proves nothing to one that has.
+    const isFramed = outgoing.useChunkedEncodingByDefault;
+    if (outgoing.headersSent && isFramed && isUnframed(head)) {
+      throw new TransportError('the stream ended without a proof', 'some');
+    }
     this.writeHeadOnce();
     outgoing.end();
   }
--- a/scripts/proofs.ts
+++ b/scripts/proofs.ts
@@ -3,7 +3,7 @@
   /** The promise that the mechanism keeps. */
   readonly promise: string;
   readonly mechanism: string;
-  /** Path below packages/. */
+  /** Path below the root. */
   readonly file: string;
   readonly from: string;
   readonly to: string;
@@ -16,7 +16,7 @@
   {
     promise: 'at most once',
     mechanism: 'a keyed call is claimed in the store before it is sent',
-    file: 'entry/src/service-endpoint.ts',
+    file: 'packages/entry/src/service-endpoint.ts',
     from: 'if (call.isRepeatable || key === undefined) {',
     to: 'if (call !== undefined || key === undefined) {',
     noticedBy: 1,
@@ -24,7 +24,7 @@
   {
     promise: 'at most once',
     mechanism: 'what may have left is not sent a second time',
-    file: 'admission/src/retry-decision.ts',
+    file: 'packages/admission/src/retry-decision.ts',
     from: "if (input.mayHaveRun && !input.isRepeatable) return 'not-repeatable';",
     to: '',
     noticedBy: 1,
@@ -32,7 +32,7 @@
   {
     promise: 'at most once',
     mechanism: 'a store that was restored from a backup is noticed by its id',
-    file: 'platform/src/store-identity.ts',
+    file: 'packages/store/src/store-identity.ts',
     from: 'if (storeId === this.verifiedId) return;',
     to: 'if (storeId !== this.verifiedId) return;',
     noticedBy: 2,
@@ -40,7 +40,7 @@
   {
     promise: 'not run means not run',
     mechanism: 'ran: no is said only where no attempt may have begun',
-    file: 'entry/src/request-scope.ts',
+    file: 'packages/entry/src/request-scope.ts',
     from: "const ran = context.mayHaveRun() ? ranIfBegun : 'no';",
     to: "const ran = ranIfBegun === 'yes' ? 'no' : ranIfBegun;",
     noticedBy: 1,
@@ -48,7 +48,7 @@
   {
     promise: 'no result lost, doubled or handed to another',
     mechanism: 'the attempt id that comes back is compared',
-    file: 'pipeline/src/attempt.ts',
+    file: 'packages/pipeline/src/attempt.ts',
     from: 'if (echo !== undefined && echo !== this.attemptId) {',
     to: 'if (echo === undefined) {',
     noticedBy: 1,
@@ -56,7 +56,7 @@
   {
     promise: 'no result lost, doubled or handed to another',
     mechanism: 'a cut stream goes on from the tokens that were received',
-    file: 'pipeline/src/stage-calls.ts',
+    file: 'packages/pipeline/src/stage-calls.ts',
     from: "prompt: this.prompt + this.received.join(''),",
     to: 'prompt: this.prompt,',
     noticedBy: 1,
@@ -64,7 +64,7 @@
   {
     promise: 'every caller has its whole answer',
     mechanism: 'a stream without its end marker is not whole',
-    file: 'pipeline/src/stage-calls.ts',
+    file: 'packages/pipeline/src/stage-calls.ts',
     from: "throw new AttemptError('broken', 'the stream ended without its end marker');",
     to: 'return;',
     noticedBy: 1,
@@ -72,7 +72,7 @@
   {
     promise: 'every caller is answered at once',
     mechanism: 'the deadline ends the request on this side',
-    file: 'entry/src/request-scope.ts',
+    file: 'packages/entry/src/request-scope.ts',
     from: 'deadlineMs - clock.getNow(),',
     to: '10 * (deadlineMs - clock.getNow()),',
     noticedBy: 1,
@@ -80,7 +80,7 @@
   {
     promise: 'a leaving upstream gets no new work',
     mechanism: "the platform's list takes an upstream out",
-    file: 'entry/src/leaving-upstreams.ts',
+    file: 'packages/entry/src/leaving-upstreams.ts',
     from: "list.getInstance(name, id)?.state === 'leaving';",
     to: 'list.getInstance(name, id) === undefined;',
     noticedBy: 1,
@@ -88,15 +88,15 @@
   {
     promise: 'a leaving upstream gets no new work',
     mechanism: 'after a pause the list is read before work is sent',
-    file: 'pipeline/src/group-runner.ts',
+    file: 'packages/pipeline/src/group-runner.ts',
     from: 'await this.parts.waitUntilFresh();',
     to: '',
-    noticedBy: 'fuzz/src/found-failures.test.ts',
+    noticedBy: 'packages/fuzz/src/found-failures.test.ts',
   },
   {
     promise: 'a planned stop cuts no request',
     mechanism: 'the process stays until its requests have ended',
-    file: 'entry/src/daemon.ts',
+    file: 'packages/entry/src/daemon.ts',
     from: 'const isClean = await Promise.race([isIdle, isLate]);',
     to: 'const isClean = true;',
     noticedBy: 1,
@@ -104,7 +104,7 @@
   {
     promise: 'a configuration never reverts',
     mechanism: 'an offer of a lower revision is refused',
-    file: 'config-log/src/holder.ts',
+    file: 'packages/config-log/src/holder.ts',
     from: "if (revision < this.current.revision) return 'older-refused';",
     to: "if (revision < this.current.revision) return 'in-force';",
     noticedBy: 1,
@@ -112,7 +112,7 @@
   {
     promise: 'an accepted configuration is in force everywhere',
     mechanism: 'a newer revision replaces the one in force',
-    file: 'config-log/src/holder.ts',
+    file: 'packages/config-log/src/holder.ts',
     from: "if (!this.current || revision > this.current.revision) return 'in-force';",
     to: "if (!this.current) return 'in-force';",
     noticedBy: 1,
@@ -120,9 +120,106 @@
   {
     promise: 'an accepted configuration is in force everywhere',
     mechanism: 'a publish is written only on top of the head it was planned on',
-    file: 'config-log/src/publisher.ts',
+    file: 'packages/config-log/src/publisher.ts',
     from: '{key: HEAD_KEY, modRevision: stored.headModRevision},',
     to: '',
     noticedBy: 3,
   },
+  {
+    promise: 'a routed request that may run once runs at most once',
+    mechanism: 'what may have left is not sent a second time',
+    file: 'packages/gateway/src/request-runner.ts',
+    from: 'if (!isRepeatable(route) || outcome.isOwnEnd) return false;',
+    to: '',
+    noticedBy: 'platform/src/whole-path.test.ts',
+  },
+  {
+    promise: 'a refusal promises that nothing has run',
+    mechanism: 'a request counts as run, perhaps, from before it is sent',
+    file: 'packages/gateway/src/attempt.ts',
+    from: "request.recordRan('unknown');",
+    to: '',
+    noticedBy: 'platform/src/whole-path.test.ts',
+  },
+  {
+    promise: 'every answer is the caller’s own',
+    mechanism: 'the id that comes back is compared',
+    file: 'packages/gateway/src/attempt.ts',
+    from: 'if (head.headers[names.requestId] !== request.facts.requestId) {',
+    to: 'if (head.headers[names.requestId] === undefined) {',
+    noticedBy: 'platform/src/whole-path.test.ts',
+  },
+  {
+    promise: 'a success is the upstream’s own',
+    mechanism: 'an answer without a signature does not count',
+    file: 'packages/gateway/src/attempt.ts',
+    from: 'if (isSuccess(head.statusCode ?? 0) && isUnsigned) {',
+    to: 'if (isSuccess(head.statusCode ?? 0) && !head) {',
+    noticedBy: 'platform/src/whole-path.test.ts',
+  },
+  {
+    promise: 'a stream is whole or does not look complete',
+    mechanism: 'only whole events are passed on',
+    file: 'packages/gateway/src/event-splitter.ts',
+    from: 'this.rest = bytes.subarray(end);',
+    to: 'this.rest = bytes.subarray(bytes.length);',
+    noticedBy: 'packages/gateway/src/event-splitter.test.ts',
+  },
+  {
+    promise: 'a leaving upstream gets no new work',
+    mechanism: 'an upstream that was leaving never comes back under its id',
+    file: 'packages/gateway/src/upstream-registry.ts',
+    from: 'const isLeaving = parsed.isLeaving || this.leftIds.has(parsed.id);',
+    to: 'const isLeaving = parsed.isLeaving;',
+    noticedBy: 'platform/src/whole-path.test.ts',
+  },
+  {
+    promise: 'a leaving upstream gets no new work',
+    mechanism: 'what a whole reading does not name is gone',
+    file: 'packages/gateway/src/upstream-registry.ts',
+    from: 'if (!listed.has(key)) this.removeEntry(key, source);',
+    to: '',
+    noticedBy: 'platform/src/whole-path.test.ts',
+  },
+  {
+    promise: 'a routed configuration never reverts',
+    mechanism: 'a lower revision is refused',
+    file: 'packages/gateway/src/route-holder.ts',
+    from: 'if (this.current && revision <= inForce) {',
+    to: 'if (this.current && revision < 0) {',
+    noticedBy: 'platform/src/whole-path.test.ts',
+  },
+  {
+    promise: 'an instance that starts in an outage has its configuration',
+    mechanism: 'peers give a newer configuration',
+    file: 'packages/gateway/src/copy-exchange.ts',
+    from: 'if (reply.configurationText !== undefined) {',
+    to: 'if (reply.configurationText === null) {',
+    noticedBy: 'platform/src/whole-path.test.ts',
+  },
+  {
+    promise: 'nothing is worked on for a caller that has left',
+    mechanism: 'the connection to the upstream is closed with the caller’s',
+    file: 'packages/gateway/src/attempt.ts',
+    from: "request.signal.addEventListener('abort', cancelCall, {once: true});",
+    to: '',
+    noticedBy: 'platform/src/whole-path.test.ts',
+  },
+  {
+    promise: 'the bound on retries is kept over all instances',
+    mechanism:
+      'an instance takes its part of the burst, and less for lives before',
+    file: 'packages/gateway/src/window-retry-budget.ts',
+    from: 'const BURST_SHARE = 0.4;',
+    to: 'const BURST_SHARE = 1;',
+    noticedBy: 'packages/gateway/src/window-retry-budget.test.ts',
+  },
+  {
+    promise: 'a planned stop cuts no request',
+    mechanism: 'the gateway goes on until nothing is in progress',
+    file: 'packages/gateway/src/gateway.ts',
+    from: 'while (!isOver()) {',
+    to: 'while (!isOver) {',
+    noticedBy: 'platform/src/whole-path.test.ts',
+  },
 ];
--- a/scripts/prove-proofs.ts
+++ b/scripts/prove-proofs.ts
@@ -17,6 +17,8 @@
 // Switches each mechanism off in a scratch copy and shows that the fuzzer
 // notices. A mechanism whose absence goes unnoticed is not proved.
 const root = fileURLToPath(new URL('..', import.meta.url));
+/** A mechanism that is off may leave a test waiting for ever. */
+const TEST_TIMEOUT = '--test-timeout=60000';
 const RUNS = process.argv[2] ?? '1200';
 const PROMISE_LINE = /\[cause\]: Error: ([^:]+(: no)?[^:]*):/;
 
@@ -28,7 +30,9 @@
   readonly broken: string | undefined;
 }
 
-const queue = [...PROOFS];
+const SELECTED = process.argv[3] ?? '';
+/** The proofs whose file's path holds the text of the second argument. */
+const queue = PROOFS.filter(({file}) => file.includes(SELECTED));
 const verdicts: Verdict[] = [];
 const workers = Array.from(
   {length: Math.max(1, availableParallelism() - 1)},
@@ -60,6 +64,7 @@
   const scratch = mkdtempSync(join(tmpdir(), 'hollowstack-proof-'));
   const modules = join(scratch, 'node_modules');
   cpSync(join(root, 'packages'), join(scratch, 'packages'), {recursive: true});
+  cpSync(join(root, 'platform'), join(scratch, 'platform'), {recursive: true});
   cpSync(join(root, 'package.json'), join(scratch, 'package.json'));
   mkdirSync(join(modules, '@hollowstack'), {recursive: true});
   for (const name of readdirSync(join(root, 'node_modules'))) {
@@ -72,11 +77,15 @@
       join(modules, '@hollowstack', name),
     );
   }
+  symlinkSync(
+    join(scratch, 'platform'),
+    join(modules, '@hollowstack', 'platform'),
+  );
   return scratch;
 }
 
 function applyChange(scratch: string, {file, from, to}: Proof): void {
-  const path = join(scratch, 'packages', file);
+  const path = join(scratch, file);
   const before = readFileSync(path, 'utf8');
   const collapsed = formatCollapsed(before);
   if (!collapsed.includes(formatCollapsed(from))) {
@@ -103,7 +112,7 @@
   const packages = join(scratch, 'packages');
   const args =
     typeof noticedBy === 'string'
-      ? ['--test', join(packages, noticedBy)]
+      ? ['--test', TEST_TIMEOUT, join(scratch, noticedBy)]
       : [
           join(packages, 'fuzz/src/main.ts'),
           ...['--runs', RUNS, '--seed', String(noticedBy)],
