--- a/packages/errors/src/answers.ts
+++ b/packages/errors/src/answers.ts
@@ -118,7 +118,7 @@
       ran: 'no',
       retryAfterMs: 2000,
       title: "The platform's service does not answer",
-      action: 'Come back as told; see docs/OPERATING.md, platform outage.',
+      action: 'Come back as told; see docs/OPERATIONS.md, platform outage.',
     }))
     .with('store-restored', () => ({
       status: 503,
