Let a second stop signal cut nothing

A platform that asks twice would have cut requests in progress.

Ruled out: a slow start (six at a time were ready within 0.2 s).

Change: the handlers stay, in both daemons.

--- a/packages/cli/src/commands/entry/index.ts
+++ b/packages/cli/src/commands/entry/index.ts
@@ -84,8 +84,9 @@
   private waitForStop(daemon: Daemon): Promise<void> {
     process.on('SIGHUP', () => this.refreshKeys(daemon));
     return new Promise(resolve => {
-      process.once('SIGTERM', resolve);
-      process.once('SIGINT', resolve);
+      // Kept for good: a second signal must not cut what the first lets finish.
+      process.on('SIGTERM', () => resolve());
+      process.on('SIGINT', () => resolve());
     });
   }
 
--- a/packages/cli/src/commands/gateway/index.ts
+++ b/packages/cli/src/commands/gateway/index.ts
@@ -80,8 +80,9 @@
       engineProtocol: new PlatformEngines(),
     });
     const stopAsked = new Promise<void>(resolve => {
-      process.once('SIGTERM', resolve);
-      process.once('SIGINT', resolve);
+      // Kept for good: a second signal must not cut what the first lets finish.
+      process.on('SIGTERM', () => resolve());
+      process.on('SIGINT', () => resolve());
     });
     // Settings that may change while running: none. The signal must not end
     // the process, as it would by default.
