Bring back the list of verbs that functions begin with

Ruled out: widening the list by the new verbs (submit, return, plan, relay and so on); the page asks to add one only where none of the listed says it.

Change: docs/VERBS.md and the check are as before; the 36 are renamed. No behaviour changes.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,6 +1,14 @@
+import {readFileSync} from 'node:fs';
 import gts from 'gts';
 import jsdoc from 'eslint-plugin-jsdoc';
 
+// The verbs are those of the page, so that page and check cannot differ.
+const page = readFileSync(new URL('docs/VERBS.md', import.meta.url), 'utf8');
+const verbs = [...page.matchAll(/^\| ([a-z, ]+) \|/gm)]
+  .flatMap(([, cell]) => cell.trim().split(', '))
+  .filter(verb => verb !== 'verb');
+const verbPattern = `^(${verbs.join('|')})([A-Z0-9].*)?$`;
+
 export default [
   {
     ignores: [
@@ -23,6 +31,7 @@
         {
           selector: ['function', 'classMethod', 'objectLiteralMethod'],
           format: ['camelCase'],
+          custom: {regex: verbPattern, match: true},
         },
       ],
       'jsdoc/require-jsdoc': [
--- a/packages/assignment/src/assignment-plan.test.ts
+++ b/packages/assignment/src/assignment-plan.test.ts
@@ -2,7 +2,7 @@
 import {test} from 'node:test';
 import {
   PromptCache,
-  planAssignment,
+  chooseEngine,
   type AssignmentInput,
   type EngineView,
 } from './index.ts';
@@ -43,7 +43,7 @@
     createEngine('keeps', {keptTokens: 13_000, backlogTokens: 12_000}),
     createEngine('idle'),
   ];
-  assert.equal(planAssignment(createInput(engines))?.id, 'keeps');
+  assert.equal(chooseEngine(createInput(engines))?.id, 'keeps');
 });
 
 test('a long backlog is worth reading the shared part again', () => {
@@ -51,7 +51,7 @@
     createEngine('keeps', {keptTokens: 13_000, backlogTokens: 60_000}),
     createEngine('idle'),
   ];
-  assert.equal(planAssignment(createInput(engines))?.id, 'idle');
+  assert.equal(chooseEngine(createInput(engines))?.id, 'idle');
 });
 
 test('where nobody keeps it, the home of the prompt is chosen', () => {
@@ -59,7 +59,7 @@
     createEngine('second', {homeRank: 1}),
     createEngine('home', {homeRank: 0}),
   ];
-  assert.equal(planAssignment(createInput(engines))?.id, 'home');
+  assert.equal(chooseEngine(createInput(engines))?.id, 'home');
 });
 
 test('a request goes where its inputs lie', () => {
@@ -72,7 +72,7 @@
     sharedTokens: 0,
     inputBytes: new Map([['b', 6_000_000]]),
   });
-  assert.equal(planAssignment(input)?.id, 'near');
+  assert.equal(chooseEngine(input)?.id, 'near');
 });
 
 test('a full engine is the last choice, and none at all gives none', () => {
@@ -80,8 +80,8 @@
     createEngine('full', {activeCount: 64}),
     createEngine('busy', {activeCount: 20, backlogTokens: 30_000}),
   ];
-  assert.equal(planAssignment(createInput(engines))?.id, 'busy');
-  assert.equal(planAssignment(createInput([])), undefined);
+  assert.equal(chooseEngine(createInput(engines))?.id, 'busy');
+  assert.equal(chooseEngine(createInput([])), undefined);
 });
 
 test('a kept part counts only where all parts before it are kept', () => {
--- a/packages/assignment/src/assignment-plan.ts
+++ b/packages/assignment/src/assignment-plan.ts
@@ -47,7 +47,7 @@
 const FULL_MS = 2000;
 
 /** Chooses the engine with the least cost in time, in reading again and in moving. */
-export function planAssignment(
+export function chooseEngine(
   input: AssignmentInput,
 ): AssignmentChoice | undefined {
   const mostKept = Math.max(0, ...input.engines.map(each => each.keptTokens));
--- a/packages/assignment/src/engine-directory.ts
+++ b/packages/assignment/src/engine-directory.ts
@@ -14,7 +14,7 @@
   PromptPart,
 } from '@hollowstack/types';
 import {
-  planAssignment,
+  chooseEngine,
   type AssignmentChoice,
   type EngineView,
 } from './assignment-plan.ts';
@@ -94,12 +94,12 @@
   }
 
   /** Chooses an engine; one that is final counts until its end is told. */
-  assign(request: AssignmentRequest): AssignmentChoice | undefined {
+  reserveEngine(request: AssignmentRequest): AssignmentChoice | undefined {
     this.removeForgotten();
     const {parts} = request;
     const shared = parts.slice(0, -1);
     const promptTokens = countTokens(parts);
-    const choice = planAssignment({
+    const choice = chooseEngine({
       engines: this.listViews(request, shared),
       promptTokens,
       sharedTokens: countTokens(shared),
--- a/packages/assignment/src/index.ts
+++ b/packages/assignment/src/index.ts
@@ -1,6 +1,6 @@
 /** Which model engine a request goes to, decided over all instances together. */
 export {
-  planAssignment,
+  chooseEngine,
   type AssignmentChoice,
   type AssignmentInput,
   type EngineView,
--- a/packages/gateway/src/answer-writer.ts
+++ b/packages/gateway/src/answer-writer.ts
@@ -1,6 +1,6 @@
 import {HollowstackError} from '@hollowstack/errors';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {copyEndToEndHeaders} from './header-list.ts';
+import {listEndToEndHeaders} from './header-list.ts';
 import type {RequestProtocol} from './request-protocol.ts';
 
 const NONE: ReadonlySet<string> = new Set();
@@ -19,7 +19,7 @@
 }
 
 // What came without a length must not be framed as complete here.
-function useCloseAsEnd(outgoing: ServerResponse): void {
+function setCloseAsEnd(outgoing: ServerResponse): void {
   outgoing.useChunkedEncodingByDefault = false;
   outgoing.shouldKeepAlive = false;
 }
@@ -29,8 +29,8 @@
   outgoing: ServerResponse,
   head: IncomingMessage,
 ): void {
-  const headers = copyEndToEndHeaders(head.rawHeaders, NONE);
-  if (isUnframed(head)) useCloseAsEnd(outgoing);
+  const headers = listEndToEndHeaders(head.rawHeaders, NONE);
+  if (isUnframed(head)) setCloseAsEnd(outgoing);
   outgoing.writeHead(head.statusCode!, head.statusMessage, headers);
 }
 
@@ -40,11 +40,11 @@
   head: IncomingMessage,
   body: Buffer,
 ): void {
-  const headers = copyEndToEndHeaders(head.rawHeaders, LENGTH);
+  const headers = listEndToEndHeaders(head.rawHeaders, LENGTH);
   const status = head.statusCode!;
   const mayHaveBody = status !== 204 && status !== 304;
   if (isUnframed(head) && mayHaveBody) {
-    useCloseAsEnd(outgoing);
+    setCloseAsEnd(outgoing);
     outgoing.writeHead(status, head.statusMessage, headers);
     outgoing.end(body);
     return;
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -7,7 +7,7 @@
 } from '@hollowstack/transport';
 import type {IncomingMessage} from 'node:http';
 import {writeUpstreamAnswer} from './answer-writer.ts';
-import {copyEndToEndHeaders} from './header-list.ts';
+import {listEndToEndHeaders} from './header-list.ts';
 import type {RequestProtocol} from './request-protocol.ts';
 import type {RoutedRequest} from './routed-request.ts';
 import {StreamRelay} from './stream-relay.ts';
@@ -86,7 +86,7 @@
       },
       clock,
     );
-    const cancelCall = () => call.abort('the request was given up');
+    const cancelCall = () => call.cancel('the request was given up');
     request.signal.addEventListener('abort', cancelCall, {once: true});
     request.recordRan('unknown');
     request.sentTo.push(upstream.id);
@@ -112,7 +112,7 @@
     } finally {
       request.signal.removeEventListener('abort', cancelCall);
       this.silenceTimer?.cancel();
-      call.abort('done');
+      call.cancel('done');
     }
   }
 
@@ -121,7 +121,7 @@
     const {clock, silence} = this.parts;
     this.silenceTimer?.cancel();
     this.silenceTimer = clock.schedule(silence.limitMs, () => {
-      if (silence.handleSilence()) call.abort('the upstream is silent');
+      if (silence.handleSilence()) call.cancel('the upstream is silent');
     });
   }
 
@@ -129,7 +129,7 @@
     const {protocol, request, upstream, inputs, clock} = this.parts;
     const names = protocol.headers;
     const {facts} = request;
-    const headers = copyEndToEndHeaders(
+    const headers = listEndToEndHeaders(
       request.incoming.rawHeaders,
       new Set([
         'content-length',
@@ -153,7 +153,7 @@
     const lastEventId = request.lastEventId;
     if (lastEventId === undefined) return headers;
     return [
-      ...copyEndToEndHeaders(headers, new Set([names.lastEventId])),
+      ...listEndToEndHeaders(headers, new Set([names.lastEventId])),
       names.lastEventId,
       lastEventId,
     ];
@@ -179,8 +179,8 @@
     const isStream =
       request.facts.route.repeatability === 'stream' && isSuccess(status);
     return isStream
-      ? this.relayStream(head, call)
-      : this.relayWhole(head, status);
+      ? this.deliverStream(head, call)
+      : this.deliverWhole(head, status);
   }
 
   private findProblem(head: IncomingMessage): string | undefined {
@@ -199,7 +199,7 @@
     return undefined;
   }
 
-  private async relayWhole(
+  private async deliverWhole(
     head: IncomingMessage,
     status: number,
   ): Promise<AttemptOutcome> {
@@ -225,7 +225,7 @@
     return {type: 'answered', firstMs: this.getPassedMs()};
   }
 
-  private async relayStream(
+  private async deliverStream(
     head: IncomingMessage,
     call: SingleCall,
   ): Promise<AttemptOutcome> {
--- a/packages/gateway/src/copy-exchange.ts
+++ b/packages/gateway/src/copy-exchange.ts
@@ -53,7 +53,7 @@
   }
 
   /** Asks all peers that were on the list before this instance began. */
-  async confirmPeers(): Promise<void> {
+  async askUnconfirmedPeers(): Promise<void> {
     const {membership} = this.parts;
     const peers = membership.listUnconfirmedPeers().slice(0, MAX_UNCONFIRMED);
     await Promise.all(peers.map(({address}) => this.askPeer(address)));
--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -166,7 +166,7 @@
     directory.setConfiguration(table);
     server.setLimits(table.configuration.limits);
   });
-  membership.addListener(() => void exchange.confirmPeers());
+  membership.addListener(() => void exchange.askUnconfirmedPeers());
   registry.addListener(upstreams => {
     pool.setUpstreams(upstreams);
     coordinator.setUpstreams(upstreams);
--- a/packages/gateway/src/engine-assigner.ts
+++ b/packages/gateway/src/engine-assigner.ts
@@ -35,14 +35,14 @@
   }
 
   /** Returns undefined where nobody knows an engine that could take the request. */
-  async assign(
+  async askForEngine(
     request: AssignmentRequest,
   ): Promise<EngineAssignment | undefined> {
     const {link, local, membership} = this.parts;
     const coordinator = chooseCoordinator(membership);
     if (!coordinator) {
       this.parts.keptPrompts.readService(request.service);
-      return local.assign(request);
+      return local.reserveEngine(request);
     }
     const reply = await link
       .sendRequest(
@@ -51,7 +51,7 @@
         ASSIGN_TIMEOUT_MS,
       )
       .catch((): undefined => undefined);
-    if (reply?.type !== 'assigned') return local.assign(request);
+    if (reply?.type !== 'assigned') return local.reserveEngine(request);
     const {upstreamId, zone} = reply;
     if (upstreamId === undefined || zone === undefined) return undefined;
     return {id: upstreamId, zone};
--- a/packages/gateway/src/gateway-peer-requests.ts
+++ b/packages/gateway/src/gateway-peer-requests.ts
@@ -33,7 +33,7 @@
         if (lifecycle.isStopping()) {
           return {type: 'failed', message: 'this instance is stopping'};
         }
-        const outcome = await coordinator.submitJob(job);
+        const outcome = await coordinator.runJob(job);
         return {type: 'stage-outcome', outcome};
       })
       .with({type: 'stage-admit'}, ({request: asked}) => {
@@ -59,7 +59,7 @@
           return {type: 'failed', message: 'this instance is stopping'};
         }
         keptPrompts.readService(request.service);
-        const choice = directory.assign(request);
+        const choice = directory.reserveEngine(request);
         return {type: 'assigned', upstreamId: choice?.id, zone: choice?.zone};
       })
       .with({type: 'assignment-progress'}, ({progress}) => {
--- a/packages/gateway/src/header-list.test.ts
+++ b/packages/gateway/src/header-list.test.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {copyEndToEndHeaders} from './header-list.ts';
+import {listEndToEndHeaders} from './header-list.ts';
 
 test('headers of one connection stay behind, the others keep order and spelling', () => {
   assert.deepEqual(
-    copyEndToEndHeaders(
+    listEndToEndHeaders(
       [
         'Host',
         'a.example',
@@ -36,7 +36,7 @@
     'Content-Length',
     '3',
   ];
-  assert.deepEqual(copyEndToEndHeaders(headers, new Set()), [
+  assert.deepEqual(listEndToEndHeaders(headers, new Set()), [
     'Host',
     'a',
     'Content-Length',
--- a/packages/gateway/src/header-list.ts
+++ b/packages/gateway/src/header-list.ts
@@ -18,7 +18,7 @@
  * @param rawHeaders Names and values in turn.
  * @param dropped Names in small letters.
  */
-export function copyEndToEndHeaders(
+export function listEndToEndHeaders(
   rawHeaders: readonly string[],
   dropped: ReadonlySet<string>,
 ): string[] {
--- a/packages/gateway/src/request-runner.ts
+++ b/packages/gateway/src/request-runner.ts
@@ -67,7 +67,7 @@
       await this.runAttempts(request, needs);
       return;
     }
-    const zone = await this.forecastZone(request, parts);
+    const zone = await this.predictZone(request, parts);
     const pieceCounts = protocol.parseStageCounts(counts);
     const stages = this.createStages(request, table, pieceCounts, zone);
     try {
@@ -110,7 +110,7 @@
 
   // Where much of the prompt is shared, the engine that keeps it is worth more
   // than where the stages would like to run.
-  private async forecastZone(
+  private async predictZone(
     request: RoutedRequest,
     parts: readonly PromptPart[],
   ): Promise<string | undefined> {
--- a/packages/gateway/src/upstream-chooser.ts
+++ b/packages/gateway/src/upstream-chooser.ts
@@ -40,7 +40,7 @@
     const {service} = request.facts;
     const candidates = this.parts.pool.listCandidates(service, need.excluded);
     if (need.parts.length > 0) {
-      const assigned = await this.parts.assigner.assign({
+      const assigned = await this.parts.assigner.askForEngine({
         requestId: request.facts.requestId,
         service,
         parts: [...need.parts],
--- a/packages/gateway/src/upstream-pool.ts
+++ b/packages/gateway/src/upstream-pool.ts
@@ -82,7 +82,7 @@
   }
 
   beginRequest(id: string): void {
-    this.update(id, ({health, load}) => ({
+    this.applyChange(id, ({health, load}) => ({
       health: recordTrial(health),
       load: recordDispatch(load),
     }));
@@ -91,7 +91,7 @@
   endRequest(id: string): void {
     // A trial that neither succeeded nor failed, its caller being gone, leaves
     // the next one free.
-    this.update(id, ({health, load}) => ({
+    this.applyChange(id, ({health, load}) => ({
       health: health.state === 'trial' ? {...health, state: 'out'} : health,
       load: recordEnd(load),
     }));
@@ -110,7 +110,7 @@
     // The mean follows what a usual upstream takes, not the slow one's.
     const sample = Math.min(tookMs, 3 * mean);
     this.meanMs.set(service, mean + (sample - mean) * MEAN_WEIGHT);
-    this.update(id, ({health, load}) => ({
+    this.applyChange(id, ({health, load}) => ({
       health: recordSuccess(health, this.getNow()),
       load: recordSlowness(load, slowness),
     }));
@@ -122,12 +122,12 @@
   }
 
   recordFailure(id: string, kind: FailureKind): void {
-    this.update(id, ({health}) => ({
+    this.applyChange(id, ({health}) => ({
       health: recordFailure(health, kind, DEFAULT_HEALTH_POLICY, this.getNow()),
     }));
   }
 
-  private update(
+  private applyChange(
     id: string,
     change: (upstream: PooledUpstream) => Partial<PooledUpstream>,
   ): void {
--- a/packages/logger/src/bounded-event-logger.ts
+++ b/packages/logger/src/bounded-event-logger.ts
@@ -40,14 +40,14 @@
   }
 
   logEvent(name: EventName, fields: EventFields = {}): void {
-    this.refill();
+    this.addAllowance();
     if (this.saved < this.computeNeed(name)) {
       this.omitted.set(name, (this.omitted.get(name) ?? 0) + 1);
       return;
     }
     this.saved -= 1;
     this.target.logEvent(name, fields);
-    if (this.omitted.size > 0) this.tellOmitted();
+    if (this.omitted.size > 0) this.logOmitted();
   }
 
   private computeNeed(name: EventName): number {
@@ -56,7 +56,7 @@
     return isFailure ? 1 : Math.max(1, INFO_RESERVE * this.bound.burst);
   }
 
-  private refill(): void {
+  private addAllowance(): void {
     const nowMs = this.getNow();
     const gained =
       ((nowMs - this.filledAtMs) / 1000) * this.bound.linesPerSecond;
@@ -64,7 +64,7 @@
     this.filledAtMs = nowMs;
   }
 
-  private tellOmitted(): void {
+  private logOmitted(): void {
     const counts = Object.fromEntries(this.omitted);
     this.omitted.clear();
     this.saved -= 1;
--- a/packages/peers/src/coordinator.test.ts
+++ b/packages/peers/src/coordinator.test.ts
@@ -48,12 +48,16 @@
   return {type: 'delete', key: PEER_PREFIX + id, value: '', modRevision};
 }
 
+function getMiddle(): number {
+  return 0.5;
+}
+
 function createMembership(store = new EmptyStore()): Membership {
   return new Membership({
     self: {id: 'self', address: '10.0.0.1:1', zone: 'a'},
     store,
     clock: new ManualClock(),
-    random: () => 0.5,
+    random: getMiddle,
   });
 }
 
--- a/packages/peers/src/peer-link.ts
+++ b/packages/peers/src/peer-link.ts
@@ -113,7 +113,7 @@
   }
 
   /** Closes the stream to a peer that does not answer; what waits there fails. */
-  dropPeer(address: string): void {
+  closePeer(address: string): void {
     const opening = this.opened.get(address);
     this.opened.delete(address);
     opening?.then(
--- a/packages/stages/src/batch-plan.test.ts
+++ b/packages/stages/src/batch-plan.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {
-  planBatches,
+  assembleBatches,
   type BatchPlanInput,
   type FreeUpstream,
   type WaitingJob,
@@ -63,7 +63,7 @@
 
 test('pieces of several requests share a call', () => {
   const jobs = [createJob('x', {pieceCount: 3}), createJob('y')];
-  assert.deepEqual(planBatches(createInput(jobs, [createUpstream('u')])), [
+  assert.deepEqual(assembleBatches(createInput(jobs, [createUpstream('u')])), [
     {
       upstreamId: 'u',
       parts: [
@@ -80,7 +80,7 @@
     createJob('y', {pieceCount: 4}),
   ];
   const free = [createUpstream('u'), createUpstream('v')];
-  assert.deepEqual(planBatches(createInput(jobs, free)), [
+  assert.deepEqual(assembleBatches(createInput(jobs, free)), [
     {upstreamId: 'u', parts: [{jobId: 'x', pieceCount: 4}]},
     {upstreamId: 'v', parts: [{jobId: 'y', pieceCount: 4}]},
   ]);
@@ -91,7 +91,7 @@
     createJob('late', {dueAtMs: 100, pieceCount: 8}),
     createJob('in-time', {dueAtMs: 900, pieceCount: 8}),
   ];
-  const [batch] = planBatches(createInput(jobs, [createUpstream('u')]));
+  const [batch] = assembleBatches(createInput(jobs, [createUpstream('u')]));
   assert.equal(batch.parts[0].jobId, 'in-time');
 });
 
@@ -100,7 +100,7 @@
     createJob('less', {dueAtMs: 900, priority: 2, pieceCount: 8}),
     createJob('more', {dueAtMs: 1000, priority: 0, pieceCount: 8}),
   ];
-  const [batch] = planBatches(createInput(jobs, [createUpstream('u')]));
+  const [batch] = assembleBatches(createInput(jobs, [createUpstream('u')]));
   assert.equal(batch.parts[0].jobId, 'more');
 });
 
@@ -109,7 +109,7 @@
     createJob('x', {pieceCount: 6}),
     createJob('y', {pieceCount: 6, dueAtMs: 1001}),
   ];
-  assert.deepEqual(planBatches(createInput(jobs, [createUpstream('u')])), [
+  assert.deepEqual(assembleBatches(createInput(jobs, [createUpstream('u')])), [
     {
       upstreamId: 'u',
       parts: [
@@ -120,33 +120,33 @@
   ]);
   const two = [createUpstream('u'), createUpstream('v')];
   assert.deepEqual(
-    planBatches(createInput(jobs, two)).map(({parts}) => parts.length),
+    assembleBatches(createInput(jobs, two)).map(({parts}) => parts.length),
     [1, 1],
   );
 });
 
 test('no call is planned whose results would find no room', () => {
   const jobs = [createJob('x', {pieceCount: 3, resultBytes: 400})];
-  const [batch] = planBatches(createInput(jobs, [createUpstream('u')]));
+  const [batch] = assembleBatches(createInput(jobs, [createUpstream('u')]));
   assert.deepEqual(batch.parts, [{jobId: 'x', pieceCount: 2}]);
   const full = [createUpstream('u', {freeBytes: 399})];
-  assert.deepEqual(planBatches(createInput(jobs, full)), []);
+  assert.deepEqual(assembleBatches(createInput(jobs, full)), []);
 });
 
 test('a job waits a while for an upstream near its large inputs, then goes anywhere', () => {
   const jobs = [createJob('x', {zone: 'b', crossingBytes: 5_000_000})];
   const free = [createUpstream('u', {zone: 'a'})];
   const input = {...createInput(jobs, free), zonesInUse: new Set(['a', 'b'])};
-  assert.deepEqual(planBatches(input), []);
-  assert.equal(planBatches({...input, nowMs: 400}).length, 1);
+  assert.deepEqual(assembleBatches(input), []);
+  assert.equal(assembleBatches({...input, nowMs: 400}).length, 1);
   const none = {...input, zonesInUse: new Set(['a'])};
-  assert.equal(planBatches(none).length, 1);
+  assert.equal(assembleBatches(none).length, 1);
 });
 
 test('a slow upstream is left out until others cannot keep up', () => {
   const jobs = [createJob('x')];
   const free = [createUpstream('u', {slowness: 4})];
   const input = {...createInput(jobs, free), upstreamsInUse: 3};
-  assert.deepEqual(planBatches(input), []);
-  assert.equal(planBatches({...input, nowMs: 300}).length, 1);
+  assert.deepEqual(assembleBatches(input), []);
+  assert.equal(assembleBatches({...input, nowMs: 300}).length, 1);
 });
--- a/packages/stages/src/batch-plan.ts
+++ b/packages/stages/src/batch-plan.ts
@@ -67,9 +67,9 @@
  * call where that can be, in the failure domain that its data lies in, and
  * spread over the free upstreams.
  */
-export function planBatches(input: BatchPlanInput): Batch[] {
+export function assembleBatches(input: BatchPlanInput): Batch[] {
   const {capacity} = input;
-  const waiting = sortByUrgency(input);
+  const waiting = listByUrgency(input);
   const left = new Map(waiting.map(job => [job.jobId, job.pieceCount]));
   const free = chooseUpstreams(input, waiting);
   const batches: Batch[] = [];
@@ -81,7 +81,7 @@
     const pieces = eligible.reduce((sum, job) => sum + left.get(job.jobId)!, 0);
     const share = Math.ceil(pieces / (free.length - index));
     const size = Math.min(capacity.batchSize, share);
-    const parts = fillBatch(eligible, left, {
+    const parts = assembleBatch(eligible, left, {
       size,
       maxSize: capacity.batchSize,
       maySplit: pieces > capacity.batchSize * free.length,
@@ -102,7 +102,7 @@
   readonly freeBytes: number;
 }
 
-function fillBatch(
+function assembleBatch(
   jobs: readonly WaitingJob[],
   left: Map<string, number>,
   bounds: BatchBounds,
@@ -158,7 +158,7 @@
     .sort(compareUpstreams);
 }
 
-function sortByUrgency(input: BatchPlanInput): WaitingJob[] {
+function listByUrgency(input: BatchPlanInput): WaitingJob[] {
   return input.jobs
     .map(job => ({job, rank: computeRank(job, input)}))
     .sort((left, right) => left.rank - right.rank)
--- a/packages/stages/src/index.ts
+++ b/packages/stages/src/index.ts
@@ -1,6 +1,6 @@
 /** Stages made of pieces: batches over all instances, room for results, and giving them back. */
 export {
-  planBatches,
+  assembleBatches,
   type Batch,
   type BatchPart,
   type BatchPlanInput,
--- a/packages/stages/src/job-state.ts
+++ b/packages/stages/src/job-state.ts
@@ -77,17 +77,17 @@
   }
 
   /** Puts a piece back that no upstream has begun. */
-  returnPiece(piece: number): void {
+  putBackPiece(piece: number): void {
     this.waiting.unshift(piece);
   }
 
   /** Puts a piece back that an upstream failed to make; false where it failed too often. */
-  returnFailedPiece(piece: number): boolean {
+  putBackFailedPiece(piece: number): boolean {
     this.failedPieces += 1;
     if (this.failedPieces > this.job.pieceCount * MAX_FAILED_PIECES_FACTOR) {
       return false;
     }
-    this.returnPiece(piece);
+    this.putBackPiece(piece);
     return true;
   }
 
--- a/packages/stages/src/stage-admission.test.ts
+++ b/packages/stages/src/stage-admission.test.ts
@@ -45,7 +45,7 @@
   let count = 0;
   while (count < 100) {
     const request = createRequest(`r${count}`, changes);
-    if (!admission.decide(request).isAdmitted) return count;
+    if (!admission.judge(request).isAdmitted) return count;
     count += 1;
   }
   return count;
@@ -69,7 +69,7 @@
   const admission = createAdmission();
   const count = countAdmitted(admission);
   assert.ok(count >= 3 && count <= 6, `${count}`);
-  const refused = admission.decide(createRequest('late'));
+  const refused = admission.judge(createRequest('late'));
   assert.equal(refused.isAdmitted, false);
   assert.ok(refused.retryAfterMs >= 300 && refused.retryAfterMs <= 2400);
 });
@@ -78,24 +78,24 @@
   const admission = createAdmission();
   countAdmitted(admission);
   const late = createRequest('late', {mayComeBack: false});
-  assert.equal(admission.decide(late).isAdmitted, true);
+  assert.equal(admission.judge(late).isAdmitted, true);
 });
 
 test('the work of less urgent requests holds up no more urgent one', () => {
   const admission = createAdmission();
   countAdmitted(admission, {priority: 2});
-  assert.ok(admission.decide(createRequest('urgent')).isAdmitted);
+  assert.ok(admission.judge(createRequest('urgent')).isAdmitted);
 });
 
 test('finished steps, ended requests and passed deadlines make room', async () => {
   const clock = new ManualClock();
   const admission = createAdmission(clock);
   countAdmitted(admission);
-  assert.equal(admission.decide(createRequest('x')).isAdmitted, false);
+  assert.equal(admission.judge(createRequest('x')).isAdmitted, false);
   admission.recordDone('s', 'r0', 0);
   admission.recordEnded('r1');
-  assert.equal(admission.decide(createRequest('y')).isAdmitted, true);
+  assert.equal(admission.judge(createRequest('y')).isAdmitted, true);
   countAdmitted(admission);
   await clock.advance(8001);
-  assert.equal(admission.decide(createRequest('z')).isAdmitted, true);
+  assert.equal(admission.judge(createRequest('z')).isAdmitted, true);
 });
--- a/packages/stages/src/stage-admission.ts
+++ b/packages/stages/src/stage-admission.ts
@@ -41,7 +41,7 @@
     this.parts = parts;
   }
 
-  decide(request: StageAdmissionRequest): StageAdmissionDecision {
+  judge(request: StageAdmissionRequest): StageAdmissionDecision {
     const {getCapacity} = this.parts;
     const stagesMs = predictFinishMs({
       steps: request.steps,
@@ -101,6 +101,6 @@
 
   private computeWaitMs(service: string, priority: number): number {
     const places = Math.max(1, this.parts.countPlaces(service));
-    return this.ledger.sumWorkMs(service, priority) / places;
+    return this.ledger.computePendingMs(service, priority) / places;
   }
 }
--- a/packages/stages/src/stage-coordinator.ts
+++ b/packages/stages/src/stage-coordinator.ts
@@ -12,7 +12,7 @@
   StageOutcome,
   StageResult,
 } from '@hollowstack/types';
-import {planBatches, type Batch} from './batch-plan.ts';
+import {assembleBatches, type Batch} from './batch-plan.ts';
 import {JobState, type TakenPiece} from './job-state.ts';
 import {ResultReleaser} from './result-releaser.ts';
 import {ResultRoom} from './result-room.ts';
@@ -64,13 +64,13 @@
     });
     this.releaser = new ResultReleaser(parts.clock, parts.caller, handles => {
       for (const handle of handles) this.room.release(handle);
-      this.planSoon();
+      this.scheduleCalls();
     });
   }
 
   /** Decides whether the stages of a request may begin. */
   admitRequest(request: StageAdmissionRequest): StageAdmissionDecision {
-    return this.admission.decide(request);
+    return this.admission.judge(request);
   }
 
   /** Notes that a request needs no more stages. */
@@ -85,7 +85,7 @@
         stage ? [[name, stage] as const] : [],
       ),
     );
-    this.planSoon();
+    this.scheduleCalls();
   }
 
   /** Takes the upstreams that are registered now. */
@@ -101,11 +101,11 @@
       if (known) known.record = record;
       else this.upstreams.set(record.id, new StageUpstream(record));
     }
-    this.planSoon();
+    this.scheduleCalls();
   }
 
   /** Takes a job and resolves with what became of it. */
-  submitJob(job: StageJob): Promise<StageOutcome> {
+  runJob(job: StageJob): Promise<StageOutcome> {
     return new Promise(resolve => {
       const state = new JobState(job, this.parts.clock.getNow(), outcome => {
         this.jobs.delete(job.jobId);
@@ -113,7 +113,7 @@
         resolve(outcome);
       });
       this.jobs.set(job.jobId, state);
-      this.planSoon();
+      this.scheduleCalls();
     });
   }
 
@@ -160,12 +160,12 @@
     return places;
   }
 
-  private planSoon(): void {
+  private scheduleCalls(): void {
     this.timer?.cancel();
-    this.timer = this.parts.clock.schedule(0, () => this.plan());
+    this.timer = this.parts.clock.schedule(0, () => this.runDueCalls());
   }
 
-  private plan(): void {
+  private runDueCalls(): void {
     const nowMs = this.parts.clock.getNow();
     this.failLateJobs(nowMs);
     this.room.removeExpired(nowMs);
@@ -173,10 +173,12 @@
     for (const state of this.jobs.values()) {
       if (state.waitingCount > 0) services.add(state.job.service);
     }
-    for (const service of services) this.planService(service, nowMs);
+    for (const service of services) this.runServiceCalls(service, nowMs);
     if (services.size > 0) {
       this.timer?.cancel();
-      this.timer = this.parts.clock.schedule(REPLAN_MS, () => this.plan());
+      this.timer = this.parts.clock.schedule(REPLAN_MS, () =>
+        this.runDueCalls(),
+      );
     }
   }
 
@@ -188,7 +190,7 @@
     }
   }
 
-  private planService(service: string, nowMs: number): void {
+  private runServiceCalls(service: string, nowMs: number): void {
     const capacity = this.capacities.get(service);
     if (!capacity) return;
     const used = [...this.upstreams.values()].filter(
@@ -196,7 +198,7 @@
         upstream.record.service === service &&
         (upstream.isUsable(nowMs) || upstream.callsInFlight > 0),
     );
-    const batches = planBatches({
+    const batches = assembleBatches({
       nowMs,
       capacity,
       jobs: [...this.jobs.values()]
@@ -258,7 +260,7 @@
       this.handleFailure(upstream, taken, error);
     } finally {
       upstream.endCall(this.parts.clock.getNow());
-      this.planSoon();
+      this.scheduleCalls();
     }
   }
 
@@ -275,7 +277,7 @@
     if (answer.type === 'not-run') {
       upstream.pausedUntilMs = nowMs + FULL_PAUSE_MS;
       if (answer.isOtherUpstream) upstream.recordFailure(nowMs, 'refused');
-      this.returnPieces(upstream, taken);
+      this.putBackPieces(upstream, taken);
       return;
     }
     const tookMs = nowMs - call.startedAtMs;
@@ -331,10 +333,10 @@
       // Somebody else's results lie there, of an instance that is gone maybe.
       const free = this.countFreeBytes(upstream, capacity, nowMs);
       upstream.addUnknownBytes(free - job.resultBytes + 1, nowMs);
-      state.returnPiece(piece.piece);
+      state.putBackPiece(piece.piece);
       return;
     }
-    this.returnOrFail(taken, `upstream ${id} answered ${failure}`);
+    this.putBackOrFail(taken, `upstream ${id} answered ${failure}`);
   }
 
   private handleFailure(
@@ -358,22 +360,22 @@
     });
     for (const piece of taken) {
       this.room.cancelReservation(id, piece.job.resultBytes);
-      this.returnOrFail(piece, `call to upstream ${id} failed: ${reason}`);
+      this.putBackOrFail(piece, `call to upstream ${id} failed: ${reason}`);
     }
   }
 
-  private returnPieces(
+  private putBackPieces(
     upstream: StageUpstream,
     taken: readonly TakenPiece[],
   ): void {
     for (const {state, job, piece} of taken) {
       this.room.cancelReservation(upstream.record.id, job.resultBytes);
-      state.returnPiece(piece.piece);
+      state.putBackPiece(piece.piece);
     }
   }
 
-  private returnOrFail({state, piece}: TakenPiece, message: string): void {
-    if (state.returnFailedPiece(piece.piece)) return;
+  private putBackOrFail({state, piece}: TakenPiece, message: string): void {
+    if (state.putBackFailedPiece(piece.piece)) return;
     state.fail('failed', message);
     this.releaseResults(state.listResults());
   }
--- a/packages/stages/src/stage-dispatcher.ts
+++ b/packages/stages/src/stage-dispatcher.ts
@@ -100,19 +100,19 @@
     for (let submission = 0; submission < MAX_SUBMISSIONS; submission++) {
       const job = this.createJob(unsent, startedAtMs);
       if (job.remainingMs <= 0) break;
-      outcome = await this.submitOnce(job, signal);
+      outcome = await this.attemptJob(job, signal);
       if (outcome) return outcome;
     }
-    return this.submitAlone(unsent, startedAtMs, signal);
+    return this.runAlone(unsent, startedAtMs, signal);
   }
 
   // Where no coordinator answers, this instance does without one.
-  private submitAlone(
+  private runAlone(
     unsent: UnsentStageJob,
     startedAtMs: number,
     signal: AbortSignal,
   ): Promise<StageOutcome> {
-    return this.submitLocally(this.createJob(unsent, startedAtMs), signal);
+    return this.runLocally(this.createJob(unsent, startedAtMs), signal);
   }
 
   private createJob(unsent: UnsentStageJob, startedAtMs: number): StageJob {
@@ -143,7 +143,7 @@
   }
 
   // Undefined where the coordinator has gone and the job goes to the next one.
-  private async submitOnce(
+  private async attemptJob(
     job: StageJob,
     signal: AbortSignal,
   ): Promise<StageOutcome | undefined> {
@@ -151,24 +151,24 @@
     this.recordCoordinator(
       coordinator?.id ?? this.parts.membership.getSelf().id,
     );
-    if (!coordinator) return this.submitLocally(job, signal);
-    return this.submitRemotely(job, coordinator, signal);
+    if (!coordinator) return this.runLocally(job, signal);
+    return this.sendToCoordinator(job, coordinator, signal);
   }
 
-  private async submitLocally(
+  private async runLocally(
     job: StageJob,
     signal: AbortSignal,
   ): Promise<StageOutcome> {
     const cancelJob = () => this.parts.local.cancelJob(job.jobId);
     signal.addEventListener('abort', cancelJob, {once: true});
     try {
-      return await this.parts.local.submitJob(job);
+      return await this.parts.local.runJob(job);
     } finally {
       signal.removeEventListener('abort', cancelJob);
     }
   }
 
-  private async submitRemotely(
+  private async sendToCoordinator(
     job: StageJob,
     coordinator: PeerRecord,
     signal: AbortSignal,
@@ -241,7 +241,7 @@
           return;
         }
         logger.logEvent('peer.silent', {peer: id, address});
-        link.dropPeer(address);
+        link.closePeer(address);
         resolve(undefined);
       };
       timer = clock.schedule(PING_EVERY_MS, () => void ping());
--- a/packages/stages/src/work-ledger.ts
+++ b/packages/stages/src/work-ledger.ts
@@ -70,7 +70,7 @@
   }
 
   /** Sums the work of a service that goes before a request of a priority. */
-  sumWorkMs(service: string, priority: number): number {
+  computePendingMs(service: string, priority: number): number {
     let sum = 0;
     for (const work of this.pending.get(service)?.values() ?? []) {
       if (work.priority <= priority) sum += work.workMs;
--- a/packages/transport/src/single-call.ts
+++ b/packages/transport/src/single-call.ts
@@ -44,7 +44,7 @@
       agent: false,
     });
     const timer = clock.schedule(request.connectTimeoutMs, () => {
-      if (this.progress === 'none') this.abort('the connection did not stand');
+      if (this.progress === 'none') this.cancel('the connection did not stand');
     });
     this.outgoing.once('socket', socket => {
       socket.setNoDelay(true);
@@ -78,7 +78,7 @@
   }
 
   /** Closes the connection at once. */
-  abort(reason: string): void {
+  cancel(reason: string): void {
     this.outgoing.destroy(new Error(reason));
   }
 }
@@ -147,9 +147,9 @@
   let isLate = false;
   const timer = clock.schedule(limits.timeoutMs, () => {
     isLate = true;
-    call.abort('no answer in time');
+    call.cancel('no answer in time');
   });
-  const cancelCall = () => call.abort('given up');
+  const cancelCall = () => call.cancel('given up');
   limits.signal?.addEventListener('abort', cancelCall, {once: true});
   try {
     if (limits.signal?.aborted) cancelCall();
@@ -162,6 +162,6 @@
   } finally {
     timer.cancel();
     limits.signal?.removeEventListener('abort', cancelCall);
-    call.abort('done');
+    call.cancel('done');
   }
 }
