Gather changes of the store, let the strongest coordinate, send copies on request

The oldest instance coordinated whatever its size.

Ruled out: fewer watchers that tell the others (a watcher that is cut off without a word leaves the others behind for longer than the 2 to 3 s in which a leaving upstream must be left); a longer pace (half of that time gave little in a reckoning).

Peers compare revisions and send a copy only when asked, one peer at a time, after the store had 600 ms to tell. Instances tell their processor; of the strongest the oldest coordinates.

--- a/packages/gateway/src/copy-exchange.ts
+++ b/packages/gateway/src/copy-exchange.ts
@@ -1,10 +1,12 @@
 import {RepeatingTask, type Clock} from '@hollowstack/clock';
 import type {
+  CopyWishes,
   Membership,
   PeerLink,
   PeerReply,
   PeerRequest,
 } from '@hollowstack/peers';
+import {PeerNews} from './peer-news.ts';
 import type {RouteHolder} from './route-holder.ts';
 import type {UpstreamRegistry} from './upstream-registry.ts';
 
@@ -22,7 +24,16 @@
 
 const ROUND_MS = 700;
 const TIMEOUT_MS = 700;
+/** A whole copy takes its time on a thin link. */
+const COPY_TIMEOUT_MS = 2000;
 const SEEDS_EVERY_ROUNDS = 8;
+/** Milliseconds that the store's watch is given before a peer sends a copy. */
+const STORE_PATIENCE_MS = 600;
+const NO_WISHES: CopyWishes = {
+  configuration: false,
+  upstreams: false,
+  members: false,
+};
 /** Peers asked in a round of whom nothing was heard yet. */
 const MAX_UNCONFIRMED = 12;
 
@@ -34,6 +45,8 @@
 export class CopyExchange {
   private readonly parts: CopyExchangeParts;
   private readonly task: RepeatingTask;
+  private readonly configurationNews = new PeerNews(STORE_PATIENCE_MS);
+  private readonly upstreamNews = new PeerNews(STORE_PATIENCE_MS);
   private round = 0;
 
   constructor(parts: CopyExchangeParts) {
@@ -56,31 +69,59 @@
   async askUnconfirmedPeers(): Promise<void> {
     const {membership} = this.parts;
     const peers = membership.listUnconfirmedPeers().slice(0, MAX_UNCONFIRMED);
-    await Promise.all(peers.map(({address}) => this.askPeer(address)));
+    await Promise.all(
+      peers.map(({address}) => this.askPeer(address, NO_WISHES)),
+    );
   }
 
   /** Asks one peer, or the seeds while no peer is known. */
   async runRound(): Promise<void> {
     const addresses = this.chooseAddresses();
-    await Promise.all(addresses.map(address => this.askPeer(address)));
+    const wishes = this.listWishes();
+    await Promise.all(
+      addresses.map((address, index) =>
+        this.askPeer(address, index === 0 ? wishes : NO_WISHES),
+      ),
+    );
   }
 
   /** Answers a peer's question. */
   answerCopy(asked: Extract<PeerRequest, {type: 'copy'}>): PeerReply {
     const {holder, registry, membership} = this.parts;
+    const {wishes} = asked;
     membership.recordHeard(asked.self);
     const isConfigurationNews =
       holder.getRevision() > asked.configurationRevision;
+    const isDigestOther = registry.computeDigest() !== asked.digest;
     const areUpstreamsNews =
-      registry.getStoreRevision() > asked.storeRevision &&
-      registry.computeDigest() !== asked.digest;
+      registry.getStoreRevision() > asked.storeRevision && isDigestOther;
     return {
       type: 'copy',
       self: membership.getSelf(),
+      configurationRevision: holder.getRevision(),
       storeRevision: registry.getStoreRevision(),
-      configurationText: isConfigurationNews ? holder.getText() : undefined,
-      upstreams: areUpstreamsNews ? registry.createCopy() : undefined,
-      members: [membership.getSelf(), ...membership.listPeers()],
+      isDigestOther,
+      configurationText:
+        wishes.configuration && isConfigurationNews
+          ? holder.getText()
+          : undefined,
+      upstreams:
+        wishes.upstreams && areUpstreamsNews
+          ? registry.createCopy()
+          : undefined,
+      members: wishes.members
+        ? [membership.getSelf(), ...membership.listPeers()]
+        : undefined,
+    };
+  }
+
+  private listWishes(): CopyWishes {
+    const {holder, registry, membership, clock} = this.parts;
+    const nowMs = clock.getNow();
+    return {
+      configuration: this.configurationNews.isDue(holder.getRevision(), nowMs),
+      upstreams: this.upstreamNews.isDue(registry.getStoreRevision(), nowMs),
+      members: membership.listPeers().length === 0,
     };
   }
 
@@ -103,7 +144,7 @@
     return [...new Set(chosen)];
   }
 
-  private async askPeer(address: string): Promise<void> {
+  private async askPeer(address: string, wishes: CopyWishes): Promise<void> {
     const {link, membership, holder, registry} = this.parts;
     const reply = await link
       .sendRequest(
@@ -114,8 +155,9 @@
           configurationRevision: holder.getRevision(),
           storeRevision: registry.getStoreRevision(),
           digest: registry.computeDigest(),
+          wishes,
         },
-        TIMEOUT_MS,
+        wishes.configuration || wishes.upstreams ? COPY_TIMEOUT_MS : TIMEOUT_MS,
       )
       .catch((): undefined => undefined);
     if (reply?.type !== 'copy') {
@@ -124,6 +166,7 @@
     }
     const source = `peer ${address}`;
     membership.recordHeard(reply.self);
+    this.recordRevisions(reply, wishes);
     if (reply.configurationText !== undefined) {
       holder.offerText(reply.configurationText, source);
     }
@@ -131,8 +174,28 @@
       const {entries, storeRevision} = reply.upstreams;
       registry.replaceEntries(entries, storeRevision, source);
     }
-    if (membership.listPeers().length === 0) {
-      for (const member of reply.members) membership.recordHeard(member);
+    for (const member of reply.members ?? []) membership.recordHeard(member);
+  }
+
+  private recordRevisions(
+    reply: Extract<PeerReply, {type: 'copy'}>,
+    wishes: CopyWishes,
+  ): void {
+    const {holder, registry, clock} = this.parts;
+    const nowMs = clock.getNow();
+    this.configurationNews.recordRevision(
+      reply.configurationRevision,
+      holder.getRevision(),
+      nowMs,
+    );
+    if (reply.isDigestOther) {
+      this.upstreamNews.recordRevision(
+        reply.storeRevision,
+        registry.getStoreRevision(),
+        nowMs,
+      );
+    } else if (wishes.upstreams) {
+      this.upstreamNews.removeNews();
     }
   }
 
--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -37,6 +37,7 @@
 import {UpstreamChooser} from './upstream-chooser.ts';
 import {UpstreamPool} from './upstream-pool.ts';
 import {UpstreamRegistry} from './upstream-registry.ts';
+import {createWatchPace} from './watch-pace.ts';
 import {WindowRetryBudget} from './window-retry-budget.ts';
 
 /** What a gateway needs of the world; tests pass their own. */
@@ -62,14 +63,19 @@
 ): Gateway {
   const {clock, logger, random, store} = environment;
   const protocol = environment.requestProtocol;
-  const {id, zone} = settings.instance;
+  const {id, zone, cpuShare, cpuSpeed} = settings.instance;
   const getNow = () => clock.getNow();
   const metrics = new MetricsRegistry();
   const lifecycle = new GatewayLifecycle();
   const holder = new RouteHolder(protocol, logger);
   const registry = new UpstreamRegistry(protocol, logger);
 
-  const self = {id, zone, address: settings.listen.peerAddress};
+  const self = {
+    id,
+    zone,
+    address: settings.listen.peerAddress,
+    cores: cpuShare * cpuSpeed,
+  };
   const membership = new Membership({
     self,
     store,
@@ -173,12 +179,19 @@
     directory.setUpstreams(upstreams);
   });
 
+  const watchPace = createWatchPace({
+    followWithinMs: settings.store.followWithinMs,
+    getInstanceCount: () => membership.getLiveCount(),
+  });
   const configurationFollower = new StoreFollower({
     store,
     clock,
     random,
     logger,
-    range: createSingleKeyRange(protocol.configurationKey),
+    range: {
+      ...createSingleKeyRange(protocol.configurationKey),
+      watchPace,
+    },
     handleReading: ({keyValues}) => {
       for (const {value} of keyValues) holder.offerText(value, 'store');
     },
@@ -193,7 +206,10 @@
     clock,
     random,
     logger,
-    range: createPrefixRange(protocol.upstreamPrefix),
+    range: {
+      ...createPrefixRange(protocol.upstreamPrefix),
+      watchPace,
+    },
     handleReading: ({keyValues, storeRevision}) =>
       registry.replaceEntries(keyValues, storeRevision, 'store'),
     handleChanges: events => registry.applyEvents(events),
--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -21,6 +21,10 @@
     id: z.string().min(1),
     /** Failure domain. */
     zone: z.string().min(1),
+    /** Share of a core that it may use. */
+    cpuShare: z.number().positive().default(1),
+    /** Speed of that core over a usual one. */
+    cpuSpeed: z.number().positive().default(1),
   }),
   listen: z.object({
     /** Where callers come. */
@@ -35,6 +39,8 @@
   store: z.object({
     address: addressSchema,
     timeoutMs: z.number().positive().default(1500),
+    /** Milliseconds in which a change in the store must be in force here. */
+    followWithinMs: z.number().positive().default(2000),
   }),
   peers: z.object({
     /** Addresses to ask while the store is down. */
--- /dev/null
+++ b/packages/gateway/src/peer-news.ts
@@ -0,0 +1,32 @@
+/** What peers know that this instance does not, and for how long it has been so. */
+export class PeerNews {
+  private readonly patienceMs: number;
+  private revision = 0;
+  private sinceMs = 0;
+
+  /**
+   * @param patienceMs Milliseconds in which the store's own watch should have
+   * brought the news, so that a peer need not be asked for a whole copy.
+   */
+  constructor(patienceMs: number) {
+    this.patienceMs = patienceMs;
+  }
+
+  /** Notes the revision that a peer has. */
+  recordRevision(revision: number, ownRevision: number, nowMs: number): void {
+    if (revision <= ownRevision) return;
+    if (this.revision <= ownRevision) this.sinceMs = nowMs;
+    this.revision = Math.max(this.revision, revision);
+  }
+
+  /** Returns whether a peer should be asked for a copy. */
+  isDue(ownRevision: number, nowMs: number): boolean {
+    if (this.revision <= ownRevision) return false;
+    return nowMs - this.sinceMs >= this.patienceMs;
+  }
+
+  /** Notes that a peer was asked and had nothing that differs. */
+  removeNews(): void {
+    this.revision = 0;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/watch-pace.ts
@@ -0,0 +1,29 @@
+import type {WatchPace} from '@hollowstack/store';
+
+const WAIT_MS = 12_000;
+/** Part of the time in which a change must be in force that gathering may take. */
+const GATHER_SHARE = 1 / 3;
+const GATHER_MS_PER_INSTANCE = 12;
+
+/** What the pace of a watch follows from. */
+export interface WatchPaceInput {
+  /** Milliseconds in which a change must be in force here. */
+  readonly followWithinMs: number;
+  readonly getInstanceCount: () => number;
+}
+
+/**
+ * Creates the pace of a watch that all instances hold. Every change costs each
+ * of them a call, so that a larger fleet gathers changes for longer.
+ */
+export function createWatchPace(input: WatchPaceInput): WatchPace {
+  return {
+    waitMs: WAIT_MS,
+    get gatherMs() {
+      return Math.min(
+        input.followWithinMs * GATHER_SHARE,
+        input.getInstanceCount() * GATHER_MS_PER_INSTANCE,
+      );
+    },
+  };
+}
--- a/packages/peers/src/coordinator.test.ts
+++ b/packages/peers/src/coordinator.test.ts
@@ -35,11 +35,16 @@
   async *watchRanges(): AsyncIterable<readonly WatchEvent[]> {}
 }
 
-function createPut(id: string, modRevision: number): WatchEvent {
+function createPut(
+  id: string,
+  modRevision: number,
+  cores?: number,
+): WatchEvent {
   const value = JSON.stringify({
     id,
     address: `10.0.0.1:${modRevision}`,
     zone: 'a',
+    cores,
   });
   return {type: 'put', key: PEER_PREFIX + id, value, modRevision};
 }
@@ -90,6 +95,21 @@
   assert.equal(chooseCoordinator(membership)?.id, 'b');
 });
 
+test('the oldest of the strongest coordinates, whatever weaker ones are older', () => {
+  const membership = createMembership();
+  membership.handleEvents([
+    createPut('weak', 3, 0.3),
+    createPut('self', 4),
+    createPut('strong', 6, 1.35),
+    createPut('younger', 8, 1.3),
+  ]);
+  assert.equal(chooseCoordinator(membership)?.id, 'strong');
+  membership.handleEvents([createDelete('strong', 9)]);
+  assert.equal(chooseCoordinator(membership)?.id, 'younger');
+  membership.handleEvents([createDelete('younger', 10)]);
+  assert.equal(chooseCoordinator(membership), undefined);
+});
+
 test('without any registration all choose alike among those heard of', () => {
   const membership = createMembership();
   membership.recordHeard({id: 'b', address: '10.0.0.1:2', zone: 'a'});
--- a/packages/peers/src/coordinator.ts
+++ b/packages/peers/src/coordinator.ts
@@ -4,9 +4,12 @@
 
 const COORDINATOR_KEY = 'coordinator';
 
+/** Share of the most processor that an instance needs in order to coordinate. */
+const STRONG_SHARE = 0.9;
+
 /**
- * Chooses the instance that decides for all: of those known to live the one that
- * registered first, so that all agree without asking anybody and a restart
+ * Chooses the instance that decides for all: of those known to live, and with the
+ * most processor, the one that registered first, so that all agree without asking anybody and a restart
  * moves nothing back. Where no registration is known, the first by rendezvous.
  * While instances differ, each decides with less knowledge, and nothing else.
  *
@@ -17,11 +20,24 @@
 ): PeerRecord | undefined {
   const peers = membership.listConfirmedPeers();
   const self = membership.getSelf();
-  const ids = [self.id, ...peers.map(({id}) => id)];
+  const ids = listStrongest([self, ...peers]);
   const first = findOldest(membership, ids) ?? findByRendezvous(ids);
   return peers.find(({id}) => id === first);
 }
 
+// Deciding for all costs more the larger the fleet is, and the smallest
+// instances of a fleet may have a fraction of the largest ones' processor.
+function listStrongest(instances: readonly PeerRecord[]): string[] {
+  const most = Math.max(...instances.map(getCores));
+  return instances
+    .filter(instance => getCores(instance) >= STRONG_SHARE * most)
+    .map(({id}) => id);
+}
+
+function getCores({cores}: PeerRecord): number {
+  return cores ?? 1;
+}
+
 function findOldest(
   membership: Membership,
   ids: readonly string[],
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -12,6 +12,7 @@
 export {
   peerRequestSchema,
   peerReplySchema,
+  type CopyWishes,
   type PeerRecord,
   type PeerReply,
   type PeerRequest,
--- a/packages/peers/src/membership.ts
+++ b/packages/peers/src/membership.ts
@@ -4,6 +4,7 @@
   type KeyRange,
   type KeyValueStore,
   type WatchEvent,
+  type WatchPace,
   type WatchSubscription,
 } from '@hollowstack/store';
 import {peerRecordSchema, type PeerRecord} from './messages.ts';
@@ -11,6 +12,9 @@
 /** Prefix of the instances that have registered themselves. */
 export const PEER_PREFIX = 'hollowstack/instances/';
 
+/** Peers tell of each other as well, so the list itself may lag a little. */
+const WATCH_PACE: WatchPace = {waitMs: 28_000, gatherMs: 1000};
+
 const DEFAULT_LEASE_MS = 30_000;
 /** Renewals that a lease lasts for. */
 const RENEWALS_IN_LEASE = 3;
@@ -41,7 +45,10 @@
  * those heard of directly, so that an outage of the service hides nobody.
  */
 export class Membership implements WatchSubscription {
-  readonly range: KeyRange = createPrefixRange(PEER_PREFIX);
+  readonly range: KeyRange = {
+    ...createPrefixRange(PEER_PREFIX),
+    watchPace: WATCH_PACE,
+  };
   private readonly parts: MembershipParts;
   private readonly registered = new Map<string, RegisteredPeer>();
   private readonly heard = new Map<
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -17,11 +17,22 @@
   /** Address of the peer link. */
   address: z.string(),
   zone: z.string(),
+  /** Processor it has, in cores of usual speed; unlike machines get unlike work. */
+  cores: z.number().positive().optional(),
 });
 /** One instance as its peers know it. */
 export type PeerRecord = z.infer<typeof peerRecordSchema>;
 export {peerRecordSchema};
 
+// A configuration may be large and a link thin, so a copy is sent only on request.
+const copyWishesSchema = z.object({
+  configuration: z.boolean(),
+  upstreams: z.boolean(),
+  members: z.boolean(),
+});
+/** What an asker wants sent along. */
+export type CopyWishes = z.infer<typeof copyWishesSchema>;
+
 /** What one instance asks another. */
 export const peerRequestSchema = z.discriminatedUnion('type', [
   z.object({
@@ -71,6 +82,8 @@
     storeRevision: z.number(),
     /** Compares the upstreams that both sides know. */
     digest: z.string(),
+    /** What the answer should carry beside the revisions, where it is newer. */
+    wishes: copyWishesSchema,
   }),
 ]);
 /** What one instance asks another. */
@@ -127,12 +140,15 @@
   z.object({
     type: z.literal('copy'),
     self: peerRecordSchema,
+    configurationRevision: z.number(),
     storeRevision: z.number(),
+    /** Whether both sides know other upstreams. */
+    isDigestOther: z.boolean(),
     /** The stored text of a configuration newer than the asker's. */
     configurationText: z.string().optional(),
     /** What is known of the upstreams, where it is newer than the asker's. */
     upstreams: storeCopySchema.optional(),
-    members: z.array(peerRecordSchema),
+    members: z.array(peerRecordSchema).optional(),
   }),
   z.object({type: z.literal('failed'), message: z.string()}),
 ]);
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -14,6 +14,7 @@
   type Transaction,
   type TransactionResult,
   type WatchEvent,
+  type WatchPace,
 } from './key-value-store.ts';
 export {GatewayStore, type GatewayStoreOptions} from './gateway-store.ts';
 export {BudgetedStore, type CallBudgetOptions} from './budgeted-store.ts';
--- a/packages/store/src/key-value-store.ts
+++ b/packages/store/src/key-value-store.ts
@@ -15,6 +15,15 @@
   readonly start: string;
   /** First key behind the range; absent for the one key `start`. */
   readonly end?: string;
+  readonly watchPace?: WatchPace;
+}
+
+/** How a range is watched where a watch is a call that ends with its changes. */
+export interface WatchPace {
+  /** Longest milliseconds of one call without a change. */
+  readonly waitMs: number;
+  /** Milliseconds after a change before the next call, so that it brings several. */
+  readonly gatherMs: number;
 }
 
 /** What a read found. */
