Let the slowness of an upstream fade with time

Ruled out: sending it a request now and then whatever is known (a trial of that costs its caller; with fading the next request is the trial, and one slow answer is enough to leave it again).

--- a/packages/assignment/src/engine-directory.ts
+++ b/packages/assignment/src/engine-directory.ts
@@ -1,6 +1,7 @@
 import type {RegisteredUpstream, RouteTable} from '@hollowstack/routes';
 import {
   DEFAULT_HEALTH_POLICY,
+  Slowness,
   createHealthyState,
   isCandidate,
   listByRendezvous,
@@ -24,6 +25,8 @@
   readonly engine: Engine;
   readonly unreadTokens: number;
   readonly predictedMs: number;
+  /** The engine's slowness that the prediction counted on. */
+  readonly slowness: number;
   readonly sinceMs: number;
   isRead: boolean;
 }
@@ -34,7 +37,7 @@
   health: HealthState;
   backlogTokens: number;
   activeCount: number;
-  slowness: number;
+  readonly slowness: Slowness;
 }
 
 const DEFAULT_CACHE_TOKENS = 500_000;
@@ -115,6 +118,7 @@
       engine,
       unreadTokens,
       predictedMs: choice.predictedMs,
+      slowness: engine.slowness.getValue(this.getNow()),
       sinceMs: this.getNow(),
       isRead: false,
     });
@@ -152,9 +156,10 @@
     const {engine, predictedMs} = request;
     this.removeBacklog(request);
     if (firstMs === undefined || predictedMs < MIN_PREDICTED_MS) return;
-    const unslowedMs = predictedMs / engine.slowness;
+    const nowMs = this.getNow();
+    const unslowedMs = predictedMs / request.slowness;
     const sample = Math.min(MAX_SLOWNESS, Math.max(1, firstMs / unslowedMs));
-    engine.slowness += (sample - engine.slowness) * SLOWNESS_WEIGHT;
+    engine.slowness.recordSample(sample, nowMs);
   }
 
   private endAssignment(requestId: string): void {
@@ -205,7 +210,7 @@
       activeCount: engine.activeCount,
       capacity: engine.record.capacity,
       keptTokens: engine.cache.countKeptTokens(request.parts),
-      slowness: engine.slowness,
+      slowness: engine.slowness.getValue(nowMs),
       homeRank: ranks.get(engine.record.id)!,
     }));
   }
@@ -218,7 +223,7 @@
       health: createHealthyState(),
       backlogTokens: 0,
       activeCount: 0,
-      slowness: 1,
+      slowness: new Slowness(SLOWNESS_WEIGHT),
     };
   }
 }
--- a/packages/gateway/src/upstream-pool.ts
+++ b/packages/gateway/src/upstream-pool.ts
@@ -1,6 +1,7 @@
 import type {RegisteredUpstream} from '@hollowstack/routes';
 import {
   DEFAULT_HEALTH_POLICY,
+  Slowness,
   createHealthyState,
   createLoadState,
   getEffectiveSlowness,
@@ -8,7 +9,6 @@
   recordDispatch,
   recordEnd,
   recordFailure,
-  recordSlowness,
   recordSuccess,
   recordTrial,
   type FailureKind,
@@ -20,11 +20,14 @@
 /** Weight of the newest request in the mean of a service. */
 const MEAN_WEIGHT = 0.05;
 const MAX_SLOWNESS = 8;
+/** Weight of the newest request in the slowness of its upstream. */
+const SLOWNESS_WEIGHT = 0.15;
 
 interface PooledUpstream {
   record: RegisteredUpstream;
   health: HealthState;
   load: LoadState;
+  readonly slowness: Slowness;
 }
 
 /** The upstreams of all services with what this instance has learnt of them. */
@@ -51,6 +54,7 @@
           record,
           health: createHealthyState(),
           load: createLoadState(),
+          slowness: new Slowness(SLOWNESS_WEIGHT),
         });
       }
     }
@@ -67,7 +71,7 @@
   ): RequestCandidate[] {
     const nowMs = this.getNow();
     const candidates: RequestCandidate[] = [];
-    for (const {record, health, load} of this.upstreams.values()) {
+    for (const {record, health, load, slowness} of this.upstreams.values()) {
       if (record.service !== service || record.isLeaving) continue;
       if (excluded.has(record.id) || !isCandidate(health, nowMs)) continue;
       candidates.push({
@@ -75,7 +79,10 @@
         zone: record.zone,
         capacity: record.capacity,
         ownInFlight: load.ownInFlight,
-        slowness: getEffectiveSlowness(load),
+        slowness: getEffectiveSlowness({
+          ...load,
+          slowness: slowness.getValue(nowMs),
+        }),
       });
     }
     return candidates;
@@ -103,17 +110,17 @@
    * @param tookMs Milliseconds to its first bytes.
    */
   recordSuccess(id: string, tookMs: number): void {
-    const service = this.upstreams.get(id)?.record.service;
-    if (service === undefined) return;
+    const upstream = this.upstreams.get(id);
+    if (!upstream) return;
+    const {service} = upstream.record;
+    const nowMs = this.getNow();
     const mean = this.meanMs.get(service) ?? tookMs;
     const slowness = Math.min(MAX_SLOWNESS, tookMs / Math.max(1, mean));
     // The mean follows what a usual upstream takes, not the slow one's.
     const sample = Math.min(tookMs, 3 * mean);
     this.meanMs.set(service, mean + (sample - mean) * MEAN_WEIGHT);
-    this.applyChange(id, ({health, load}) => ({
-      health: recordSuccess(health, this.getNow()),
-      load: recordSlowness(load, slowness),
-    }));
+    upstream.slowness.recordSample(slowness, nowMs);
+    upstream.health = recordSuccess(upstream.health, nowMs);
   }
 
   /** Returns milliseconds to the first bytes of a usual request of a service. */
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -38,3 +38,4 @@
 } from './selectors.ts';
 export {CacheIndex} from './cache-index.ts';
 export {chooseSubset, listByRendezvous} from './rendezvous.ts';
+export {Slowness} from './slowness.ts';
--- a/packages/stages/src/stage-coordinator.ts
+++ b/packages/stages/src/stage-coordinator.ts
@@ -155,7 +155,8 @@
     let places = 0;
     for (const upstream of this.upstreams.values()) {
       if (upstream.record.service !== service) continue;
-      if (upstream.isUsable(nowMs)) places += concurrency / upstream.slowness;
+      if (upstream.isUsable(nowMs))
+        places += concurrency / upstream.getSlowness(nowMs);
     }
     return places;
   }
@@ -212,7 +213,7 @@
           id: upstream.record.id,
           zone: upstream.record.zone,
           freeBytes: this.countFreeBytes(upstream, capacity, nowMs),
-          slowness: upstream.slowness,
+          slowness: upstream.getSlowness(nowMs),
           idleSinceMs: upstream.idleSinceMs,
         })),
       zonesInUse: new Set(used.map(({record}) => record.zone)),
@@ -248,7 +249,9 @@
       const answer = await this.parts.caller.runPieces(
         upstream.record,
         taken.map(({piece}) => piece),
-        expectedMs * CALL_TIMEOUT_FACTOR * Math.max(1, upstream.slowness) +
+        expectedMs *
+          CALL_TIMEOUT_FACTOR *
+          Math.max(1, upstream.getSlowness(nowMs)) +
           CALL_TIMEOUT_MARGIN_MS,
       );
       this.handleAnswer(upstream, taken, answer, {
--- a/packages/stages/src/stage-upstreams.ts
+++ b/packages/stages/src/stage-upstreams.ts
@@ -1,6 +1,7 @@
 import type {RegisteredUpstream, StageCapacity} from '@hollowstack/routes';
 import {
   DEFAULT_HEALTH_POLICY,
+  Slowness,
   createHealthyState,
   isCandidate,
   recordFailure,
@@ -21,11 +22,11 @@
   record: RegisteredUpstream;
   callsInFlight = 0;
   idleSinceMs = 0;
-  slowness = 1;
   /** The upstream called itself full; it is left alone until then. */
   pausedUntilMs = 0;
   private unknownBytes = 0;
   private unknownUntilMs = 0;
+  private readonly slowness = new Slowness(SLOWNESS_WEIGHT);
   private health: HealthState = createHealthyState();
 
   constructor(record: RegisteredUpstream) {
@@ -46,6 +47,11 @@
     );
   }
 
+  /** Returns how long calls take there over what they should. */
+  getSlowness(nowMs: number): number {
+    return this.slowness.getValue(nowMs);
+  }
+
   /** Returns the bytes that results of others take there, as far as was noticed. */
   getUnknownBytes(nowMs: number): number {
     return nowMs < this.unknownUntilMs ? this.unknownBytes : 0;
@@ -70,7 +76,7 @@
 
   recordSuccess(nowMs: number, ratio: number): void {
     this.health = recordSuccess(this.health, nowMs);
-    this.slowness += (ratio - this.slowness) * SLOWNESS_WEIGHT;
+    this.slowness.recordSample(ratio, nowMs);
   }
 
   recordFailure(nowMs: number, kind: FailureKind): void {
