Leave log lines out when their reader does not keep up

Ruled out: waiting for the reader; a log must never hold a request up.

Figures: the new test keeps one line of two at a full backlog and counts the other; there was no bound before it.

--- a/packages/cli/src/commands/gateway/index.ts
+++ b/packages/cli/src/commands/gateway/index.ts
@@ -4,7 +4,11 @@
   parseGatewaySettings,
   type GatewaySettings,
 } from '@hollowstack/gateway';
-import {BoundedEventLogger, TslogEventLogger} from '@hollowstack/logger';
+import {
+  BoundedEventLogger,
+  DEFAULT_LOG_BOUND,
+  TslogEventLogger,
+} from '@hollowstack/logger';
 import {TcpPeerNetwork} from '@hollowstack/peers';
 import {
   PlatformEngines,
@@ -71,6 +75,8 @@
       logger: new BoundedEventLogger(
         new TslogEventLogger(instance.id, log.level, log.format),
         () => clock.getNow(),
+        DEFAULT_LOG_BOUND,
+        () => process.stdout.writableLength,
       ),
       random: Math.random,
       peerNetwork: new TcpPeerNetwork(),
--- a/packages/logger/src/bounded-event-logger.test.ts
+++ b/packages/logger/src/bounded-event-logger.test.ts
@@ -21,6 +21,7 @@
   const logger = new BoundedEventLogger(target, () => nowMs, {
     linesPerSecond: 10,
     burst: 20,
+    backlogBytes: 1000,
   });
   for (let line = 0; line < 100; line++) logger.logEvent('request.settled');
   const ordinary = target.lines.length;
@@ -38,3 +39,24 @@
   logger.logEvent('request.settled');
   assert.equal(target.lines.at(-1)?.name, 'log.omitted');
 });
+
+test('a reader who does not keep up costs lines, never memory or time', () => {
+  let backlogBytes = 0;
+  const target = new ListingLogger();
+  const logger = new BoundedEventLogger(
+    target,
+    () => 0,
+    {linesPerSecond: 10, burst: 100, backlogBytes: 1000},
+    () => backlogBytes,
+  );
+  logger.logEvent('request.settled');
+  backlogBytes = 1000;
+  logger.logEvent('attempt.failed');
+  assert.equal(target.lines.length, 1);
+  backlogBytes = 0;
+  logger.logEvent('request.settled');
+  assert.deepEqual(target.lines.at(-1), {
+    name: 'log.omitted',
+    fields: {'attempt.failed': 1},
+  });
+});
