Share the pings of a coordinator, and keep to few peers

Each waiting job pinged the coordinator by itself, three or four jobs a request; a random peer of 85 each 0.7 s meant a new connection almost every time, and after a loss of all machines each instance asked all others, twelve at a time, whether they live.

Ruled out: the coordinator's own planning (its instance used at most 0.27 of a core, the other 85 some 0.045 each); idle work (0.008 of a core for an instance among 24).

Change: one watch of a peer for all jobs that wait there; eight neighbours, every fifth round anybody; only those are asked whether they live who would coordinate in place of the present one.

--- a/packages/gateway/src/copy-exchange.ts
+++ b/packages/gateway/src/copy-exchange.ts
@@ -1,11 +1,14 @@
 import {RepeatingTask, type Clock} from '@hollowstack/clock';
-import type {
-  CopyWishes,
-  Membership,
-  PeerLink,
-  PeerReply,
-  PeerRequest,
+import {
+  listUnconfirmedRivals,
+  type CopyWishes,
+  type Membership,
+  type PeerLink,
+  type PeerRecord,
+  type PeerReply,
+  type PeerRequest,
 } from '@hollowstack/peers';
+import {chooseSubset} from '@hollowstack/routing';
 import {PeerNews} from './peer-news.ts';
 import type {RouteHolder} from './route-holder.ts';
 import type {UpstreamRegistry} from './upstream-registry.ts';
@@ -35,7 +38,11 @@
   members: false,
 };
 /** Peers asked in a round of whom nothing was heard yet. */
-const MAX_UNCONFIRMED = 12;
+const MAX_UNCONFIRMED = 6;
+/** Peers that an instance of a large fleet keeps connections to. */
+const NEIGHBOUR_COUNT = 8;
+/** Every so many rounds a peer beyond the neighbours is asked. */
+const FAR_EVERY_ROUNDS = 5;
 
 /**
  * Compares with one peer at a time what each knows of configuration and
@@ -68,9 +75,11 @@
   /** Asks all peers that were on the list before this instance began. */
   async askUnconfirmedPeers(): Promise<void> {
     const {membership} = this.parts;
-    const peers = membership.listUnconfirmedPeers().slice(0, MAX_UNCONFIRMED);
+    const peers = listUnconfirmedRivals(membership);
     await Promise.all(
-      peers.map(({address}) => this.askPeer(address, NO_WISHES)),
+      peers
+        .slice(0, MAX_UNCONFIRMED)
+        .map(({address}) => this.askPeer(address, NO_WISHES)),
     );
   }
 
@@ -132,11 +141,12 @@
     const others = seeds.filter(address => address !== own);
     this.round += 1;
     if (peers.length === 0) return others;
-    const unconfirmed = membership
-      .listUnconfirmedPeers()
+    const unconfirmed = listUnconfirmedRivals(membership)
       .slice(0, MAX_UNCONFIRMED)
       .map(({address}) => address);
-    const peer = peers[Math.floor(random() * peers.length)];
+    const isFar = this.round % FAR_EVERY_ROUNDS === 0;
+    const near = isFar ? peers : this.listNeighbours(peers);
+    const peer = near[Math.floor(random() * near.length)];
     const chosen = [peer.address, ...unconfirmed];
     if (this.round % SEEDS_EVERY_ROUNDS === 0 && others.length > 0) {
       chosen.push(others[Math.floor(random() * others.length)]);
@@ -144,6 +154,13 @@
     return [...new Set(chosen)];
   }
 
+  // Connections have a price at both ends, so most rounds go to the same few.
+  private listNeighbours(peers: readonly PeerRecord[]): readonly PeerRecord[] {
+    if (peers.length <= NEIGHBOUR_COUNT) return peers;
+    const own = this.parts.membership.getSelf().id;
+    return chooseSubset(own, peers, NEIGHBOUR_COUNT);
+  }
+
   private async askPeer(address: string, wishes: CopyWishes): Promise<void> {
     const {link, membership, holder, registry} = this.parts;
     const reply = await link
--- a/packages/peers/src/coordinator.test.ts
+++ b/packages/peers/src/coordinator.test.ts
@@ -8,13 +8,25 @@
   type TransactionResult,
   type WatchEvent,
 } from '@hollowstack/store';
-import {Membership, PEER_PREFIX, chooseCoordinator} from './index.ts';
+import {
+  Membership,
+  PEER_PREFIX,
+  chooseCoordinator,
+  listUnconfirmedRivals,
+} from './index.ts';
 
 class EmptyStore extends KeyValueStore {
   putCount = 0;
+  events: readonly WatchEvent[] = [];
 
   async readRange(): Promise<RangeResult> {
-    return {storeId: 's', storeRevision: 1, keyValues: []};
+    const keyValues = this.events.map(({key, value, modRevision}) => ({
+      key,
+      value,
+      modRevision,
+      createRevision: modRevision,
+    }));
+    return {storeId: 's', storeRevision: 1, keyValues};
   }
 
   async runTransaction(): Promise<TransactionResult> {
@@ -110,6 +122,26 @@
   assert.equal(chooseCoordinator(membership), undefined);
 });
 
+test('only those who would coordinate are asked whether they live', async () => {
+  const store = new EmptyStore();
+  store.events = [
+    createPut('older', 2),
+    createPut('strong', 5, 1.35),
+    createPut('older-strong', 4, 1.35),
+    createPut('self', 6),
+    createPut('younger', 7),
+    createPut('weak', 3, 0.3),
+  ];
+  const membership = createMembership(store);
+  await membership.refresh();
+  const listIds = () => listUnconfirmedRivals(membership).map(({id}) => id);
+  assert.deepEqual(listIds(), ['older-strong', 'strong', 'older']);
+  membership.recordUnreachable('older-strong');
+  membership.handleEvents([createPut('strong', 8, 1.35)]);
+  assert.deepEqual(listIds(), []);
+  assert.equal(chooseCoordinator(membership)?.id, 'strong');
+});
+
 test('without any registration all choose alike among those heard of', () => {
   const membership = createMembership();
   membership.recordHeard({id: 'b', address: '10.0.0.1:2', zone: 'a'});
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -17,7 +17,7 @@
   type PeerReply,
   type PeerRequest,
 } from './messages.ts';
-export {chooseCoordinator} from './coordinator.ts';
+export {chooseCoordinator, listUnconfirmedRivals} from './coordinator.ts';
 export {Membership, PEER_PREFIX, type MembershipParts} from './membership.ts';
 export {
   RevisionExchange,
--- /dev/null
+++ b/packages/stages/src/peer-watch.ts
@@ -0,0 +1,94 @@
+import {waitFor, type Clock, type Timer} from '@hollowstack/clock';
+import type {EventLogger} from '@hollowstack/logger';
+import type {PeerLink, PeerRecord} from '@hollowstack/peers';
+
+/** What a watch works with. */
+export interface PeerWatchParts {
+  readonly clock: Clock;
+  readonly logger: EventLogger;
+  readonly link: PeerLink;
+}
+
+/** One caller's part in the watch of a peer. */
+export interface PeerWatching {
+  /** Resolves once the peer is silent; never, where it answers. */
+  readonly failed: Promise<undefined>;
+  end(): void;
+}
+
+interface WatchedPeer {
+  readonly record: PeerRecord;
+  readonly waiters: Set<() => void>;
+  timer: Timer | undefined;
+}
+
+const PING_EVERY_MS = 150;
+const PING_TIMEOUT_MS = 450;
+
+/**
+ * Notices silent peers by pings, sent only while somebody waits for an answer
+ * of theirs, and one at a time however many wait.
+ */
+export class PeerWatch {
+  private readonly parts: PeerWatchParts;
+  private readonly watched = new Map<string, WatchedPeer>();
+
+  constructor(parts: PeerWatchParts) {
+    this.parts = parts;
+  }
+
+  /** Watches a peer until the returned part is ended. */
+  beginWatching(record: PeerRecord): PeerWatching {
+    const peer = this.watched.get(record.id) ?? this.addPeer(record);
+    let waiter = () => {};
+    const failed = new Promise<undefined>(resolve => {
+      waiter = () => resolve(undefined);
+    });
+    peer.waiters.add(waiter);
+    return {failed, end: () => this.endWatching(peer, waiter)};
+  }
+
+  private addPeer(record: PeerRecord): WatchedPeer {
+    const peer: WatchedPeer = {record, waiters: new Set(), timer: undefined};
+    this.watched.set(record.id, peer);
+    this.schedulePing(peer);
+    return peer;
+  }
+
+  private endWatching(peer: WatchedPeer, waiter: () => void): void {
+    peer.waiters.delete(waiter);
+    if (peer.waiters.size === 0) this.removePeer(peer);
+  }
+
+  private removePeer(peer: WatchedPeer): void {
+    peer.timer?.cancel();
+    const {id} = peer.record;
+    if (this.watched.get(id) === peer) this.watched.delete(id);
+  }
+
+  private schedulePing(peer: WatchedPeer): void {
+    const {clock} = this.parts;
+    peer.timer = clock.schedule(PING_EVERY_MS, () => void this.askPeer(peer));
+  }
+
+  private async askPeer(peer: WatchedPeer): Promise<void> {
+    const {clock, link, logger} = this.parts;
+    const {address, id} = peer.record;
+    const isAnswered = await Promise.race([
+      link.sendRequest(address, {type: 'ping'}, PING_TIMEOUT_MS).then(
+        () => true,
+        () => false,
+      ),
+      waitFor(clock, PING_TIMEOUT_MS).then(() => false),
+    ]);
+    if (this.watched.get(id) !== peer) return;
+    if (isAnswered) {
+      this.schedulePing(peer);
+      return;
+    }
+    logger.logEvent('peer.silent', {peer: id, address});
+    link.closePeer(address);
+    this.removePeer(peer);
+    for (const waiter of peer.waiters) waiter();
+  }
+}
--- a/packages/stages/src/stage-dispatcher.ts
+++ b/packages/stages/src/stage-dispatcher.ts
@@ -1,5 +1,5 @@
 import {randomBytes} from 'node:crypto';
-import {waitFor, type Clock, type Timer} from '@hollowstack/clock';
+import type {Clock} from '@hollowstack/clock';
 import type {EventLogger} from '@hollowstack/logger';
 import {
   chooseCoordinator,
@@ -13,6 +13,7 @@
   StageOutcome,
   StageResult,
 } from '@hollowstack/types';
+import {PeerWatch} from './peer-watch.ts';
 import type {StageAdmissionDecision} from './stage-admission.ts';
 import type {StageCoordinator} from './stage-coordinator.ts';
 
@@ -32,8 +33,6 @@
 /** Times a job may be submitted: each one that follows finds its coordinator gone. */
 const MAX_SUBMISSIONS = 2;
 const REPLY_MARGIN_MS = 100;
-const PING_EVERY_MS = 150;
-const PING_TIMEOUT_MS = 450;
 const RELEASE_TIMEOUT_MS = 1000;
 const ADMIT_TIMEOUT_MS = 100;
 const JOB_ID_BYTES = 8;
@@ -45,10 +44,12 @@
  */
 export class StageDispatcher {
   private readonly parts: StageDispatcherParts;
+  private readonly peerWatch: PeerWatch;
   private lastCoordinator = '';
 
   constructor(parts: StageDispatcherParts) {
     this.parts = parts;
+    this.peerWatch = new PeerWatch(parts);
   }
 
   /**
@@ -185,7 +186,7 @@
         .catch(() => {});
     };
     signal.addEventListener('abort', cancelJob, {once: true});
-    const watch = this.beginWatching(coordinator);
+    const watching = this.peerWatch.beginWatching(coordinator);
     try {
       const reply = await Promise.race([
         link.sendRequest(
@@ -193,7 +194,7 @@
           {type: 'stage-job', job},
           job.remainingMs + REPLY_MARGIN_MS,
         ),
-        watch.failed,
+        watching.failed,
       ]);
       if (reply?.type === 'stage-outcome') return reply.outcome;
       membership.recordUnreachable(id);
@@ -202,7 +203,7 @@
       membership.recordUnreachable(id);
       return undefined;
     } finally {
-      watch.end();
+      watching.end();
       signal.removeEventListener('abort', cancelJob);
     }
   }
@@ -216,42 +217,4 @@
     });
     this.lastCoordinator = id;
   }
-
-  // A silent coordinator is noticed by pings, sent only while jobs wait there.
-  private beginWatching(coordinator: PeerRecord): {
-    failed: Promise<undefined>;
-    end(): void;
-  } {
-    const {clock, link, logger} = this.parts;
-    const {address, id} = coordinator;
-    let isEnded = false;
-    let timer: Timer | undefined;
-    const failed = new Promise<undefined>(resolve => {
-      const ping = async () => {
-        const isAnswered = await Promise.race([
-          link.sendRequest(address, {type: 'ping'}, PING_TIMEOUT_MS).then(
-            () => true,
-            () => false,
-          ),
-          waitFor(clock, PING_TIMEOUT_MS).then(() => false),
-        ]);
-        if (isEnded) return;
-        if (isAnswered) {
-          timer = clock.schedule(PING_EVERY_MS, () => void ping());
-          return;
-        }
-        logger.logEvent('peer.silent', {peer: id, address});
-        link.closePeer(address);
-        resolve(undefined);
-      };
-      timer = clock.schedule(PING_EVERY_MS, () => void ping());
-    });
-    return {
-      failed,
-      end: () => {
-        isEnded = true;
-        timer?.cancel();
-      },
-    };
-  }
 }
