End the grace of lapsed registrations with the gateway

Cause: the timer of the grace kept a process up to 2.2 s beyond its stop; behind a drain that used its whole limit that is past the time after which it is killed. Found by reading the change.

Ruled out: timers that never keep a process (a drain relies on those that do).

Change: the registry is stopped with the other parts.

Figures: the new test fails without the stop (upstream.gone is logged 2.2 s later), and passes with it.

--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -245,6 +245,7 @@
     membership,
     link,
     exchange,
+    registry,
     coordinator,
     server,
     probePath: protocol.probePath,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,6 +12,7 @@
 import type {GatewaySettings} from './gateway-settings.ts';
 import type {RouteHolder} from './route-holder.ts';
 import type {StoreFollower} from './store-follower.ts';
+import type {UpstreamRegistry} from './upstream-registry.ts';
 
 /** The running parts of a gateway. */
 export interface GatewayParts {
@@ -26,6 +27,7 @@
   readonly membership: Membership;
   readonly link: PeerLink;
   readonly exchange: CopyExchange;
+  readonly registry: UpstreamRegistry;
   readonly coordinator: StageCoordinator;
   readonly server: GatewayServer;
   readonly probePath: string;
@@ -111,6 +113,7 @@
     this.isStopped = true;
     void parts.membership.stop();
     parts.exchange.stop();
+    parts.registry.stop();
     parts.watchHub.stop();
     for (const follower of parts.followers) follower.stop();
     parts.coordinator.stop();
--- /dev/null
+++ b/packages/gateway/src/upstream-registry.test.ts
@@ -0,0 +1,65 @@
+import {ManualClock} from '@hollowstack/clock';
+import {EventLogger, type EventName} from '@hollowstack/logger';
+import type {RegisteredUpstream} from '@hollowstack/routes';
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {RequestProtocol} from './request-protocol.ts';
+import {UpstreamRegistry} from './upstream-registry.ts';
+
+class ListingLogger extends EventLogger {
+  readonly names: EventName[] = [];
+
+  logEvent(name: EventName): void {
+    this.names.push(name);
+  }
+}
+
+const protocol = {
+  parseUpstream: (key: string, text: string): RegisteredUpstream => ({
+    id: key,
+    service: 'plain',
+    address: '10.0.0.1:1',
+    zone: 'a',
+    capacity: 1,
+    isLeaving: text === 'leaving',
+  }),
+} as unknown as RequestProtocol;
+
+function createRegistry() {
+  const clock = new ManualClock();
+  const logger = new ListingLogger();
+  const registry = new UpstreamRegistry(protocol, logger, clock);
+  registry.replaceEntries(
+    [
+      {key: 'a', value: 'ready'},
+      {key: 'b', value: 'leaving'},
+    ],
+    1,
+    'store',
+  );
+  return {clock, logger, registry};
+}
+
+test('an entry that lapsed in an outage stays for its grace, one that was leaving does not', async () => {
+  const {clock, registry} = createRegistry();
+  registry.beginGrace();
+  registry.replaceEntries([], 2, 'store');
+  assert.deepEqual(
+    registry.listUpstreams().map(({id}) => id),
+    ['a'],
+  );
+  assert.equal(registry.createCopy(), undefined);
+  await clock.advance(2300);
+  assert.deepEqual(registry.listUpstreams(), []);
+  assert.deepEqual(registry.createCopy()?.entries, []);
+});
+
+test('nothing is left to happen after a stop', async () => {
+  const {clock, logger, registry} = createRegistry();
+  registry.beginGrace();
+  registry.replaceEntries([], 2, 'store');
+  registry.stop();
+  const countBefore = logger.names.length;
+  await clock.advance(5000);
+  assert.equal(logger.names.length, countBefore);
+});
--- a/packages/gateway/src/upstream-registry.ts
+++ b/packages/gateway/src/upstream-registry.ts
@@ -60,6 +60,12 @@
     this.grace = this.clock.schedule(LAPSE_GRACE_MS, () => this.endGrace());
   }
 
+  /** Ends the grace, so that nothing is left to keep a process that stops. */
+  stop(): void {
+    this.grace?.cancel();
+    this.grace = undefined;
+  }
+
   /** Takes a whole reading; what it does not name is gone. */
   replaceEntries(
     keyValues: readonly Pick<KeyValue, 'key' | 'value'>[],
