Refuse requests that come late in a planned stop

Ruled out: closing the listener (callers then learn of it by a failed connection, without a time to come back); a longer limit (the process is killed 1 s later).

--- a/packages/gateway/src/gateway-front.ts
+++ b/packages/gateway/src/gateway-front.ts
@@ -30,6 +30,8 @@
 }
 
 const NOT_READY_RETRY_MS = 1000;
+/** Another instance takes the request at once. */
+const CLOSING_RETRY_MS = 50;
 const DRAW_SCALE = 0x1_0000_0000;
 
 /** Takes routed requests: finds their route and workspace, and runs them. */
@@ -60,6 +62,7 @@
       }
       const {limits} = table.configuration;
       const body = await readRequestBody(incoming, limits);
+      this.checkOpen();
       const {route, workspace} = admitted;
       await this.runRequest(
         new RoutedRequest(
@@ -83,6 +86,16 @@
     }
   }
 
+  // Asked once the body has come: to close over unread bytes would reset the
+  // connection, and the caller might never see the answer.
+  private checkOpen(): void {
+    if (!this.parts.lifecycle.isClosing()) return;
+    throw new HollowstackError('not-ready', 'this instance is stopping', {
+      ran: 'no',
+      retryAfterMs: CLOSING_RETRY_MS,
+    });
+  }
+
   private getTable(): RouteTable {
     const table = this.parts.holder.getCurrent();
     if (table) return table;
--- a/packages/gateway/src/gateway-lifecycle.ts
+++ b/packages/gateway/src/gateway-lifecycle.ts
@@ -1,7 +1,7 @@
 import type {ServerResponse} from 'node:http';
 
 /** Where in its life a gateway is. */
-export type GatewayState = 'starting' | 'ready' | 'draining';
+export type GatewayState = 'starting' | 'ready' | 'draining' | 'closing';
 
 /** The gateway's state, and the answers it still owes. */
 export class GatewayLifecycle {
@@ -17,7 +17,12 @@
   }
 
   isStopping(): boolean {
-    return this.state === 'draining';
+    return this.state === 'draining' || this.isClosing();
+  }
+
+  /** Returns whether requests that come now are refused, so that those in progress can end. */
+  isClosing(): boolean {
+    return this.state === 'closing';
   }
 
   getInProgress(): number {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -98,9 +98,11 @@
     };
     while (!isOver()) {
       await waitFor(clock, DRAIN_POLL_MS);
-      if (clock.getNow() - startedAtMs >= BALANCER_LAG_MS) {
-        server.closeIdleConnections();
-      }
+      if (clock.getNow() - startedAtMs < BALANCER_LAG_MS) continue;
+      // A balancer with few others goes on sending; what it sends now would not
+      // be over in time.
+      lifecycle.setState('closing');
+      server.closeIdleConnections();
     }
     const inProgress = lifecycle.getInProgress();
     if (inProgress > 0) logger.logEvent('entry.drain-late', {inProgress});
