--- a/packages/gateway/src/copy-exchange.ts
+++ b/packages/gateway/src/copy-exchange.ts
@@ -72,7 +72,7 @@
     this.task.stop();
   }
 
-  /** Asks all peers that were on the list before this instance began. */
+  /** Asks the peers of whom nothing was heard yet and who would coordinate. */
   async askUnconfirmedPeers(): Promise<void> {
     const {membership} = this.parts;
     const peers = listUnconfirmedRivals(membership);
@@ -83,7 +83,7 @@
     );
   }
 
-  /** Asks one peer, or the seeds while no peer is known. */
+  /** Asks one peer and those not heard of yet, or the seeds while no peer is known. */
   async runRound(): Promise<void> {
     const addresses = this.chooseAddresses();
     const wishes = this.listWishes();
--- a/packages/stages/src/stage-dispatcher.ts
+++ b/packages/stages/src/stage-dispatcher.ts
@@ -38,9 +38,8 @@
 const JOB_ID_BYTES = 8;
 
 /**
- * Submits jobs to the one instance that coordinates stages: the first of the
- * reachable ones by rendezvous, so that all agree without asking anybody. Two
- * coordinators at a time cost full batches, nothing else.
+ * Submits jobs to the one instance that coordinates stages. Two coordinators at a
+ * time cost full batches, nothing else.
  */
 export class StageDispatcher {
   private readonly parts: StageDispatcherParts;
