Drop headers that only the gateway may send to an upstream

Cause: a caller's Cache-Retention, Pin-Ms, Kv-Replica, Kv-From, Kv-Fetch and Expected-Version went on to the engine. The users' new rule forbids it, engines turn such requests away, and a forged Expected-Version made an engine count as another one. Ruled out: names in Connection and odd case (both were handled; the test holds them). Trailers of a request were never sent on. Change: the adapter lists the names, Attempt drops the list; a new name is one line. The test of names holds the new ones too. Before: the new test fails with six headers passed. After: it passes.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -131,16 +131,7 @@
     const {facts} = request;
     const headers = listEndToEndHeaders(
       request.incoming.rawHeaders,
-      new Set([
-        'content-length',
-        'expect',
-        names.callerKey,
-        names.workspace,
-        names.targetUpstream,
-        names.deadlineMs,
-        names.priority,
-        names.stageInputs,
-      ]),
+      new Set(['content-length', 'expect', ...protocol.systemHeaders]),
     );
     headers.push(
       names.deadlineMs,
--- a/packages/gateway/src/request-protocol.ts
+++ b/packages/gateway/src/request-protocol.ts
@@ -36,6 +36,11 @@
 /** How requests, configuration and registrations are written; an adapter gives names and formats. */
 export abstract class RequestProtocol {
   abstract readonly headers: RequestHeaderNames;
+  /**
+   * Names, in small letters, of all headers that only this system may send to
+   * an upstream. A caller's header of that name is dropped.
+   */
+  abstract readonly systemHeaders: ReadonlySet<string>;
   /** Path at which the balancer asks whether this instance is ready. */
   abstract readonly probePath: string;
   /** Store key of the newest routed configuration. */
