Call an instance ready only once it knows the upstreams

Cause: Gateway.start waited for the configuration alone. The registrations are read by another call, in pages; an instance that had routes and no upstreams yet said that it was ready and answered 503 "no upstream left". That is how "a planned stop cuts nothing ..." got 503 for 200 beside load: its fresh gateway was asked before the second page was read. Ruled out: the refusal of late requests in a stop comes 2.6 s after it, and the engines' failures come after 180 ms, so that both engines cannot be out by then. Change: readiness asks for both. Before: "a gateway that knows no upstreams yet does not call itself ready" fails (503). After: it passes.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -53,7 +53,7 @@
     this.parts = parts;
   }
 
-  /** Starts all parts and resolves once a configuration is in force. */
+  /** Starts all parts and resolves once a configuration and the upstreams are known. */
   async start(): Promise<void> {
     const {parts} = this;
     const {settings, logger, clock, lifecycle} = parts;
@@ -66,7 +66,10 @@
     void parts.exchange.start();
     this.startPauseGuard();
     const isEnding = () => this.isStopped || lifecycle.isStopping();
-    while (!parts.holder.getCurrent() && !isEnding()) {
+    // An instance that knows routes but no upstreams could only refuse.
+    const isLoaded = () =>
+      parts.holder.getCurrent() !== undefined && parts.registry.isLoaded();
+    while (!isLoaded() && !isEnding()) {
       await waitFor(clock, START_POLL_MS);
     }
     if (isEnding()) return;
--- a/packages/gateway/src/upstream-registry.ts
+++ b/packages/gateway/src/upstream-registry.ts
@@ -44,6 +44,11 @@
     return this.storeRevision;
   }
 
+  /** Returns whether the registrations have been read, from the store or a peer. */
+  isLoaded(): boolean {
+    return this.storeRevision > 0;
+  }
+
   listUpstreams(): RegisteredUpstream[] {
     return [...this.entries.values()].map(({upstream}) => upstream);
   }
