Start stages with large results late, and release them at the first event

Cause: room for results binds at the new customer (30 large results in all, 20 asked for a second). A resumable stream kept its inputs at their makers until its last event, and a large stage without inputs ran first although a chain of three stages beside it took three times as long: some 35 results would have had to lie there at once. Change: RequestStages keeps the slack of each stage by critical-path scheduling over learnt durations and puts the start of a stage with large results off by it; inputs are released at the first event, and a stream that breaks off after that has its stages run again before it is resumed. Both have a switch under [policy]. A retry is counted once a request, not once a rerun.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -12,15 +12,24 @@
 import type {RoutedRequest} from './routed-request.ts';
 import {StreamRelay} from './stream-relay.ts';
 
+/** Stage results that an upstream reads before it runs the request. */
+export interface AttemptInputs {
+  /** Value of the header that names them. */
+  readonly header: string;
+  /** Called once the upstream has read them, so that their makers can drop them. */
+  readonly release: () => void;
+}
+
 /** What one attempt works with. */
 export interface AttemptParts {
   readonly clock: Clock;
   readonly protocol: RequestProtocol;
   readonly request: RoutedRequest;
   readonly upstream: RegisteredUpstream;
-  /** Results that the upstream reads, and how they are given back. */
-  readonly inputs:
-    {readonly header: string; readonly release: () => void} | undefined;
+  /** Stage results that the upstream reads; undefined for a request without stages. */
+  readonly inputs: AttemptInputs | undefined;
+  /** Whether the inputs are released at the first event of a stream. */
+  readonly releasesAtFirst: boolean;
   /** Called with the milliseconds to the first event of a stream. */
   readonly handleFirst: (firstMs: number) => void;
   readonly silence: {
@@ -228,8 +237,10 @@
       if (firstMs !== undefined) return;
       firstMs = this.getPassedMs();
       this.parts.handleFirst(firstMs);
-      // A stream that may go on elsewhere needs its inputs until its end.
-      if (!request.facts.route.isResumable) inputs?.release();
+      // The first event proves that the upstream has read its inputs. Keeping
+      // them for a possible resumption would occupy their makers for the whole
+      // stream; a stream that breaks off has its stages run again instead.
+      if (this.parts.releasesAtFirst) inputs?.release();
     });
     await relay.run();
     return {type: 'answered', firstMs: firstMs ?? this.getPassedMs()};
--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -1,3 +1,4 @@
+import {DurationEstimator} from '@hollowstack/admission';
 import {EngineDirectory} from '@hollowstack/assignment';
 import type {Clock} from '@hollowstack/clock';
 import type {EventLogger} from '@hollowstack/logger';
@@ -148,6 +149,8 @@
       random,
     }),
     dispatcher,
+    policy: settings.policy,
+    stageDurations: new DurationEstimator(clock),
     retryBudget: new WindowRetryBudget(
       {...settings.retries, windowMs: settings.retries.windowSeconds * 1000},
       getNow,
--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -12,6 +12,19 @@
     .min(MIN_SECRET_LENGTH, `use at least ${MIN_SECRET_LENGTH} characters`),
 });
 
+/**
+ * Switches of single mechanisms, so that their worth can be measured by leaving
+ * one out. All are on unless a measurement asks for it.
+ */
+export const policySettingsSchema = z.object({
+  /** Starts stages with large results no earlier than their request needs them. */
+  latestStart: z.boolean().default(true),
+  /** Releases a resumable stream's inputs at its first event, not at its end. */
+  earlyRelease: z.boolean().default(true),
+});
+/** Switches of single mechanisms. */
+export type PolicySettings = z.infer<typeof policySettingsSchema>;
+
 /**
  * The settings of one gateway. Durations are in the unit of their name. Fields that are
  * not known are passed over, since a platform may add to them.
@@ -56,6 +69,7 @@
       burst: z.number().nonnegative().default(50),
     })
     .prefault({}),
+  policy: policySettingsSchema.prefault({}),
   drain: z
     .object({
       /** Time for a planned stop, after which the process is killed. */
--- a/packages/gateway/src/request-runner.ts
+++ b/packages/gateway/src/request-runner.ts
@@ -1,10 +1,12 @@
+import type {DurationEstimator} from '@hollowstack/admission';
 import type {Clock} from '@hollowstack/clock';
 import {HollowstackError} from '@hollowstack/errors';
 import type {EventLogger} from '@hollowstack/logger';
 import {isRepeatable, type RouteTable} from '@hollowstack/routes';
 import {RequestStages, type StageDispatcher} from '@hollowstack/stages';
 import type {PromptPart} from '@hollowstack/types';
-import {Attempt, type AttemptOutcome, type AttemptParts} from './attempt.ts';
+import {Attempt, type AttemptInputs, type AttemptOutcome} from './attempt.ts';
+import type {PolicySettings} from './gateway-settings.ts';
 import type {RequestProtocol} from './request-protocol.ts';
 import type {RoutedRequest} from './routed-request.ts';
 import type {UpstreamChooser} from './upstream-chooser.ts';
@@ -20,6 +22,9 @@
   readonly chooser: UpstreamChooser;
   readonly dispatcher: StageDispatcher;
   readonly retryBudget: WindowRetryBudget;
+  readonly policy: PolicySettings;
+  /** How long the stages of each route take, as this instance has seen. */
+  readonly stageDurations: DurationEstimator;
 }
 
 /** Connections that may fail to stand before a request is refused. */
@@ -43,10 +48,33 @@
 const SILENCE_SHARE = 0.6;
 const NO_BYTES: ReadonlyMap<string, number> = new Map();
 
+/** Times that the stages of one request run again after their results were lost. */
+const MAX_STAGE_RERUNS = 2;
+
 interface AttemptNeeds {
   readonly parts: readonly PromptPart[];
   readonly inputBytes: ReadonlyMap<string, number>;
-  readonly inputs: AttemptParts['inputs'];
+  readonly inputs: ReleasableInputs | undefined;
+  /** Upstreams that have failed the request. */
+  readonly excluded: Set<string>;
+}
+
+/** Inputs of an attempt that know whether they were released. */
+class ReleasableInputs implements AttemptInputs {
+  readonly header: string;
+  isReleased = false;
+  private readonly releaseResults: () => void;
+
+  constructor(header: string, releaseResults: () => void) {
+    this.header = header;
+    this.releaseResults = releaseResults;
+  }
+
+  release(): void {
+    if (this.isReleased) return;
+    this.isReleased = true;
+    this.releaseResults();
+  }
 }
 
 /** Runs one routed request: its stages, its upstream, and further attempts where they may be. */
@@ -59,12 +87,17 @@
 
   /** Resolves once the answer is on its way to its end. @throws HollowstackError */
   async run(request: RoutedRequest, table: RouteTable): Promise<void> {
-    const {protocol} = this.parts;
+    const {protocol, retryBudget} = this.parts;
     const parts = request.listPromptParts(protocol);
     const counts = request.getHeader(protocol.headers.stageCounts);
+    retryBudget.recordRequest(request.facts.service);
     if (request.facts.route.stages.length === 0 || counts === undefined) {
-      const needs = {parts, inputBytes: NO_BYTES, inputs: undefined};
-      await this.runAttempts(request, needs);
+      await this.runAttempts(request, {
+        parts,
+        inputBytes: NO_BYTES,
+        inputs: undefined,
+        excluded: new Set(),
+      });
       return;
     }
     const zone = await this.predictZone(request, parts);
@@ -83,26 +116,27 @@
     stages: RequestStages,
     parts: readonly PromptPart[],
   ): Promise<void> {
-    const {clock, protocol, retryBudget} = this.parts;
+    const {clock, protocol} = this.parts;
     const startedAtMs = clock.getNow();
-    for (;;) {
+    const excluded = new Set<string>();
+    for (let rerun = 0; ; rerun++) {
       const made = await stages.run(request.signal);
-      request.stagesMs = Math.round(clock.getNow() - startedAtMs);
+      request.stagesMs ??= Math.round(clock.getNow() - startedAtMs);
       const handles = made.results.map(({handle}) => handle);
       try {
         await this.runAttempts(request, {
           parts,
           inputBytes: made.bytesByZone,
-          inputs: {
-            header: protocol.renderStageInputs(handles),
-            release: () => stages.releaseAll(),
-          },
+          inputs: new ReleasableInputs(
+            protocol.renderStageInputs(handles),
+            () => stages.releaseAll(),
+          ),
+          excluded,
         });
         return;
       } catch (error) {
-        const isGone = error instanceof InputGoneError;
-        if (!isGone || request.sentTo.length > 1) throw error;
-        if (!retryBudget.acquireRetry(request.facts.service)) throw error;
+        const isLost = error instanceof InputsLostError;
+        if (!isLost || rerun >= MAX_STAGE_RERUNS) throw error;
         stages.releaseAll();
       }
     }
@@ -132,7 +166,7 @@
     pieceCounts: readonly number[],
     zone: string | undefined,
   ): RequestStages {
-    const {clock, protocol, dispatcher} = this.parts;
+    const {clock, protocol, dispatcher, policy, stageDurations} = this.parts;
     const {facts} = request;
     const nowMs = clock.getNow();
     const {route} = facts;
@@ -149,11 +183,13 @@
         remainingMs: facts.deadlineAtMs - nowMs,
         priority: facts.workspace?.priority ?? route.priority,
         zone,
+        startsLate: policy.latestStart,
         mayComeBack:
           facts.deadlineAtMs - nowMs >= COME_BACK_SHARE * route.timeoutMs,
       },
       dispatcher,
-      () => clock.getNow(),
+      clock,
+      stageDurations,
     );
   }
 
@@ -162,12 +198,10 @@
     needs: AttemptNeeds,
   ): Promise<void> {
     const {retryBudget, chooser} = this.parts;
-    const excluded = new Set<string>();
+    const {parts, inputBytes, inputs, excluded} = needs;
     let unsentCount = 0;
-    retryBudget.recordRequest(request.facts.service);
     for (;;) {
       request.signal.throwIfAborted();
-      const {parts, inputBytes, inputs} = needs;
       const upstream =
         this.findPinned(request) ??
         (await chooser.choose(request, {
@@ -180,17 +214,21 @@
       if (!upstream) throw createUnavailable(request, 'no upstream left');
       const outcome = await this.attemptOnce(request, upstream.id, inputs);
       if (outcome.type === 'answered') return;
-      excluded.add(upstream.id);
       this.logFailure(request, upstream.id, outcome);
       request.signal.throwIfAborted();
       if (outcome.type === 'not-run' && outcome.isInputGone) {
-        throw new InputGoneError(outcome.reason, request);
+        if (retryBudget.acquireRetry(request.facts.service)) {
+          throw new InputsLostError(outcome.reason, request);
+        }
+        throw createUnavailable(request, outcome.reason);
       }
+      excluded.add(upstream.id);
       if (isUnsent(outcome)) {
         unsentCount += 1;
         if (unsentCount < MAX_UNSENT) continue;
       } else if (this.mayRetry(request, outcome)) {
-        continue;
+        if (!inputs?.isReleased) continue;
+        throw new InputsLostError(outcome.reason, request);
       }
       if (outcome.type === 'failed' && outcome.passOn) {
         outcome.passOn();
@@ -211,9 +249,9 @@
   private async attemptOnce(
     request: RoutedRequest,
     upstreamId: string,
-    inputs: AttemptParts['inputs'],
+    inputs: AttemptInputs | undefined,
   ): Promise<AttemptOutcome> {
-    const {clock, protocol, pool, chooser} = this.parts;
+    const {clock, protocol, pool, chooser, policy} = this.parts;
     const upstream = pool.getRecord(upstreamId);
     if (!upstream) return {type: 'unsent', reason: 'the upstream is gone'};
     const attempt = new Attempt({
@@ -222,6 +260,7 @@
       request,
       upstream,
       inputs,
+      releasesAtFirst: policy.earlyRelease || !request.facts.route.isResumable,
       handleFirst: firstMs => {
         request.recordFirst(clock.getNow());
         chooser.recordFirst(request, upstreamId, firstMs);
@@ -292,8 +331,8 @@
   }
 }
 
-/** An input of the request was lost; nothing has run. */
-class InputGoneError extends HollowstackError {
+/** The next attempt needs stage results that are gone, and may be made. */
+class InputsLostError extends HollowstackError {
   constructor(reason: string, request: RoutedRequest) {
     super('upstream-unavailable', reason, {
       ran: request.getRan(),
--- a/packages/stages/src/request-stages.ts
+++ b/packages/stages/src/request-stages.ts
@@ -1,11 +1,27 @@
+import {DurationEstimator} from '@hollowstack/admission';
+import {waitFor, type Clock} from '@hollowstack/clock';
 import {HollowstackError} from '@hollowstack/errors';
 import type {Route, StageCapacity} from '@hollowstack/routes';
 import type {StageFailure, StageResult} from '@hollowstack/types';
 import type {StageDispatcher} from './stage-dispatcher.ts';
+import {computeSlackMs, type StageProgress} from './stage-timing.ts';
 
 /** Milliseconds that the request itself takes to its first bytes, at its best. */
 const REQUEST_MS = 100;
 
+/**
+ * Share of an upstream's result memory from which on the results of a stage
+ * count as large, so that they are made no earlier than they are needed. Below
+ * it a delay would save next to nothing.
+ */
+const LARGE_RESULT_SHARE = 0.04;
+/** Milliseconds after which a delayed stage looks again how far the others are. */
+const SLACK_CHECK_MS = 40;
+/** Least share of its predicted time that a running stage is taken to need still. */
+const MIN_REMAINING_SHARE = 0.2;
+/** A stage takes about this times its bare work, before anything was learnt of it. */
+const USUAL_QUEUEING = 1.5;
+
 /** The stages that one request needs. */
 export interface RequestStagesInput {
   readonly requestId: string;
@@ -19,6 +35,8 @@
   readonly dueInMs: number;
   readonly remainingMs: number;
   readonly priority: number;
+  /** Whether stages with large results start as late as the request allows. */
+  readonly startsLate: boolean;
   /** Whether the caller has the time to come back. */
   readonly mayComeBack: boolean;
   /** Failure domain of the upstream that will read the last results, if chosen. */
@@ -49,8 +67,12 @@
 export class RequestStages {
   private readonly input: RequestStagesInput;
   private readonly dispatcher: StageDispatcher;
-  private readonly getNow: () => number;
+  private readonly clock: Clock;
+  /** Learns how long each stage of a route takes, queueing included. */
+  private readonly durations: DurationEstimator;
   private readonly startedAtMs: number;
+  private stageStartsMs: Array<number | undefined> = [];
+  private areDone: boolean[] = [];
   private runs: Array<Promise<readonly StageResult[]> | undefined> = [];
   private readonly unreleased = new Map<number, readonly StageResult[]>();
   private readersLeft: number[] = [];
@@ -58,12 +80,14 @@
   constructor(
     input: RequestStagesInput,
     dispatcher: StageDispatcher,
-    getNow: () => number,
+    clock: Clock,
+    durations: DurationEstimator,
   ) {
     this.input = input;
     this.dispatcher = dispatcher;
-    this.getNow = getNow;
-    this.startedAtMs = getNow();
+    this.clock = clock;
+    this.durations = durations;
+    this.startedAtMs = clock.getNow();
   }
 
   /** Asks whether the stages may begin. @throws HollowstackError where they cannot be in time. */
@@ -110,6 +134,8 @@
   private async runAll(signal: AbortSignal): Promise<StageInputs> {
     const {stages} = this.input.route;
     this.runs = [];
+    this.stageStartsMs = [];
+    this.areDone = stages.map((_, index) => !this.isNeeded(index));
     this.readersLeft = stages.map((_, index) => this.listReaders(index).length);
     const failing = new AbortController();
     const both = AbortSignal.any([signal, failing.signal]);
@@ -160,7 +186,10 @@
     if (pieceCount === 0) return [];
     signal.throwIfAborted();
     const inputs = sources.flat();
+    await this.waitForLatestStart(index, signal);
+    this.stageStartsMs[index] = this.clock.getNow();
     const results = await this.runJob(index, pieceCount, inputs, signal);
+    this.recordDone(index);
     this.unreleased.set(index, results);
     for (const source of stage.after) this.recordRead(source);
     return results;
@@ -174,7 +203,7 @@
   ): Promise<readonly StageResult[]> {
     const {input} = this;
     const stage = input.route.stages[index];
-    const passedMs = this.getNow() - this.startedAtMs;
+    const passedMs = this.clock.getNow() - this.startedAtMs;
     const tailMs = this.computeTailMs(index);
     const isRead = this.listReaders(index).length > 0;
     const ownZone = isRead ? undefined : input.zone;
@@ -208,6 +237,63 @@
     );
   }
 
+  // Large results occupy their makers from the start of their call until the
+  // request has read them, so a stage that others will outlast is put off.
+  private async waitForLatestStart(
+    index: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    if (!this.input.startsLate || !this.hasLargeResults(index)) return;
+    for (;;) {
+      const slackMs = computeSlackMs(this.listProgress(), index);
+      if (slackMs <= 0) return;
+      await waitFor(this.clock, Math.min(slackMs, SLACK_CHECK_MS), signal);
+    }
+  }
+
+  private hasLargeResults(index: number): boolean {
+    const {route, capacities, pieceCounts} = this.input;
+    const capacity = capacities[index];
+    if (!capacity) return false;
+    const bytes = route.stages[index].resultBytes * (pieceCounts[index] ?? 0);
+    return bytes >= LARGE_RESULT_SHARE * capacity.resultBytes;
+  }
+
+  private listProgress(): StageProgress[] {
+    const nowMs = this.clock.getNow();
+    return this.input.route.stages.map(({after}, index) => {
+      if (this.areDone[index]) return {after, remainingMs: 0};
+      const predictedMs = this.predictStageMs(index);
+      const startMs = this.stageStartsMs[index] ?? nowMs;
+      const remainingMs = Math.max(
+        predictedMs - (nowMs - startMs),
+        predictedMs * MIN_REMAINING_SHARE,
+      );
+      return {after, remainingMs};
+    });
+  }
+
+  private recordDone(index: number): void {
+    this.areDone[index] = true;
+    const tookMs = this.clock.getNow() - this.stageStartsMs[index]!;
+    this.durations.recordMs(this.createDurationKey(index), tookMs);
+  }
+
+  private predictStageMs(index: number): number {
+    return this.durations.getMeanMs(
+      this.createDurationKey(index),
+      USUAL_QUEUEING * this.computeStageMs(index),
+    );
+  }
+
+  private createDurationKey(index: number): string {
+    return `${this.input.route.name}/${index}`;
+  }
+
+  private isNeeded(index: number): boolean {
+    return (this.input.pieceCounts[index] ?? 0) > 0;
+  }
+
   // What is still to be done behind a stage, at its best.
   private computeTailMs(index: number): number {
     const readers = this.listReaders(index);
