Log each stage call, and what admission predicted beside what came of it

Cause: the log could not say why a stage took long: whether upstreams were busy, calls small, room missing or inputs gone. Change: event 902 `stage.call` with items, time, expected time, failures by reason and room in use; `request.settled` carries prediction, time of each stage, objective and time given.

--- a/packages/gateway/src/gateway-front.ts
+++ b/packages/gateway/src/gateway-front.ts
@@ -201,7 +201,11 @@
       sentTo: request.sentTo.join(','),
       status: request.outgoing.statusCode,
       tookMs: Math.round(tookMs),
+      predictedMs: request.predictedMs,
       stagesMs: request.stagesMs,
+      stages: request.stageDurations,
+      objectiveMs: facts.route.objectiveMs,
+      timeMs: Math.round(facts.deadlineAtMs - facts.arrivedAtMs),
       firstMs: request.getFirstMs(),
     });
   }
--- a/packages/gateway/src/request-runner.ts
+++ b/packages/gateway/src/request-runner.ts
@@ -104,9 +104,10 @@
     const pieceCounts = protocol.parseStageCounts(counts);
     const stages = this.createStages(request, table, pieceCounts, zone);
     try {
-      await stages.admit();
+      request.predictedMs = Math.round(await stages.admit());
       await this.runWithStages(request, stages, parts);
     } finally {
+      request.stageDurations = stages.renderDurations();
       stages.releaseAll();
     }
   }
--- a/packages/gateway/src/routed-request.ts
+++ b/packages/gateway/src/routed-request.ts
@@ -27,6 +27,10 @@
   readonly sentTo: string[] = [];
   /** Milliseconds that the stages took. */
   stagesMs: number | undefined;
+  /** Milliseconds that each stage took, as text for the log. */
+  stageDurations: string | undefined;
+  /** Milliseconds to the first bytes, as admission predicted them. */
+  predictedMs: number | undefined;
   /** Id of the last event that the caller was sent. */
   lastEventId: string | undefined;
   private ran: Ran = 'no';
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -194,6 +194,11 @@
     level: 'warn',
     text: 'a call for pieces brought no readable answer',
   },
+  'stage.call': {
+    number: 902,
+    level: 'info',
+    text: 'an upstream answered a call for work items of stages',
+  },
 } as const satisfies Record<string, EventDefinition>;
 
 /** The name of an event of the catalogue. */
--- a/packages/stages/src/request-stages.ts
+++ b/packages/stages/src/request-stages.ts
@@ -73,6 +73,7 @@
   private readonly startedAtMs: number;
   private stageStartsMs: Array<number | undefined> = [];
   private areDone: boolean[] = [];
+  private readonly tookMs: Array<number | undefined> = [];
   private runs: Array<Promise<readonly StageResult[]> | undefined> = [];
   private readonly unreleased = new Map<number, readonly StageResult[]>();
   private readersLeft: number[] = [];
@@ -90,8 +91,13 @@
     this.startedAtMs = clock.getNow();
   }
 
-  /** Asks whether the stages may begin. @throws HollowstackError where they cannot be in time. */
-  async admit(): Promise<void> {
+  /**
+   * Asks whether the stages may begin.
+   *
+   * @returns Milliseconds to the first bytes of the answer, as predicted.
+   * @throws HollowstackError where they cannot be in time.
+   */
+  async admit(): Promise<number> {
     const {input} = this;
     const decision = await this.dispatcher.admitRequest({
       requestId: input.requestId,
@@ -105,7 +111,7 @@
       priority: input.priority,
       mayComeBack: input.mayComeBack,
     });
-    if (decision.isAdmitted) return;
+    if (decision.isAdmitted) return decision.predictedMs;
     const {predictedMs, retryAfterMs} = decision;
     throw new HollowstackError(
       'overloaded',
@@ -159,6 +165,13 @@
     return {results, bytesByZone};
   }
 
+  /** Renders how long each stage took from its submission, for the log. */
+  renderDurations(): string {
+    return this.input.route.stages
+      .map((_, index) => `${index}:${this.tookMs[index] ?? '-'}`)
+      .join(' ');
+  }
+
   /** Gives back all results that are left; once the request has read them. */
   releaseAll(): void {
     this.dispatcher.releaseResults([...this.unreleased.values()].flat());
@@ -276,6 +289,7 @@
   private recordDone(index: number): void {
     this.areDone[index] = true;
     const tookMs = this.clock.getNow() - this.stageStartsMs[index]!;
+    this.tookMs[index] = Math.round(tookMs);
     this.durations.recordMs(this.createDurationKey(index), tookMs);
   }
 
--- a/packages/stages/src/stage-coordinator.ts
+++ b/packages/stages/src/stage-coordinator.ts
@@ -21,7 +21,7 @@
   type StageAdmissionDecision,
 } from './stage-admission.ts';
 import {StageCallError, type StageCaller} from './stage-caller.ts';
-import type {PieceOutcome, RunAnswer} from './stage-protocol.ts';
+import type {PieceFailure, PieceOutcome, RunAnswer} from './stage-protocol.ts';
 import {StageUpstream} from './stage-upstreams.ts';
 
 /** What the coordinator works with. */
@@ -285,6 +285,7 @@
     }
     const tookMs = nowMs - call.startedAtMs;
     upstream.recordSuccess(nowMs, tookMs / call.expectedMs);
+    this.logCall(upstream, taken, answer.outcomes, tookMs, call.expectedMs);
     this.parts.metrics.addToCounter(
       'hollowstack_stage_pieces_total',
       {
@@ -302,6 +303,34 @@
     );
   }
 
+  private logCall(
+    upstream: StageUpstream,
+    taken: readonly TakenPiece[],
+    outcomes: readonly PieceOutcome[],
+    tookMs: number,
+    expectedMs: number,
+  ): void {
+    const {id, service} = upstream.record;
+    const countFailed = (failure: PieceFailure) =>
+      outcomes.filter(
+        outcome => outcome.type === 'failed' && outcome.failure === failure,
+      ).length;
+    this.parts.logger.logEvent('stage.call', {
+      service,
+      upstream: id,
+      items: taken.length,
+      requests: [...new Set(taken.map(({job}) => job.requestId))].join(','),
+      tookMs: Math.round(tookMs),
+      expectedMs: Math.round(expectedMs),
+      noRoom: countFailed('no-room'),
+      inputGone: countFailed('input-gone'),
+      late: countFailed('late'),
+      failed: countFailed('failed'),
+      usedBytes: Math.round(this.room.getUsedBytes(id)),
+      waitingJobs: this.jobs.size,
+    });
+  }
+
   private settlePiece(
     upstream: StageUpstream,
     taken: TakenPiece,
