Catch up with the store within 3 s of an outage's end

Machines count as in touch 3 s after the store's trouble ends. Ruled out: a slow peer copy (424 KB configurations; this one has some 40 routes). Change: attempts are at most 1 s apart, an answer of the store is waited for 1 s at most (it takes 240 ms when slow); what a peer has newer is asked of that peer after 600 ms, without waiting for a round; where the watch has brought nothing 700 ms later, it is opened anew; a round does not wait for a dead peer.

--- a/packages/gateway/src/copy-exchange.ts
+++ b/packages/gateway/src/copy-exchange.ts
@@ -1,4 +1,9 @@
-import {RepeatingTask, type Clock} from '@hollowstack/clock';
+import {
+  RepeatingTask,
+  waitFor,
+  type Clock,
+  type Timer,
+} from '@hollowstack/clock';
 import {
   listUnconfirmedRivals,
   type CopyWishes,
@@ -13,6 +18,14 @@
 import type {RouteHolder} from './route-holder.ts';
 import type {UpstreamRegistry} from './upstream-registry.ts';
 
+/** The store's watch on the configuration, as the exchange sees it. */
+export interface ConfigurationWatch {
+  /** Returns when it last brought something, on the clock of the exchange. */
+  readonly getLastChangeMs: () => number;
+  /** Opens it anew, on a connection of its own. */
+  readonly refresh: () => void;
+}
+
 /** What the exchange works with. */
 export interface CopyExchangeParts {
   readonly link: PeerLink;
@@ -23,6 +36,8 @@
   readonly seeds: readonly string[];
   readonly holder: RouteHolder;
   readonly registry: UpstreamRegistry;
+  /** The store's watch, as far as it concerns the configuration. */
+  readonly watch: ConfigurationWatch;
 }
 
 const ROUND_MS = 700;
@@ -32,6 +47,12 @@
 const SEEDS_EVERY_ROUNDS = 8;
 /** Milliseconds that the store's watch is given before a peer sends a copy. */
 const STORE_PATIENCE_MS = 600;
+/**
+ * Milliseconds after the news was due by which the watch must have brought it.
+ * A watch may gather changes for a third of the time in which they must be in
+ * force, so it is taken for dead only then.
+ */
+const WATCH_PATIENCE_MS = 700;
 const NO_WISHES: CopyWishes = {
   configuration: false,
   upstreams: false,
@@ -55,6 +76,7 @@
   private readonly configurationNews = new PeerNews(STORE_PATIENCE_MS);
   private readonly upstreamNews = new PeerNews(STORE_PATIENCE_MS);
   private round = 0;
+  private newsTimer: Timer | undefined;
 
   constructor(parts: CopyExchangeParts) {
     this.parts = parts;
@@ -70,6 +92,7 @@
 
   stop(): void {
     this.task.stop();
+    this.newsTimer?.cancel();
   }
 
   /** Asks the peers of whom nothing was heard yet and who would coordinate. */
@@ -87,11 +110,14 @@
   async runRound(): Promise<void> {
     const addresses = this.chooseAddresses();
     const wishes = this.listWishes();
-    await Promise.all(
-      addresses.map((address, index) =>
-        this.askPeer(address, index === 0 ? wishes : NO_WISHES),
-      ),
+    const asked = addresses.map((address, index) =>
+      this.askPeer(address, index === 0 ? wishes : NO_WISHES),
     );
+    // A peer that is gone must not hold up the next round.
+    await Promise.race([
+      Promise.all(asked),
+      waitFor(this.parts.clock, ROUND_MS),
+    ]);
   }
 
   /** Answers a peer's question. */
@@ -184,6 +210,7 @@
     const source = `peer ${address}`;
     membership.recordHeard(reply.self);
     this.recordRevisions(reply, wishes);
+    this.scheduleNewsCheck(address);
     if (reply.configurationText !== undefined) {
       holder.offerText(reply.configurationText, source);
     }
@@ -194,6 +221,42 @@
     for (const member of reply.members ?? []) membership.recordHeard(member);
   }
 
+  // What one peer has and the watch has not brought in its time is asked for at
+  // once, from the peer that has it: the next round might meet one that is gone.
+  private scheduleNewsCheck(address: string): void {
+    if (this.newsTimer || !this.hasNews()) return;
+    const {clock} = this.parts;
+    this.newsTimer = clock.schedule(STORE_PATIENCE_MS, () => {
+      this.newsTimer = undefined;
+      if (this.hasNews()) void this.askForNews(address);
+    });
+  }
+
+  private hasNews(): boolean {
+    const {holder, registry} = this.parts;
+    return (
+      this.configurationNews.isNewerThan(holder.getRevision()) ||
+      this.upstreamNews.isNewerThan(registry.getStoreRevision())
+    );
+  }
+
+  private async askForNews(address: string): Promise<void> {
+    const {clock, holder} = this.parts;
+    const revision = holder.getRevision();
+    if (this.configurationNews.isNewerThan(revision)) {
+      const heardAtMs = clock.getNow() - STORE_PATIENCE_MS;
+      clock.schedule(WATCH_PATIENCE_MS, () => this.checkWatch(heardAtMs));
+    }
+    await this.askPeer(address, this.listWishes());
+  }
+
+  // A watch whose connection was silenced says nothing until it times out, long
+  // after the store is well again.
+  private checkWatch(heardAtMs: number): void {
+    const {watch} = this.parts;
+    if (watch.getLastChangeMs() < heardAtMs) watch.refresh();
+  }
+
   private recordRevisions(
     reply: Extract<PeerReply, {type: 'copy'}>,
     wishes: CopyWishes,
--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -57,6 +57,13 @@
 /** Milliseconds after which an instance that died is off the list. */
 const MEMBER_LEASE_MS = 6000;
 
+/**
+ * Milliseconds between attempts to watch the store again. The last one is
+ * bounded by the 3 s after an outage in which an instance must have caught up:
+ * an attempt that meets the outage's end may itself take the store's time-out.
+ */
+const WATCH_BACKOFF = {minBackoffMs: 200, maxBackoffMs: 1000};
+
 /** Wires all parts of a gateway; the only place where they are constructed. */
 export function createGateway(
   settings: GatewaySettings,
@@ -92,16 +99,6 @@
     logger,
     metrics,
   });
-  const exchange = new CopyExchange({
-    link,
-    membership,
-    clock,
-    random,
-    seeds: settings.peers.seeds,
-    holder,
-    registry,
-  });
-
   const coordinator = new StageCoordinator({
     clock,
     logger,
@@ -122,16 +119,6 @@
     directory,
     protocol: environment.engineProtocol,
   });
-  const peerRequests = new GatewayPeerRequests({
-    coordinator,
-    directory,
-    keptPrompts,
-    exchange,
-    membership,
-    lifecycle,
-  });
-  link.setRequestHandler(request => peerRequests.answerRequest(request));
-
   const pool = new UpstreamPool(getNow);
   const runner = new RequestRunner({
     clock,
@@ -175,7 +162,6 @@
     directory.setConfiguration(table);
     server.setLimits(table.configuration.limits);
   });
-  membership.addListener(() => void exchange.askUnconfirmedPeers());
   registry.addListener(upstreams => {
     pool.setUpstreams(upstreams);
     coordinator.setUpstreams(upstreams);
@@ -218,11 +204,35 @@
     handleChanges: events => registry.applyEvents(events),
     handleOutageEnd: () => registry.beginGrace(),
   });
-  const watchHub = new WatchHub(store, clock, random);
+  const watchHub = new WatchHub(store, clock, random, WATCH_BACKOFF);
   watchHub.addSubscription(configurationFollower);
   watchHub.addSubscription(registryFollower);
   watchHub.addSubscription(membership);
 
+  const exchange = new CopyExchange({
+    link,
+    membership,
+    clock,
+    random,
+    seeds: settings.peers.seeds,
+    holder,
+    registry,
+    watch: {
+      getLastChangeMs: () => configurationFollower.getLastChangeMs(),
+      refresh: () => watchHub.refresh(),
+    },
+  });
+  membership.addListener(() => void exchange.askUnconfirmedPeers());
+  const peerRequests = new GatewayPeerRequests({
+    coordinator,
+    directory,
+    keptPrompts,
+    exchange,
+    membership,
+    lifecycle,
+  });
+  link.setRequestHandler(request => peerRequests.answerRequest(request));
+
   metrics.setGauge('hollowstack_routes_revision', {}, () =>
     holder.getRevision(),
   );
--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -51,7 +51,8 @@
   }),
   store: z.object({
     address: addressSchema,
-    timeoutMs: z.number().positive().default(1500),
+    /** Milliseconds for one answer; a slow store takes some 240 ms. */
+    timeoutMs: z.number().positive().default(1000),
     /** Milliseconds in which a change in the store must be in force here. */
     followWithinMs: z.number().positive().default(2000),
   }),
--- a/packages/gateway/src/peer-news.ts
+++ b/packages/gateway/src/peer-news.ts
@@ -19,9 +19,14 @@
     this.revision = Math.max(this.revision, revision);
   }
 
+  /** Returns whether a peer has something newer than this instance. */
+  isNewerThan(ownRevision: number): boolean {
+    return this.revision > ownRevision;
+  }
+
   /** Returns whether a peer should be asked for a copy. */
   isDue(ownRevision: number, nowMs: number): boolean {
-    if (this.revision <= ownRevision) return false;
+    if (!this.isNewerThan(ownRevision)) return false;
     return nowMs - this.sinceMs >= this.patienceMs;
   }
 
--- a/packages/gateway/src/store-follower.ts
+++ b/packages/gateway/src/store-follower.ts
@@ -9,7 +9,8 @@
 } from '@hollowstack/store';
 
 const MIN_RETRY_MS = 300;
-const MAX_RETRY_MS = 3000;
+/** An instance must have caught up some 3 s after the store is back. */
+const MAX_RETRY_MS = 800;
 
 /** What a follower keeps up to date. */
 export interface StoreFollowerParts {
@@ -32,13 +33,20 @@
   private reading: Promise<void> | undefined;
   private isReadDue = false;
   private isDown = false;
+  private lastChangeMs = 0;
 
   constructor(parts: StoreFollowerParts) {
     this.parts = parts;
     this.range = parts.range;
   }
 
+  /** Returns when the watch last brought a change. */
+  getLastChangeMs(): number {
+    return this.lastChangeMs;
+  }
+
   handleEvents(events: readonly WatchEvent[]): void {
+    this.lastChangeMs = this.parts.clock.getNow();
     this.parts.handleChanges(events);
   }
 
--- a/packages/store/src/watch-hub.ts
+++ b/packages/store/src/watch-hub.ts
@@ -33,6 +33,7 @@
   private readonly options: WatchHubOptions;
   private readonly subscriptions: WatchSubscription[] = [];
   private readonly controller = new AbortController();
+  private attempt = new AbortController();
   private failures = 0;
 
   /** @param random Returns numbers from 0 to below 1; spreads reconnects. */
@@ -57,7 +58,9 @@
   async start(): Promise<void> {
     const {signal} = this.controller;
     while (!signal.aborted) {
-      await this.watchOnce(signal).catch(() => {});
+      this.attempt = new AbortController();
+      const either = AbortSignal.any([signal, this.attempt.signal]);
+      await this.watchOnce(either).catch(() => {});
       if (signal.aborted) return;
       await waitFor(this.clock, this.computeBackoffMs(), signal).catch(
         () => {},
@@ -70,6 +73,11 @@
     this.controller.abort(new Error('stopped'));
   }
 
+  /** Gives the present watch up, as one that is known to be dead, and opens it anew. */
+  refresh(): void {
+    this.attempt.abort(new Error('the watch is silent'));
+  }
+
   private async watchOnce(signal: AbortSignal): Promise<void> {
     const ranges = this.subscriptions.map(({range}) => range);
     let isStanding = false;
