Refuse whatever would be late while its caller can still come back

Hypothesis: a caller that came back after 1.2 s or more was let in however late it would be, and made another one late in its place. Change: the share of the route's time that a caller must have left falls from 0.8 to 0.1.

--- a/packages/gateway/src/request-runner.ts
+++ b/packages/gateway/src/request-runner.ts
@@ -39,9 +39,9 @@
 const STREAM_SILENCE_MS = 1500;
 /**
  * Share of the route's time that a caller must have left to be told to come
- * back; one that has less has come back before, or never had the time.
+ * back; one that has less is let in, since it has no time for another attempt.
  */
-const COME_BACK_SHARE = 0.8;
+const COME_BACK_SHARE = 0.1;
 const MIN_SILENCE_MS = 100;
 /** Times of what is usual, and share of the objective, for a plain answer. */
 const SILENCE_FACTOR = 2.5;
