Rank routes within their workspace instead of dropping their rank

Cause: a workspace's priority replaced the route's, and every workspace has one (1 at all three customers). Ruled out: a leak in the ledger of admitted work; the order in the batch plan (its step of priority never had an effect, which is why a larger one had none). Change: computeRequestPriority ranks by workspace first, then by route; the log line of a settled request carries both. Tests: "a request ranks by its workspace first, then by its route".

--- a/packages/gateway/src/gateway-front.ts
+++ b/packages/gateway/src/gateway-front.ts
@@ -194,6 +194,8 @@
       route: facts.route.name,
       service: facts.service,
       workspace,
+      workspacePriority: facts.workspace?.priority,
+      routePriority: facts.route.priority,
       revision: facts.revision,
       outcome,
       ran: request.getRan(),
--- a/packages/gateway/src/request-runner.ts
+++ b/packages/gateway/src/request-runner.ts
@@ -2,7 +2,11 @@
 import type {Clock} from '@hollowstack/clock';
 import {HollowstackError} from '@hollowstack/errors';
 import type {EventLogger} from '@hollowstack/logger';
-import {isRepeatable, type RouteTable} from '@hollowstack/routes';
+import {
+  computeRequestPriority,
+  isRepeatable,
+  type RouteTable,
+} from '@hollowstack/routes';
 import {RequestStages, type StageDispatcher} from '@hollowstack/stages';
 import type {PromptPart} from '@hollowstack/types';
 import {Attempt, type AttemptInputs, type AttemptOutcome} from './attempt.ts';
@@ -182,7 +186,7 @@
         key: request.getHeader(protocol.headers.stageKey),
         dueInMs: facts.arrivedAtMs + route.objectiveMs - nowMs,
         remainingMs: facts.deadlineAtMs - nowMs,
-        priority: facts.workspace?.priority ?? route.priority,
+        priority: computeRequestPriority(route, facts.workspace),
         zone,
         startsLate: policy.latestStart,
         mayComeBack:
--- a/packages/routes/src/index.ts
+++ b/packages/routes/src/index.ts
@@ -21,3 +21,4 @@
   type StageCapacity,
 } from './routed-configuration.ts';
 export {RouteTable, chooseTarget, isRepeatable} from './route-table.ts';
+export {computeRequestPriority} from './request-priority.ts';
--- a/packages/routes/src/route-table.test.ts
+++ b/packages/routes/src/route-table.test.ts
@@ -3,6 +3,7 @@
 import {
   RouteTable,
   chooseTarget,
+  computeRequestPriority,
   isRepeatable,
   type Route,
   type RoutedConfiguration,
@@ -95,3 +96,30 @@
     true,
   );
 });
+
+test('a request ranks by its workspace first, then by its route', () => {
+  const urgent = createRoute({priority: 0});
+  const patient = createRoute({priority: 2});
+  const first = {name: 'first', keys: [], priority: 0};
+  const second = {name: 'second', keys: [], priority: 1};
+  const ranked = [
+    computeRequestPriority(urgent, first),
+    computeRequestPriority(patient, first),
+    computeRequestPriority(urgent, second),
+    computeRequestPriority(patient, second),
+  ];
+  assert.deepEqual(
+    ranked,
+    [...ranked].sort((left, right) => left - right),
+  );
+  assert.equal(new Set(ranked).size, 4);
+});
+
+test('a workspace without a rank stands with those that have the usual one', () => {
+  const route = createRoute({priority: 1});
+  const usual = {name: 'usual', keys: [], priority: 1};
+  assert.equal(
+    computeRequestPriority(route, {name: 'unranked', keys: []}),
+    computeRequestPriority(route, usual),
+  );
+});
