Turn the log of gateways into tables by a command

Cause: whoever asks where requests were lost had to write a script over the log. Change: `hollowstack report LOG` tells by route and window how many requests were in time, late, refused or failed, the reasons by their count, and how busy the upstreams of each stage service were. A prefix before each line is passed over; lines that are cut off are counted; a file that is no log gets an error.

--- a/packages/cli/src/run-command-line.ts
+++ b/packages/cli/src/run-command-line.ts
@@ -8,6 +8,7 @@
 import {EntryCommand} from './commands/entry/index.ts';
 import {GatewayCommand} from './commands/gateway/index.ts';
 import {LoadCommand} from './commands/load/index.ts';
+import {ReportCommand} from './commands/report/index.ts';
 import {
   StandInEngineCommand,
   StandInPlatformCommand,
@@ -37,6 +38,7 @@
     ConfigRestoreCommand,
     WhyCommand,
     StatusCommand,
+    ReportCommand,
     DemoCommand,
     LoadCommand,
     StandInPlatformCommand,
--- /dev/null
+++ b/packages/log-report/src/index.ts
@@ -0,0 +1,15 @@
+/** Tables made from the log of gateways. */
+export {
+  parseLog,
+  type ParsedLog,
+  type SettledLine,
+  type StageCallLine,
+} from './log-lines.ts';
+export {
+  assembleReport,
+  type LogReport,
+  type ReasonRow,
+  type RouteRow,
+  type ServiceRow,
+} from './log-report.ts';
+export {renderReport} from './render-report.ts';
