Learn item, hold and request times, and count result memory in admission

Change: ServiceTimes learns what an item of each route's stage takes (normalized least mean squares) and how full calls are under load; the time a result is held and the time from the last stage to the first bytes are learnt means; the wait for a service is the longer of that for calls and that for memory. USUAL_FILL and REQUEST_MS are only starting values now.

--- a/packages/gateway/src/request-runner.ts
+++ b/packages/gateway/src/request-runner.ts
@@ -61,6 +61,8 @@
   readonly inputs: ReleasableInputs | undefined;
   /** Upstreams that have failed the request. */
   readonly excluded: Set<string>;
+  /** Called with the milliseconds from a send to the first event. */
+  readonly handleFirst?: (firstMs: number) => void;
 }
 
 /** Inputs of an attempt that know whether they were released. */
@@ -137,6 +139,7 @@
             () => stages.releaseAll(),
           ),
           excluded,
+          handleFirst: firstMs => stages.recordFirst(firstMs),
         });
         return;
       } catch (error) {
@@ -217,7 +220,7 @@
         }));
       request.signal.throwIfAborted();
       if (!upstream) throw createUnavailable(request, 'no upstream left');
-      const outcome = await this.attemptOnce(request, upstream.id, inputs);
+      const outcome = await this.attemptOnce(request, upstream.id, needs);
       if (outcome.type === 'answered') return;
       this.logFailure(request, upstream.id, outcome);
       request.signal.throwIfAborted();
@@ -254,7 +257,7 @@
   private async attemptOnce(
     request: RoutedRequest,
     upstreamId: string,
-    inputs: AttemptInputs | undefined,
+    {inputs, handleFirst}: AttemptNeeds,
   ): Promise<AttemptOutcome> {
     const {clock, protocol, pool, chooser, policy} = this.parts;
     const upstream = pool.getRecord(upstreamId);
@@ -269,6 +272,7 @@
       handleFirst: firstMs => {
         request.recordFirst(clock.getNow());
         chooser.recordFirst(request, upstreamId, firstMs);
+        handleFirst?.(firstMs);
       },
       silence: {
         limitMs: this.computeSilenceMs(request),
--- a/packages/stages/src/batch-plan.test.ts
+++ b/packages/stages/src/batch-plan.test.ts
@@ -14,6 +14,7 @@
   return {
     jobId,
     pieceCount: 1,
+    pieceMs: 10,
     resultBytes: 10,
     queuedAtMs: 0,
     dueAtMs: 1000,
--- a/packages/stages/src/batch-plan.ts
+++ b/packages/stages/src/batch-plan.ts
@@ -5,6 +5,8 @@
   readonly jobId: string;
   /** Pieces that no upstream was asked for yet. */
   readonly pieceCount: number;
+  /** Milliseconds that one of its pieces takes. */
+  readonly pieceMs: number;
   readonly resultBytes: number;
   readonly queuedAtMs: number;
   /** When the request's objective ends. */
@@ -167,8 +169,8 @@
 
 // Jobs that are late already would hold up those that can still be in time.
 function computeRank(job: WaitingJob, input: BatchPlanInput): number {
-  const {callMs, pieceMs} = input.capacity;
-  const finishMs = input.nowMs + callMs + pieceMs * job.pieceCount;
+  const {callMs} = input.capacity;
+  const finishMs = input.nowMs + callMs + job.pieceMs * job.pieceCount;
   const lateMs = finishMs > job.dueAtMs ? LATE_MS : 0;
   return job.dueAtMs + job.priority * PRIORITY_STEP_MS + lateMs;
 }
--- a/packages/stages/src/index.ts
+++ b/packages/stages/src/index.ts
@@ -18,6 +18,7 @@
   type StageDispatcherParts,
   type UnsentStageJob,
 } from './stage-dispatcher.ts';
+export {ServiceTimes, type CallShare} from './service-times.ts';
 export {
   StageAdmission,
   type StageAdmissionDecision,
--- a/packages/stages/src/job-state.ts
+++ b/packages/stages/src/job-state.ts
@@ -45,11 +45,13 @@
     return this.isSettled ? 0 : this.waiting.length;
   }
 
-  toWaitingJob(): WaitingJob {
+  /** @param pieceMs Milliseconds that one piece takes. */
+  toWaitingJob(pieceMs: number): WaitingJob {
     const {job, queuedAtMs} = this;
     return {
       jobId: job.jobId,
       pieceCount: this.waitingCount,
+      pieceMs,
       resultBytes: job.resultBytes,
       queuedAtMs,
       dueAtMs: queuedAtMs + job.dueInMs,
--- a/packages/stages/src/request-stages.ts
+++ b/packages/stages/src/request-stages.ts
@@ -6,8 +6,8 @@
 import type {StageDispatcher} from './stage-dispatcher.ts';
 import {computeSlackMs, type StageProgress} from './stage-timing.ts';
 
-/** Milliseconds that the request itself takes to its first bytes, at its best. */
-const REQUEST_MS = 100;
+/** Milliseconds that a request itself takes to its first bytes, until it was learnt. */
+const USUAL_REQUEST_MS = 120;
 
 /**
  * Share of an upstream's result memory from which on the results of a stage
@@ -101,11 +101,14 @@
     const {input} = this;
     const decision = await this.dispatcher.admitRequest({
       requestId: input.requestId,
-      steps: input.route.stages.map(({service, after}, index) => ({
+      steps: input.route.stages.map(({service, after, resultBytes}, index) => ({
         service,
+        stageKey: this.createStageKey(index),
+        resultBytes,
         after,
         pieceCount: input.pieceCounts[index] ?? 0,
       })),
+      requestMs: this.predictRequestMs(),
       dueInMs: input.dueInMs,
       remainingMs: input.remainingMs,
       priority: input.priority,
@@ -165,6 +168,19 @@
     return {results, bytesByZone};
   }
 
+  /** Notes how long the request itself took to its first bytes, its stages done. */
+  recordFirst(firstMs: number): void {
+    this.durations.recordMs(this.createRequestKey(), firstMs);
+  }
+
+  private predictRequestMs(): number {
+    return this.durations.getMeanMs(this.createRequestKey(), USUAL_REQUEST_MS);
+  }
+
+  private createRequestKey(): string {
+    return `${this.input.route.name}/request`;
+  }
+
   /** Renders how long each stage took from its submission, for the log. */
   renderDurations(): string {
     return this.input.route.stages
@@ -226,6 +242,7 @@
         requestId: input.requestId,
         service: stage.service,
         stage: index,
+        stageKey: this.createStageKey(index),
         pieceCount,
         key: stage.after.length === 0 ? input.key : undefined,
         inputs: inputs.map(({handle}) => handle),
@@ -290,17 +307,17 @@
     this.areDone[index] = true;
     const tookMs = this.clock.getNow() - this.stageStartsMs[index]!;
     this.tookMs[index] = Math.round(tookMs);
-    this.durations.recordMs(this.createDurationKey(index), tookMs);
+    this.durations.recordMs(this.createStageKey(index), tookMs);
   }
 
   private predictStageMs(index: number): number {
     return this.durations.getMeanMs(
-      this.createDurationKey(index),
+      this.createStageKey(index),
       USUAL_QUEUEING * this.computeStageMs(index),
     );
   }
 
-  private createDurationKey(index: number): string {
+  private createStageKey(index: number): string {
     return `${this.input.route.name}/${index}`;
   }
 
@@ -311,7 +328,7 @@
   // What is still to be done behind a stage, at its best.
   private computeTailMs(index: number): number {
     const readers = this.listReaders(index);
-    if (readers.length === 0) return REQUEST_MS;
+    if (readers.length === 0) return this.predictRequestMs();
     return Math.max(
       ...readers.map(
         reader => this.computeStageMs(reader) + this.computeTailMs(reader),
--- a/packages/stages/src/result-room.ts
+++ b/packages/stages/src/result-room.ts
@@ -1,6 +1,11 @@
-interface HeldResult {
+/** A result that its upstream holds. */
+export interface HeldResult {
   readonly upstreamId: string;
+  readonly service: string;
   readonly bytes: number;
+  /** When its call began: from then on it takes room. */
+  readonly sinceMs: number;
+  /** When its upstream drops it. */
   readonly untilMs: number;
 }
 
@@ -17,6 +22,15 @@
     return this.used.get(upstreamId) ?? 0;
   }
 
+  /** Returns the bytes of results that the upstreams of a service hold. */
+  countHeldBytes(service: string): number {
+    let sum = 0;
+    for (const result of this.held.values()) {
+      if (result.service === service) sum += result.bytes;
+    }
+    return sum;
+  }
+
   /** Reserves room for the results of a call. */
   reserve(upstreamId: string, bytes: number): void {
     this.used.set(upstreamId, this.getUsedBytes(upstreamId) + bytes);
@@ -28,21 +42,17 @@
   }
 
   /** Turns a reservation into a held result. */
-  recordResult(
-    handle: string,
-    upstreamId: string,
-    bytes: number,
-    untilMs: number,
-  ): void {
-    this.held.set(handle, {upstreamId, bytes, untilMs});
+  recordResult(handle: string, result: HeldResult): void {
+    this.held.set(handle, result);
   }
 
-  /** Notes that a result was released. */
-  release(handle: string): void {
+  /** Notes that a result was released; returns it if it was held. */
+  release(handle: string): HeldResult | undefined {
     const result = this.held.get(handle);
-    if (!result) return;
+    if (!result) return undefined;
     this.held.delete(handle);
     this.removeBytes(result.upstreamId, result.bytes);
+    return result;
   }
 
   /** Forgets the results that their upstreams no longer keep. */
--- a/packages/stages/src/stage-admission.test.ts
+++ b/packages/stages/src/stage-admission.test.ts
@@ -2,8 +2,8 @@
 import {test} from 'node:test';
 import {ManualClock} from '@hollowstack/clock';
 import type {StageCapacity} from '@hollowstack/routes';
-import type {StageAdmissionRequest} from '@hollowstack/types';
-import {StageAdmission, predictFinishMs} from './index.ts';
+import type {StageAdmissionRequest, StageStep} from '@hollowstack/types';
+import {ServiceTimes, StageAdmission, predictFinishMs} from './index.ts';
 
 const CAPACITY: StageCapacity = {
   concurrency: 1,
@@ -21,7 +21,8 @@
 ): StageAdmissionRequest {
   return {
     requestId,
-    steps: [{service: 's', pieceCount: 10, after: []}],
+    steps: [createStep('s', 10, [])],
+    requestMs: 120,
     dueInMs: 1000,
     remainingMs: 8000,
     priority: 1,
@@ -30,11 +31,26 @@
   };
 }
 
-function createAdmission(clock = new ManualClock()): StageAdmission {
+function createStep(
+  service: string,
+  pieceCount: number,
+  after: number[],
+): StageStep {
+  return {service, pieceCount, after, stageKey: service, resultBytes: 1};
+}
+
+function createAdmission(
+  clock = new ManualClock(),
+  memoryBytes = Infinity,
+): StageAdmission {
   return new StageAdmission({
     clock,
     getCapacity: () => CAPACITY,
     countPlaces: () => 1,
+    countMemoryBytes: () => memoryBytes,
+    countHeldBytes: () => 0,
+    times: new ServiceTimes(),
+    getHoldMs: (_, defaultMs) => defaultMs,
   });
 }
 
@@ -54,11 +70,12 @@
 test('steps run after those they read, beside those they do not', () => {
   const finishMs = predictFinishMs({
     steps: [
-      {service: 'a', pieceCount: 1, after: []},
-      {service: 'b', pieceCount: 30, after: []},
-      {service: 'c', pieceCount: 1, after: [0]},
+      createStep('a', 1, []),
+      createStep('b', 30, []),
+      createStep('c', 1, [0]),
     ],
     getCapacity: () => CAPACITY,
+    getPieceMs: (_, {pieceMs}) => pieceMs,
     getWaitMs: service => (service === 'c' ? 150 : 0),
   });
   // b alone takes 400; a then c take 110, wait until 150, and 110 more.
@@ -74,6 +91,13 @@
   assert.ok(refused.retryAfterMs >= 300 && refused.retryAfterMs <= 2400);
 });
 
+test('result memory that is short holds requests up as busy upstreams do', () => {
+  // Ten results of one byte a request, each held for 400 ms, in memory for 5.
+  const admission = createAdmission(new ManualClock(), 5);
+  const withMemory = countAdmitted(createAdmission());
+  assert.ok(countAdmitted(admission) < withMemory);
+});
+
 test('a caller that has no time to come back is let in', () => {
   const admission = createAdmission();
   countAdmitted(admission);
--- a/packages/stages/src/stage-admission.ts
+++ b/packages/stages/src/stage-admission.ts
@@ -1,7 +1,13 @@
 import type {Clock, Timer} from '@hollowstack/clock';
 import type {StageCapacity} from '@hollowstack/routes';
-import type {StageAdmissionRequest} from '@hollowstack/types';
-import {WorkLedger, computeWorkMs, predictFinishMs} from './work-ledger.ts';
+import type {StageAdmissionRequest, StageStep} from '@hollowstack/types';
+import type {ServiceTimes} from './service-times.ts';
+import {
+  WorkLedger,
+  computeWorkMs,
+  predictFinishMs,
+  type WorkAhead,
+} from './work-ledger.ts';
 
 /** What admission works with. */
 export interface StageAdmissionParts {
@@ -9,6 +15,14 @@
   readonly getCapacity: (service: string) => StageCapacity | undefined;
   /** Calls that the usable upstreams of a service work on at a time. */
   readonly countPlaces: (service: string) => number;
+  /** Bytes of results that the usable upstreams of a service can hold. */
+  readonly countMemoryBytes: (service: string) => number;
+  /** What calls take, as learnt. */
+  readonly times: ServiceTimes;
+  /** Bytes of results that they hold, those of calls in progress left out. */
+  readonly countHeldBytes: (service: string) => number;
+  /** Returns milliseconds for which results of a service are held, calls included. */
+  readonly getHoldMs: (service: string, defaultMs: number) => number;
 }
 
 /** Whether a request may begin its stages. */
@@ -19,10 +33,10 @@
   readonly retryAfterMs: number;
 }
 
-/** Milliseconds that the request itself takes after its stages. */
-const REQUEST_MS = 120;
 /** Predictions are taken at their word only beyond this. */
 const TOLERANCE = 1.1;
+/** A result is held for about this many calls' fixed time, before it was learnt. */
+const USUAL_HOLD_CALLS = 4;
 const MIN_RETRY_MS = 300;
 /** Share of its time after which a request can still come back. */
 const MAX_RETRY_SHARE = 0.3;
@@ -42,13 +56,14 @@
   }
 
   judge(request: StageAdmissionRequest): StageAdmissionDecision {
-    const {getCapacity} = this.parts;
+    const {getCapacity, times} = this.parts;
     const stagesMs = predictFinishMs({
       steps: request.steps,
       getCapacity,
+      getPieceMs: ({stageKey}, {pieceMs}) => times.getItemMs(stageKey, pieceMs),
       getWaitMs: service => this.computeWaitMs(service, request.priority),
     });
-    const predictedMs = stagesMs + REQUEST_MS;
+    const predictedMs = stagesMs + request.requestMs;
     const isLate = predictedMs > request.dueInMs * TOLERANCE;
     if (isLate && request.mayComeBack) {
       const lateMs = predictedMs - request.dueInMs;
@@ -87,11 +102,14 @@
     const {requestId, priority} = request;
     this.recordEnded(requestId);
     this.admitted.set(requestId, request);
-    request.steps.forEach(({service, pieceCount}, step) => {
+    request.steps.forEach((step, index) => {
+      const {service, pieceCount} = step;
       const capacity = getCapacity(service);
       if (!capacity || pieceCount === 0) return;
-      const workMs = computeWorkMs(capacity, pieceCount);
-      this.ledger.addStep(service, requestId, step, {workMs, priority});
+      this.ledger.addStep(service, requestId, index, {
+        ...this.computeWork(step, capacity),
+        priority,
+      });
     });
     this.timers.set(
       requestId,
@@ -99,8 +117,33 @@
     );
   }
 
+  private computeWork(step: StageStep, capacity: StageCapacity): WorkAhead {
+    const {times} = this.parts;
+    const {service, stageKey, pieceCount, resultBytes} = step;
+    const pieceMs = times.getItemMs(stageKey, capacity.pieceMs);
+    const fill = times.getFill(service);
+    return {
+      workMs: computeWorkMs(capacity, pieceCount, pieceMs, fill),
+      resultBytes: pieceCount * resultBytes,
+    };
+  }
+
+  // Upstreams and their result memory are two resources; the scarcer one decides.
   private computeWaitMs(service: string, priority: number): number {
-    const places = Math.max(1, this.parts.countPlaces(service));
-    return this.ledger.computePendingMs(service, priority) / places;
+    const {workMs, resultBytes} = this.ledger.computeAhead(service, priority);
+    const callsMs = workMs / Math.max(1, this.parts.countPlaces(service));
+    return Math.max(callsMs, this.computeMemoryWaitMs(service, resultBytes));
+  }
+
+  // Memory that is full frees at the rate of its size over the time that
+  // results are held.
+  private computeMemoryWaitMs(service: string, bytesAhead: number): number {
+    const {countMemoryBytes, countHeldBytes, getHoldMs, getCapacity} =
+      this.parts;
+    const callMs = getCapacity(service)?.callMs ?? 0;
+    const holdMs = getHoldMs(service, USUAL_HOLD_CALLS * callMs);
+    const wantedBytes = bytesAhead + countHeldBytes(service);
+    const memoryBytes = Math.max(1, countMemoryBytes(service));
+    return holdMs * Math.max(0, wantedBytes / memoryBytes - 1);
   }
 }
--- a/packages/stages/src/stage-coordinator.ts
+++ b/packages/stages/src/stage-coordinator.ts
@@ -1,3 +1,4 @@
+import {DurationEstimator} from '@hollowstack/admission';
 import type {Clock, Timer} from '@hollowstack/clock';
 import type {EventLogger} from '@hollowstack/logger';
 import type {MetricsRegistry} from '@hollowstack/metrics';
@@ -16,6 +17,7 @@
 import {JobState, type TakenPiece} from './job-state.ts';
 import {ResultReleaser} from './result-releaser.ts';
 import {ResultRoom} from './result-room.ts';
+import {ServiceTimes, type CallShare} from './service-times.ts';
 import {
   StageAdmission,
   type StageAdmissionDecision,
@@ -52,18 +54,26 @@
   private readonly room = new ResultRoom();
   private readonly releaser: ResultReleaser;
   private readonly admission: StageAdmission;
+  private readonly times = new ServiceTimes();
+  private readonly holdTimes: DurationEstimator;
   private capacities = new Map<string, StageCapacity>();
   private timer: Timer | undefined;
 
   constructor(parts: StageCoordinatorParts) {
     this.parts = parts;
+    this.holdTimes = new DurationEstimator(parts.clock);
     this.admission = new StageAdmission({
       clock: parts.clock,
       getCapacity: service => this.capacities.get(service),
       countPlaces: service => this.countPlaces(service),
+      countMemoryBytes: service => this.countMemoryBytes(service),
+      times: this.times,
+      countHeldBytes: service => this.room.countHeldBytes(service),
+      getHoldMs: (service, defaultMs) =>
+        this.holdTimes.getMeanMs(service, defaultMs),
     });
     this.releaser = new ResultReleaser(parts.clock, parts.caller, handles => {
-      for (const handle of handles) this.room.release(handle);
+      for (const handle of handles) this.recordReleased(handle);
       this.scheduleCalls();
     });
   }
@@ -149,6 +159,25 @@
     this.failAllJobs('the instance stops');
   }
 
+  private recordReleased(handle: string): void {
+    const result = this.room.release(handle);
+    if (!result) return;
+    const heldMs = this.parts.clock.getNow() - result.sinceMs;
+    this.holdTimes.recordMs(result.service, heldMs);
+  }
+
+  private countMemoryBytes(service: string): number {
+    const nowMs = this.parts.clock.getNow();
+    const bytes = this.capacities.get(service)?.resultBytes ?? 0;
+    let sum = 0;
+    for (const upstream of this.upstreams.values()) {
+      const isOther = upstream.record.service !== service;
+      if (isOther || !upstream.isUsable(nowMs)) continue;
+      sum += bytes / SIZE_MARGIN - upstream.getUnknownBytes(nowMs);
+    }
+    return sum;
+  }
+
   private countPlaces(service: string): number {
     const nowMs = this.parts.clock.getNow();
     const concurrency = this.capacities.get(service)?.concurrency ?? 1;
@@ -206,7 +235,7 @@
         .filter(
           state => state.job.service === service && state.waitingCount > 0,
         )
-        .map(state => state.toWaitingJob()),
+        .map(state => state.toWaitingJob(this.getPieceMs(state, capacity))),
       free: used
         .filter(upstream => upstream.isFree(nowMs, capacity))
         .map(upstream => ({
@@ -243,7 +272,8 @@
     );
     const {id} = upstream.record;
     for (const piece of taken) this.room.reserve(id, piece.job.resultBytes);
-    const expectedMs = capacity.callMs + taken.length * capacity.pieceMs;
+    const shares = listShares(taken, capacity);
+    const expectedMs = capacity.callMs + this.times.computeItemsMs(shares);
     upstream.beginCall();
     try {
       const answer = await this.parts.caller.runPieces(
@@ -285,6 +315,7 @@
     }
     const tookMs = nowMs - call.startedAtMs;
     upstream.recordSuccess(nowMs, tookMs / call.expectedMs);
+    this.recordTimes(upstream, taken, answer, call);
     this.logCall(upstream, taken, answer.outcomes, tookMs, call.expectedMs);
     this.parts.metrics.addToCounter(
       'hollowstack_stage_pieces_total',
@@ -299,10 +330,38 @@
       tookMs,
     );
     taken.forEach((piece, index) =>
-      this.settlePiece(upstream, piece, answer.outcomes[index], call.capacity),
+      this.settlePiece(upstream, piece, answer.outcomes[index], call),
     );
   }
 
+  // Calls that lacked room or inputs end early, and say nothing of the work.
+  private recordTimes(
+    upstream: StageUpstream,
+    taken: readonly TakenPiece[],
+    answer: RunAnswer,
+    call: {startedAtMs: number; capacity: StageCapacity},
+  ): void {
+    const {capacity, startedAtMs} = call;
+    const {service} = upstream.record;
+    const nowMs = this.parts.clock.getNow();
+    const isWhole =
+      answer.type === 'outcomes' &&
+      answer.outcomes.every(({type}) => type === 'made');
+    if (!isWhole) return;
+    const tookMs = (nowMs - startedAtMs) / upstream.getSlowness(nowMs);
+    const itemsMs = Math.max(0, tookMs - capacity.callMs);
+    this.times.recordCall(listShares(taken, capacity), itemsMs);
+    const isLoaded = [...this.jobs.values()].some(
+      state => state.job.service === service && state.waitingCount > 0,
+    );
+    if (!isLoaded) return;
+    this.times.recordFill(service, taken.length / capacity.batchSize);
+  }
+
+  private getPieceMs(state: JobState, capacity: StageCapacity): number {
+    return this.times.getItemMs(state.job.stageKey, capacity.pieceMs);
+  }
+
   private logCall(
     upstream: StageUpstream,
     taken: readonly TakenPiece[],
@@ -335,7 +394,7 @@
     upstream: StageUpstream,
     taken: TakenPiece,
     outcome: PieceOutcome,
-    capacity: StageCapacity,
+    {capacity, startedAtMs}: {capacity: StageCapacity; startedAtMs: number},
   ): void {
     const nowMs = this.parts.clock.getNow();
     const {id, zone} = upstream.record;
@@ -343,12 +402,13 @@
     if (outcome.type === 'made') {
       const {handle, address} = outcome;
       const result: StageResult = {handle, address, zone};
-      this.room.recordResult(
-        handle,
-        id,
-        job.resultBytes,
-        nowMs + capacity.resultTtlMs,
-      );
+      this.room.recordResult(handle, {
+        upstreamId: id,
+        service: job.service,
+        bytes: job.resultBytes,
+        sinceMs: startedAtMs,
+        untilMs: nowMs + capacity.resultTtlMs,
+      });
       if (!state.recordResult(piece.piece, result)) {
         this.releaseResults([result]);
       }
@@ -412,3 +472,18 @@
     this.releaseResults(state.listResults());
   }
 }
+
+function listShares(
+  taken: readonly TakenPiece[],
+  {pieceMs}: StageCapacity,
+): CallShare[] {
+  const counts = new Map<string, number>();
+  for (const {job} of taken) {
+    counts.set(job.stageKey, (counts.get(job.stageKey) ?? 0) + 1);
+  }
+  return [...counts].map(([stageKey, itemCount]) => ({
+    stageKey,
+    itemCount,
+    configuredMs: pieceMs,
+  }));
+}
--- a/packages/stages/src/work-ledger.ts
+++ b/packages/stages/src/work-ledger.ts
@@ -1,27 +1,40 @@
 import type {StageCapacity} from '@hollowstack/routes';
 import type {StageStep} from '@hollowstack/types';
 
-interface PendingWork {
+/** What one step of an admitted request still takes of a service. */
+export interface PendingWork {
+  /** Milliseconds of one upstream. */
   readonly workMs: number;
+  /** Bytes that its results take. */
+  readonly resultBytes: number;
   readonly priority: number;
 }
 
-/** Part of a batch that calls are filled to under load. */
-const USUAL_FILL = 0.8;
+/** Work of a service that goes before a request. */
+export type WorkAhead = Omit<PendingWork, 'priority'>;
 
-/** Computes how long a stage keeps one upstream busy, its part of full calls counted. */
+/**
+ * Computes how long a stage keeps one upstream busy, its part of the calls'
+ * fixed time counted.
+ *
+ * @param fill Share of a batch that calls are filled to.
+ */
 export function computeWorkMs(
   capacity: StageCapacity,
   pieceCount: number,
+  pieceMs: number,
+  fill: number,
 ): number {
-  const callShareMs = capacity.callMs / (capacity.batchSize * USUAL_FILL);
-  return pieceCount * (capacity.pieceMs + callShareMs);
+  const callShareMs = capacity.callMs / Math.max(1, capacity.batchSize * fill);
+  return pieceCount * (pieceMs + callShareMs);
 }
 
 /** What a prediction is made from. */
 export interface FinishInput {
   readonly steps: readonly StageStep[];
   readonly getCapacity: (service: string) => StageCapacity | undefined;
+  /** Milliseconds that one piece of a step takes. */
+  readonly getPieceMs: (step: StageStep, capacity: StageCapacity) => number;
   /** Milliseconds before an upstream of the service is free for this request. */
   readonly getWaitMs: (service: string) => number;
 }
@@ -39,7 +52,8 @@
     const capacity = input.getCapacity(step.service);
     if (step.pieceCount === 0 || !capacity) return readyMs;
     const startMs = Math.max(readyMs, input.getWaitMs(step.service));
-    return startMs + capacity.callMs + capacity.pieceMs * step.pieceCount;
+    const pieceMs = input.getPieceMs(step, capacity);
+    return startMs + capacity.callMs + pieceMs * step.pieceCount;
   };
   return Math.max(0, ...input.steps.map((_, index) => readStep(index)));
 }
@@ -70,11 +84,14 @@
   }
 
   /** Sums the work of a service that goes before a request of a priority. */
-  computePendingMs(service: string, priority: number): number {
-    let sum = 0;
+  computeAhead(service: string, priority: number): WorkAhead {
+    let workMs = 0;
+    let resultBytes = 0;
     for (const work of this.pending.get(service)?.values() ?? []) {
-      if (work.priority <= priority) sum += work.workMs;
+      if (work.priority > priority) continue;
+      workMs += work.workMs;
+      resultBytes += work.resultBytes;
     }
-    return sum;
+    return {workMs, resultBytes};
   }
 }
--- a/packages/types/src/stage-job.ts
+++ b/packages/types/src/stage-job.ts
@@ -8,6 +8,8 @@
   service: z.string(),
   /** Index of the stage in its route. */
   stage: z.number().int().nonnegative(),
+  /** Names route and stage, for what is learnt of them. */
+  stageKey: z.string(),
   pieceCount: z.number().int().positive(),
   /** What a piece of a stage without inputs is made from. */
   key: z.string().optional(),
@@ -73,6 +75,10 @@
 /** One stage of a request, as admission sees it. */
 export const stageStepSchema = z.object({
   service: z.string(),
+  /** Names route and stage, for what is learnt of them. */
+  stageKey: z.string(),
+  /** Approximate size of one result in bytes. */
+  resultBytes: z.number().nonnegative(),
   pieceCount: z.number().int().nonnegative(),
   /** Indexes of the steps that come before it. */
   after: z.array(z.number().int().nonnegative()),
@@ -84,6 +90,8 @@
 export const stageAdmissionRequestSchema = z.object({
   requestId: z.string(),
   steps: z.array(stageStepSchema),
+  /** Milliseconds that the request itself takes to its first bytes. */
+  requestMs: z.number(),
   /** Milliseconds until the request's objective. */
   dueInMs: z.number(),
   /** Milliseconds until the request is given up. */
