Refuse, in a planned stop, what no upstream has seen instead of cutting it

Change: half a second before the stop's limit, requests of which nothing was sent to an engine get 503 with a time to come back; only streams that run are cut.

--- a/packages/gateway/src/gateway-front.ts
+++ b/packages/gateway/src/gateway-front.ts
@@ -90,10 +90,7 @@
   // connection, and the caller might never see the answer.
   private checkOpen(): void {
     if (!this.parts.lifecycle.isClosing()) return;
-    throw new HollowstackError('not-ready', 'this instance is stopping', {
-      ran: 'no',
-      retryAfterMs: CLOSING_RETRY_MS,
-    });
+    throw createStoppingError();
   }
 
   private getTable(): RouteTable {
@@ -151,6 +148,9 @@
       controller.abort(error);
       writeError(outgoing, error, facts.requestId, protocol);
     });
+    const removeRefusal = this.parts.lifecycle.addRefusal(() => {
+      if (request.getRan() === 'no') controller.abort(createStoppingError());
+    });
     outgoing.once('close', () => {
       if (outgoing.writableFinished) return;
       controller.abort(
@@ -171,6 +171,7 @@
       this.recordSettled(request, error.kind, error.message);
     } finally {
       timer.cancel();
+      removeRefusal();
     }
   }
 
@@ -261,6 +262,13 @@
   );
 }
 
+function createStoppingError(): HollowstackError {
+  return new HollowstackError('not-ready', 'this instance is stopping', {
+    ran: 'no',
+    retryAfterMs: CLOSING_RETRY_MS,
+  });
+}
+
 // The draw follows from the request's id, so that it can be told afterwards.
 function computeDraw(requestId: string): number {
   const digest = createHash('sha1').update(requestId).digest();
--- a/packages/gateway/src/gateway-lifecycle.ts
+++ b/packages/gateway/src/gateway-lifecycle.ts
@@ -7,6 +7,7 @@
 export class GatewayLifecycle {
   private state: GatewayState = 'starting';
   private readonly open = new Set<ServerResponse>();
+  private readonly refusals = new Set<() => void>();
 
   setState(state: GatewayState): void {
     this.state = state;
@@ -35,6 +36,20 @@
     return () => this.open.delete(outgoing);
   }
 
+  /**
+   * Adds a function that refuses a request if nothing of it was sent to an
+   * upstream yet; the returned function removes it.
+   */
+  addRefusal(refuse: () => void): () => void {
+    this.refusals.add(refuse);
+    return () => this.refusals.delete(refuse);
+  }
+
+  /** Refuses every request of which nothing was sent to an upstream yet. */
+  rejectUnsent(): void {
+    for (const refuse of [...this.refusals]) refuse();
+  }
+
   /** Has each answer that has not begun close its connection. */
   closeConnectionsAfterAnswers(): void {
     for (const outgoing of this.open) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -39,6 +39,11 @@
 const DRAIN_POLL_MS = 50;
 /** What is left of the stop's time for the process to end in. */
 const DRAIN_MARGIN_MS = 1000;
+/**
+ * Before the stop's time is over, requests that no upstream has seen are
+ * refused rather than cut; this is the time in which the refusals go out.
+ */
+const REFUSAL_MARGIN_MS = 500;
 const TICK_MS = 250;
 /** Milliseconds without a tick after which the process must have stood still. */
 const PAUSE_MS = 1000;
@@ -106,6 +111,8 @@
       // be over in time.
       lifecycle.setState('closing');
       server.closeIdleConnections();
+      const passedMs = clock.getNow() - startedAtMs;
+      if (passedMs >= limitMs - REFUSAL_MARGIN_MS) lifecycle.rejectUnsent();
     }
     const inProgress = lifecycle.getInProgress();
     if (inProgress > 0) logger.logEvent('entry.drain-late', {inProgress});
