Call the failure domain by its name everywhere

Settings: `failureDomain`; the old key is refused with an error that gives the new one, at any depth (test: "a setting with its earlier name is refused, and its new name is told", which failed before: the key was passed over).

--- a/packages/assignment/src/assignment-plan.test.ts
+++ b/packages/assignment/src/assignment-plan.test.ts
@@ -13,7 +13,7 @@
 ): EngineView {
   return {
     id,
-    zone: 'a',
+    failureDomain: 'a',
     backlogTokens: 0,
     activeCount: 0,
     capacity: 64,
@@ -64,8 +64,8 @@
 
 test('a request goes where its inputs lie', () => {
   const engines = [
-    createEngine('far', {zone: 'a'}),
-    createEngine('near', {zone: 'b', backlogTokens: 3000}),
+    createEngine('far', {failureDomain: 'a'}),
+    createEngine('near', {failureDomain: 'b', backlogTokens: 3000}),
   ];
   const input = createInput(engines, {
     promptTokens: 1000,
--- a/packages/assignment/src/assignment-plan.ts
+++ b/packages/assignment/src/assignment-plan.ts
@@ -1,7 +1,7 @@
 /** An engine as the choice sees it. */
 export interface EngineView {
   readonly id: string;
-  readonly zone: string;
+  readonly failureDomain: string;
   /** Tokens of prompts that are assigned to it and not read yet. */
   readonly backlogTokens: number;
   /** Requests that are assigned to it and not over. */
@@ -31,7 +31,7 @@
 /** The engine chosen, and what decided. */
 export interface AssignmentChoice {
   readonly id: string;
-  readonly zone: string;
+  readonly failureDomain: string;
   /** Milliseconds to the first event, as predicted. */
   readonly predictedMs: number;
   readonly costMs: number;
@@ -77,15 +77,23 @@
   const costMs =
     predictedMs +
     rereadTokens * REREAD_MS_PER_TOKEN +
-    countCrossingBytes(engine.zone, input) * CROSSING_MS_PER_BYTE +
+    countCrossingBytes(engine.failureDomain, input) * CROSSING_MS_PER_BYTE +
     engine.homeRank * input.sharedTokens * RANK_MS_PER_SHARED_TOKEN;
-  return {id: engine.id, zone: engine.zone, predictedMs, costMs};
+  return {
+    id: engine.id,
+    failureDomain: engine.failureDomain,
+    predictedMs,
+    costMs,
+  };
 }
 
-function countCrossingBytes(zone: string, input: AssignmentInput): number {
+function countCrossingBytes(
+  failureDomain: string,
+  input: AssignmentInput,
+): number {
   let bytes = 0;
-  for (const [inputZone, inputBytes] of input.inputBytes) {
-    if (inputZone !== zone) bytes += inputBytes;
+  for (const [inputDomain, inputBytes] of input.inputBytes) {
+    if (inputDomain !== failureDomain) bytes += inputBytes;
   }
   return bytes;
 }
--- a/packages/assignment/src/engine-directory.ts
+++ b/packages/assignment/src/engine-directory.ts
@@ -106,7 +106,9 @@
       engines: this.listViews(request, shared),
       promptTokens,
       sharedTokens: countTokens(shared),
-      inputBytes: new Map(request.inputs.map(({zone, bytes}) => [zone, bytes])),
+      inputBytes: new Map(
+        request.inputs.map(({failureDomain, bytes}) => [failureDomain, bytes]),
+      ),
       tokensPerMs: TOKENS_PER_MS,
     });
     if (!choice || !request.isFinal) return choice;
@@ -205,7 +207,7 @@
     const ranks = new Map(ranking.map((id, rank) => [id, rank]));
     return usable.map(engine => ({
       id: engine.record.id,
-      zone: engine.record.zone,
+      failureDomain: engine.record.failureDomain,
       backlogTokens: engine.backlogTokens,
       activeCount: engine.activeCount,
       capacity: engine.record.capacity,
--- a/packages/bench/src/scenario-faults.ts
+++ b/packages/bench/src/scenario-faults.ts
@@ -50,7 +50,7 @@
     const {encoders, retrievers, rerankers, engines} = this.system;
     const found = [...encoders, ...retrievers, ...rerankers, ...engines].filter(
       ({upstream}) =>
-        upstream.id === fault.target || upstream.zone === fault.target,
+        upstream.id === fault.target || upstream.failureDomain === fault.target,
     );
     if (found.length > 0) return found;
     throw new HollowstackError(
@@ -64,7 +64,7 @@
   private killTargets(fault: ScenarioFault): void {
     const instances = this.system.instances.filter(
       ({id, settings}) =>
-        id === fault.target || settings.instance.zone === fault.target,
+        id === fault.target || settings.instance.failureDomain === fault.target,
     );
     for (const instance of instances) {
       this.network.getGate(instance.id).kill();
--- a/packages/bench/src/scenario.ts
+++ b/packages/bench/src/scenario.ts
@@ -68,7 +68,7 @@
   atMs: z.number().nonnegative(),
   /** When it ends; never where it is left out. */
   untilMs: z.number().positive().optional(),
-  /** Name of a process (`engine-3`, `entry-1`, `platform`) or of a failure domain (`zone-a`). */
+  /** Name of a process (`engine-3`, `entry-1`, `platform`) or of a failure domain (`domain-a`). */
   target: z.string(),
   /**
    * slow, wedged, failing, cutting, leaving: for upstreams; killed: for any
--- a/packages/cli/src/command-line.test.ts
+++ b/packages/cli/src/command-line.test.ts
@@ -34,7 +34,7 @@
   writeFileSync(join(folder, 'broken.toml'), '[[pool]\n');
   writeFileSync(
     join(folder, 'settings.toml'),
-    '[instance]\nid = "Entry 1"\nzone = "a"\n',
+    '[instance]\nid = "Entry 1"\nfailureDomain = "a"\n',
   );
   writeFileSync(
     join(folder, 'dangling.toml'),
--- a/packages/cli/src/commands/status/index.ts
+++ b/packages/cli/src/commands/status/index.ts
@@ -22,10 +22,10 @@
 }
 
 function formatStatus(status: InstanceStatus): string {
-  const {instance, zone, state, revision, inProgress, peers} = status;
+  const {instance, failureDomain, state, revision, inProgress, peers} = status;
   const store = status.isStoreDown ? 'does not answer' : 'answers';
   return [
-    `${instance} in ${zone}: ${state}, revision ${revision}, ${inProgress} in progress, ${peers.length} peers, platform's service ${store}`,
+    `${instance} in ${failureDomain}: ${state}, revision ${revision}, ${inProgress} in progress, ${peers.length} peers, platform's service ${store}`,
     '',
     formatTable(
       ['pool', 'limit', 'in service', 'upstream', 'state', 'own', 'slowness'],
--- a/packages/config-log/src/publish-plan.test.ts
+++ b/packages/config-log/src/publish-plan.test.ts
@@ -20,7 +20,7 @@
       name,
       stage: 'encode',
       expectedMs,
-      upstreams: [{id: 'u-1', address: '127.0.0.1:9001', zone: 'a'}],
+      upstreams: [{id: 'u-1', address: '127.0.0.1:9001', failureDomain: 'a'}],
     },
   });
 }
@@ -120,8 +120,8 @@
 stage = "encode"
 expectedMs = 80
 upstreams = [
-  {id = "e-1", address = "10.0.0.1:80", zone = "a"},
-  {id = "e-1", address = "10.0.0.1:80", zone = "b"},
+  {id = "e-1", address = "10.0.0.1:80", failureDomain = "a"},
+  {id = "e-1", address = "10.0.0.1:80", failureDomain = "b"},
 ]
 
 [[template]]
@@ -153,7 +153,7 @@
     syntax: '[[pool]\nname = "x"',
     'unknown key': '[[pool]]\nname = "x"\nstage = "encode"\nspeed = 3',
     'host name':
-      '[[pool]]\nname = "x"\nstage = "encode"\nupstreams = [{id = "u", address = "host:80", zone = "a"}]',
+      '[[pool]]\nname = "x"\nstage = "encode"\nupstreams = [{id = "u", address = "host:80", failureDomain = "a"}]',
     'unknown table': '[[pools]]\nname = "x"',
   };
   const messages = Object.entries(files).map(([name, text]) => {
--- a/packages/entry/src/create-daemon.ts
+++ b/packages/entry/src/create-daemon.ts
@@ -55,7 +55,7 @@
   environment: DaemonEnvironment,
 ): Daemon {
   const {clock, client, logger, random, peerNetwork} = environment;
-  const {id, zone} = settings.instance;
+  const {id, failureDomain} = settings.instance;
   const metrics = new MetricsRegistry();
   const lifecycle = new Lifecycle();
   const decisionLog = new DecisionLog();
@@ -81,11 +81,11 @@
   const instanceList = new InstanceList(store, clock, random);
   const watchHub = new WatchHub(store, clock, random);
 
-  const self = {id, zone, address: settings.listen.peerAddress};
+  const self = {id, failureDomain, address: settings.listen.peerAddress};
   const membership = new Membership({self, store, clock, random});
   const keys = new KeyRing(settings.peers.keys);
   const link = new PeerLink({
-    identity: {id, zone},
+    identity: {id, failureDomain},
     network: peerNetwork,
     keys,
     clock,
--- a/packages/entry/src/daemon.ts
+++ b/packages/entry/src/daemon.ts
@@ -77,7 +77,9 @@
   async start(): Promise<void> {
     const {parts} = this;
     const {clock, logger} = parts.environment;
-    logger.logEvent('entry.starting', {zone: parts.settings.instance.zone});
+    logger.logEvent('entry.starting', {
+      failureDomain: parts.settings.instance.failureDomain,
+    });
     // Peers come before the service's word counts: after a restore of the
     // service from a backup only they know the newest revision.
     await parts.membership.refresh();
--- a/packages/entry/src/managed-pools.ts
+++ b/packages/entry/src/managed-pools.ts
@@ -40,7 +40,7 @@
   return {
     id: status.id,
     address: status.address,
-    zone: status.zone,
+    failureDomain: status.failureDomain,
     isUsable: status.state === 'healthy',
     models: status.models ?? [],
     checksFence: upstream?.checksFence ?? false,
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -18,7 +18,7 @@
       .string()
       .regex(/^[a-z0-9-]{1,40}$/, 'use small letters, digits, dashes'),
     /** Failure domain. */
-    zone: z.string().min(1),
+    failureDomain: z.string().min(1),
   }),
   listen: z.strictObject({
     /** Where callers, operators and probes come. */
--- a/packages/entry/src/status-reader.ts
+++ b/packages/entry/src/status-reader.ts
@@ -10,7 +10,7 @@
 /** One instance as operators are shown it. */
 export interface InstanceStatus {
   readonly instance: string;
-  readonly zone: string;
+  readonly failureDomain: string;
   readonly state: LifecycleState;
   readonly revision: number;
   readonly isStoreDown: boolean;
@@ -56,10 +56,10 @@
 
   readStatus(): InstanceStatus {
     const {membership, lifecycle, holder, follower} = this.parts;
-    const {id, zone} = membership.getSelf();
+    const {id, failureDomain} = membership.getSelf();
     return {
       instance: id,
-      zone,
+      failureDomain,
       state: lifecycle.getState(),
       revision: holder.getRevision(),
       isStoreDown: follower.isStoreUnavailable(),
--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -71,7 +71,7 @@
 ): Gateway {
   const {clock, logger, random, store} = environment;
   const protocol = environment.requestProtocol;
-  const {id, zone, cpuShare, cpuSpeed} = settings.instance;
+  const {id, failureDomain, cpuShare, cpuSpeed} = settings.instance;
   const getNow = () => clock.getNow();
   const metrics = new MetricsRegistry();
   const lifecycle = new GatewayLifecycle();
@@ -80,7 +80,7 @@
 
   const self = {
     id,
-    zone,
+    failureDomain,
     address: settings.listen.peerAddress,
     cores: cpuShare * cpuSpeed,
   };
@@ -92,7 +92,7 @@
     leaseMs: MEMBER_LEASE_MS,
   });
   const link = new PeerLink({
-    identity: {id, zone},
+    identity: {id, failureDomain},
     network: environment.peerNetwork,
     keys: new KeyRing(settings.peers.keys),
     clock,
--- a/packages/gateway/src/engine-assigner.ts
+++ b/packages/gateway/src/engine-assigner.ts
@@ -19,7 +19,7 @@
 /** Where a request should go. */
 export interface EngineAssignment {
   readonly id: string;
-  readonly zone: string;
+  readonly failureDomain: string;
 }
 
 /** A coordinator that takes longer is done without. */
@@ -52,9 +52,10 @@
       )
       .catch((): undefined => undefined);
     if (reply?.type !== 'assigned') return local.reserveEngine(request);
-    const {upstreamId, zone} = reply;
-    if (upstreamId === undefined || zone === undefined) return undefined;
-    return {id: upstreamId, zone};
+    const {upstreamId, failureDomain} = reply;
+    if (upstreamId === undefined || failureDomain === undefined)
+      return undefined;
+    return {id: upstreamId, failureDomain};
   }
 
   /** Tells the coordinator how far a request is. */
--- a/packages/gateway/src/gateway-peer-requests.ts
+++ b/packages/gateway/src/gateway-peer-requests.ts
@@ -60,7 +60,11 @@
         }
         keptPrompts.readService(request.service);
         const choice = directory.reserveEngine(request);
-        return {type: 'assigned', upstreamId: choice?.id, zone: choice?.zone};
+        return {
+          type: 'assigned',
+          upstreamId: choice?.id,
+          failureDomain: choice?.failureDomain,
+        };
       })
       .with({type: 'assignment-progress'}, ({progress}) => {
         directory.recordProgress(progress);
--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -33,7 +33,7 @@
   instance: z.object({
     id: z.string().min(1),
     /** Failure domain. */
-    zone: z.string().min(1),
+    failureDomain: z.string().min(1),
     /** Share of a core that it may use. */
     cpuShare: z.number().positive().default(1),
     /** Speed of that core over a usual one. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -62,7 +62,9 @@
   async start(): Promise<void> {
     const {parts} = this;
     const {settings, logger, clock, lifecycle} = parts;
-    logger.logEvent('entry.starting', {zone: settings.instance.zone});
+    logger.logEvent('entry.starting', {
+      failureDomain: settings.instance.failureDomain,
+    });
     await parts.link.listen(settings.listen.peerAddress);
     await this.listenForProbes();
     await parts.server.listen(settings.listen.address);
--- a/packages/gateway/src/request-runner.ts
+++ b/packages/gateway/src/request-runner.ts
@@ -106,9 +106,14 @@
       });
       return;
     }
-    const zone = await this.predictZone(request, parts);
+    const failureDomain = await this.predictFailureDomain(request, parts);
     const pieceCounts = protocol.parseStageCounts(counts);
-    const stages = this.createStages(request, table, pieceCounts, zone);
+    const stages = this.createStages(
+      request,
+      table,
+      pieceCounts,
+      failureDomain,
+    );
     try {
       request.predictedMs = Math.round(await stages.admit());
       await this.runWithStages(request, stages, parts);
@@ -133,7 +138,7 @@
       try {
         await this.runAttempts(request, {
           parts,
-          inputBytes: made.bytesByZone,
+          inputBytes: made.bytesByDomain,
           inputs: new ReleasableInputs(
             protocol.renderStageInputs(handles),
             () => stages.releaseAll(),
@@ -152,7 +157,7 @@
 
   // Where much of the prompt is shared, the engine that keeps it is worth more
   // than where the stages would like to run.
-  private async predictZone(
+  private async predictFailureDomain(
     request: RoutedRequest,
     parts: readonly PromptPart[],
   ): Promise<string | undefined> {
@@ -165,14 +170,14 @@
       excluded: new Set(),
       isFinal: false,
     });
-    return home?.zone;
+    return home?.failureDomain;
   }
 
   private createStages(
     request: RoutedRequest,
     table: RouteTable,
     pieceCounts: readonly number[],
-    zone: string | undefined,
+    failureDomain: string | undefined,
   ): RequestStages {
     const {clock, protocol, dispatcher, policy, stageDurations} = this.parts;
     const {facts} = request;
@@ -190,7 +195,7 @@
         dueInMs: facts.arrivedAtMs + route.objectiveMs - nowMs,
         remainingMs: facts.deadlineAtMs - nowMs,
         priority: computeRequestPriority(route, facts.workspace),
-        zone,
+        failureDomain,
         startsLate: policy.latestStart,
         mayComeBack:
           facts.deadlineAtMs - nowMs >= COME_BACK_SHARE * route.timeoutMs,
--- a/packages/gateway/src/upstream-choice.ts
+++ b/packages/gateway/src/upstream-choice.ts
@@ -3,7 +3,7 @@
 /** An upstream that a request could go to. */
 export interface RequestCandidate {
   readonly id: string;
-  readonly zone: string;
+  readonly failureDomain: string;
   readonly capacity: number;
   /** This instance's own requests in progress there. */
   readonly ownInFlight: number;
@@ -17,7 +17,7 @@
   /** Requests with the same key share the beginning of their prompts. */
   readonly affinityKey: string | undefined;
   /** Failure domain in which the request's inputs lie. */
-  readonly zone: string | undefined;
+  readonly failureDomain: string | undefined;
   /** Draws from 0 to below 1. */
   readonly random: () => number;
 }
@@ -30,9 +30,11 @@
 export function chooseRequestUpstream(
   input: RequestChoiceInput,
 ): RequestCandidate | undefined {
-  const {candidates, affinityKey, zone} = input;
+  const {candidates, affinityKey, failureDomain} = input;
   if (candidates.length === 0) return undefined;
-  const near = candidates.filter(candidate => candidate.zone === zone);
+  const near = candidates.filter(
+    candidate => candidate.failureDomain === failureDomain,
+  );
   const pool = near.length > 0 ? near : candidates;
   const fast = pool.filter(({slowness}) => slowness < SLOW_FACTOR);
   const usable = fast.length > 0 ? fast : pool;
--- a/packages/gateway/src/upstream-chooser.ts
+++ b/packages/gateway/src/upstream-chooser.ts
@@ -44,7 +44,10 @@
         requestId: request.facts.requestId,
         service,
         parts: [...need.parts],
-        inputs: [...need.inputBytes].map(([zone, bytes]) => ({zone, bytes})),
+        inputs: [...need.inputBytes].map(([failureDomain, bytes]) => ({
+          failureDomain,
+          bytes,
+        })),
         excluded: [...need.excluded],
         isFinal: need.isFinal,
       });
@@ -55,7 +58,7 @@
     return chooseRequestUpstream({
       candidates,
       affinityKey: createAffinityKey(need.parts),
-      zone: chooseHeaviestZone(need.inputBytes),
+      failureDomain: chooseHeaviestDomain(need.inputBytes),
       random: this.parts.random,
     });
   }
@@ -118,12 +121,13 @@
   return shared.map(({id}) => id).join(',');
 }
 
-function chooseHeaviestZone(
-  bytesByZone: ReadonlyMap<string, number>,
+function chooseHeaviestDomain(
+  bytesByDomain: ReadonlyMap<string, number>,
 ): string | undefined {
   let best: string | undefined;
-  for (const [zone, bytes] of bytesByZone) {
-    if (best === undefined || bytes > bytesByZone.get(best)!) best = zone;
+  for (const [failureDomain, bytes] of bytesByDomain) {
+    if (best === undefined || bytes > bytesByDomain.get(best)!)
+      best = failureDomain;
   }
   return best;
 }
--- a/packages/gateway/src/upstream-pool.test.ts
+++ b/packages/gateway/src/upstream-pool.test.ts
@@ -9,7 +9,7 @@
     id,
     service: 'plain',
     address: '10.0.0.1:1',
-    zone: 'a',
+    failureDomain: 'a',
     capacity: 4,
     isLeaving: false,
   };
--- a/packages/gateway/src/upstream-pool.ts
+++ b/packages/gateway/src/upstream-pool.ts
@@ -76,7 +76,7 @@
       if (excluded.has(record.id) || !isCandidate(health, nowMs)) continue;
       candidates.push({
         id: record.id,
-        zone: record.zone,
+        failureDomain: record.failureDomain,
         capacity: record.capacity,
         ownInFlight: load.ownInFlight,
         slowness: getEffectiveSlowness({
--- a/packages/gateway/src/upstream-registry.test.ts
+++ b/packages/gateway/src/upstream-registry.test.ts
@@ -19,7 +19,7 @@
     id: key,
     service: 'plain',
     address: '10.0.0.1:1',
-    zone: 'a',
+    failureDomain: 'a',
     capacity: 1,
     isLeaving: text === 'leaving',
   }),
--- a/packages/gateway/src/upstream-registry.ts
+++ b/packages/gateway/src/upstream-registry.ts
@@ -138,7 +138,7 @@
       upstream: parsed.id,
       service: parsed.service,
       address: parsed.address,
-      zone: parsed.zone,
+      failureDomain: parsed.failureDomain,
       source,
       storeRevision: this.storeRevision,
     });
--- a/packages/local-system/src/local-system.ts
+++ b/packages/local-system/src/local-system.ts
@@ -60,7 +60,11 @@
   readonly standIn: StandIn;
 }
 
-const ZONES = ['zone-a', 'zone-b', 'zone-c'];
+const FAILURE_DOMAINS = [
+  'failureDomain-a',
+  'failureDomain-b',
+  'failureDomain-c',
+];
 
 const POOL_OPTIONS: PoolOptions = {
   slots: 4,
@@ -258,9 +262,9 @@
       const {clock} = this.network.createEnvironment(id);
       const standIn = createStandIn(clock);
       await this.network.serve(id, address, request => standIn.handle(request));
-      const zone = ZONES[index % ZONES.length];
+      const failureDomain = FAILURE_DOMAINS[index % FAILURE_DOMAINS.length];
       list.push({
-        upstream: {id, address, zone, checksFence: true},
+        upstream: {id, address, failureDomain, checksFence: true},
         standIn,
       });
     }
@@ -274,7 +278,7 @@
     const settings = settingsSchema.parse({
       instance: {
         id: id ?? `entry-${number}`,
-        zone: ZONES[(number - 1) % ZONES.length],
+        failureDomain: FAILURE_DOMAINS[(number - 1) % FAILURE_DOMAINS.length],
       },
       listen: {
         address: await this.network.reserveAddress(),
--- a/packages/peers/src/coordinator.test.ts
+++ b/packages/peers/src/coordinator.test.ts
@@ -55,7 +55,7 @@
   const value = JSON.stringify({
     id,
     address: `10.0.0.1:${modRevision}`,
-    zone: 'a',
+    failureDomain: 'a',
     cores,
   });
   return {type: 'put', key: PEER_PREFIX + id, value, modRevision};
@@ -71,7 +71,7 @@
 
 function createMembership(store = new EmptyStore()): Membership {
   return new Membership({
-    self: {id: 'self', address: '10.0.0.1:1', zone: 'a'},
+    self: {id: 'self', address: '10.0.0.1:1', failureDomain: 'a'},
     store,
     clock: new ManualClock(),
     random: getMiddle,
@@ -144,8 +144,8 @@
 
 test('without any registration all choose alike among those heard of', () => {
   const membership = createMembership();
-  membership.recordHeard({id: 'b', address: '10.0.0.1:2', zone: 'a'});
-  membership.recordHeard({id: 'c', address: '10.0.0.1:3', zone: 'a'});
+  membership.recordHeard({id: 'b', address: '10.0.0.1:2', failureDomain: 'a'});
+  membership.recordHeard({id: 'c', address: '10.0.0.1:3', failureDomain: 'a'});
   const first = chooseCoordinator(membership)?.id;
   assert.equal(chooseCoordinator(membership)?.id, first);
 });
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -16,7 +16,7 @@
   id: z.string(),
   /** Address of the peer link. */
   address: z.string(),
-  zone: z.string(),
+  failureDomain: z.string(),
   /** Processor it has, in cores of usual speed; unlike machines get unlike work. */
   cores: z.number().positive().optional(),
 });
@@ -128,7 +128,7 @@
     type: z.literal('assigned'),
     /** Undefined where no engine can take the request. */
     upstreamId: z.string().optional(),
-    zone: z.string().optional(),
+    failureDomain: z.string().optional(),
   }),
   z.object({
     type: z.literal('stage-admission'),
--- a/packages/peers/src/peer-link.test.ts
+++ b/packages/peers/src/peer-link.test.ts
@@ -33,7 +33,7 @@
   const ring = new KeyRing(keys);
   const metrics = new MetricsRegistry();
   const link = new PeerLink({
-    identity: {id, zone: 'a'},
+    identity: {id, failureDomain: 'a'},
     network: new TcpPeerNetwork(),
     keys: ring,
     clock: new SystemClock(),
--- a/packages/peers/src/peer-link.ts
+++ b/packages/peers/src/peer-link.ts
@@ -11,7 +11,7 @@
 export interface PeerIdentity {
   readonly id: string;
   /** Failure domain. */
-  readonly zone: string;
+  readonly failureDomain: string;
 }
 
 /** What the link works with. */
--- a/packages/peers/src/revision-exchange.ts
+++ b/packages/peers/src/revision-exchange.ts
@@ -58,7 +58,7 @@
   private choosePeers(): string[] {
     const {membership, seeds, random} = this.parts;
     const peers = membership.listReachablePeers();
-    const chosen = choosePeersOverZones(peers, FAN_OUT, random).map(
+    const chosen = choosePeersOverDomains(peers, FAN_OUT, random).map(
       ({address}) => address,
     );
     // With few peers at hand the list may be an outage's or a backup's: the
@@ -124,7 +124,7 @@
 }
 
 /** Chooses peers at random, each failure domain in its turn. */
-export function choosePeersOverZones(
+export function choosePeersOverDomains(
   peers: readonly PeerRecord[],
   count: number,
   random: () => number,
@@ -134,11 +134,11 @@
     .sort((left, right) => left.draw - right.draw)
     .map(({peer}) => peer);
   const chosen: PeerRecord[] = [];
-  const usedZones = new Set<string>();
+  const usedDomains = new Set<string>();
   for (const peer of shuffled) {
     if (chosen.length === count) return chosen;
-    if (usedZones.has(peer.zone)) continue;
-    usedZones.add(peer.zone);
+    if (usedDomains.has(peer.failureDomain)) continue;
+    usedDomains.add(peer.failureDomain);
     chosen.push(peer);
   }
   const rest = shuffled.filter(peer => !chosen.includes(peer));
--- a/packages/pipeline/src/group-settings.ts
+++ b/packages/pipeline/src/group-settings.ts
@@ -17,7 +17,7 @@
 export interface UpstreamStatus {
   readonly id: string;
   readonly address: string;
-  readonly zone: string;
+  readonly failureDomain: string;
   readonly state: HealthState['state'];
   readonly ownInFlight: number;
   /** Models it reports to hold; undefined before its first report. */
--- a/packages/pipeline/src/upstream-group.ts
+++ b/packages/pipeline/src/upstream-group.ts
@@ -99,7 +99,7 @@
         models,
         id: upstream.id,
         address: upstream.address,
-        zone: upstream.zone,
+        failureDomain: upstream.failureDomain,
         state: health.state,
         ownInFlight: load.ownInFlight,
         slowness: load.slowness,
--- a/packages/placement/src/placement-plan.test.ts
+++ b/packages/placement/src/placement-plan.test.ts
@@ -8,7 +8,12 @@
   models: string[],
   isUsable = true,
 ): EngineState {
-  return {id: `e-${number}`, zone: `z-${number % 3}`, isUsable, models};
+  return {
+    id: `e-${number}`,
+    failureDomain: `z-${number % 3}`,
+    isUsable,
+    models,
+  };
 }
 
 const TARGETS = [
--- a/packages/placement/src/placement-plan.ts
+++ b/packages/placement/src/placement-plan.ts
@@ -9,7 +9,7 @@
 /** One engine as the plan sees it. */
 export interface EngineState {
   readonly id: string;
-  readonly zone: string;
+  readonly failureDomain: string;
   /** Whether it may be given work; orders to others would be lost. */
   readonly isUsable: boolean;
   /** Models that it reports to hold. */
@@ -93,9 +93,11 @@
   wanted: ReadonlyMap<string, Set<string>>,
   modelsPerEngine: number,
 ): string | undefined {
-  const countInZone = (zone: string) =>
+  const countInDomain = (failureDomain: string) =>
     usable.filter(
-      engine => engine.zone === zone && wanted.get(engine.id)!.has(model),
+      engine =>
+        engine.failureDomain === failureDomain &&
+        wanted.get(engine.id)!.has(model),
     ).length;
   const free = usable.filter(({id}) => {
     const models = wanted.get(id)!;
@@ -106,7 +108,7 @@
     free.map(({id}) => id),
   );
   const compare = (left: EngineState, right: EngineState) =>
-    countInZone(left.zone) - countInZone(right.zone) ||
+    countInDomain(left.failureDomain) - countInDomain(right.failureDomain) ||
     wanted.get(left.id)!.size - wanted.get(right.id)!.size ||
     ranked.indexOf(left.id) - ranked.indexOf(right.id);
   return free.sort(compare).at(0)?.id;
--- a/packages/process-fleet/src/process-fleet.ts
+++ b/packages/process-fleet/src/process-fleet.ts
@@ -37,7 +37,11 @@
 }
 
 const READY_EVENT = '"name":"entry.ready"';
-const ZONES = ['zone-a', 'zone-b', 'zone-c'];
+const FAILURE_DOMAINS = [
+  'failureDomain-a',
+  'failureDomain-b',
+  'failureDomain-c',
+];
 
 /** A whole system of separate processes on the loopback interface. */
 export class ProcessFleet {
@@ -169,10 +173,11 @@
     const process = this.startProcess(['stand-in', kind, ...(extra ?? [])]);
     const line = await process.waitForLine(text => text.includes('listening'));
     const {listening} = JSON.parse(line) as {listening: string};
-    const zone = ZONES[this.processes.length % ZONES.length];
+    const failureDomain =
+      FAILURE_DOMAINS[this.processes.length % FAILURE_DOMAINS.length];
     return {
       process,
-      upstream: {id, address: listening, zone, checksFence: false},
+      upstream: {id, address: listening, failureDomain, checksFence: false},
       control: new SystemCaller(this.client, listening),
     };
   }
@@ -194,7 +199,7 @@
     return `
 [instance]
 id = "${id}"
-zone = "${ZONES[number % ZONES.length]}"
+failureDomain = "${FAILURE_DOMAINS[number % FAILURE_DOMAINS.length]}"
 
 [listen]
 address = "${address}"
--- a/packages/routes/src/routed-configuration.ts
+++ b/packages/routes/src/routed-configuration.ts
@@ -127,7 +127,7 @@
   service: z.string(),
   address: z.string(),
   /** Failure domain. */
-  zone: z.string(),
+  failureDomain: z.string(),
   /** Requests that it works on at a time. */
   capacity: z.number().positive(),
   isLeaving: z.boolean(),
--- a/packages/routing/src/rendezvous.ts
+++ b/packages/routing/src/rendezvous.ts
@@ -17,7 +17,7 @@
  * connections and reports per instance do not grow with the pool. Each failure
  * domain is represented as evenly as it can be.
  */
-export function chooseSubset<Item extends {id: string; zone: string}>(
+export function chooseSubset<Item extends {id: string; failureDomain: string}>(
   instanceId: string,
   upstreams: readonly Item[],
   size: number,
@@ -28,9 +28,9 @@
   const queues = new Map<string, Item[]>();
   for (const id of ranked) {
     const upstream = byId.get(id)!;
-    const queue = queues.get(upstream.zone) ?? [];
+    const queue = queues.get(upstream.failureDomain) ?? [];
     queue.push(upstream);
-    queues.set(upstream.zone, queue);
+    queues.set(upstream.failureDomain, queue);
   }
   return chooseInTurn([...queues.values()], size);
 }
--- a/packages/stages/src/batch-plan.test.ts
+++ b/packages/stages/src/batch-plan.test.ts
@@ -19,7 +19,7 @@
     queuedAtMs: 0,
     dueAtMs: 1000,
     priority: 0,
-    zone: undefined,
+    failureDomain: undefined,
     crossingBytes: 0,
     ...changes,
   };
@@ -31,7 +31,7 @@
 ): FreeUpstream {
   return {
     id,
-    zone: 'a',
+    failureDomain: 'a',
     freeBytes: 1000,
     slowness: 1,
     idleSinceMs: 0,
@@ -57,7 +57,7 @@
     },
     jobs,
     free,
-    zonesInUse: new Set(free.map(({zone}) => zone)),
+    domainsInUse: new Set(free.map(({failureDomain}) => failureDomain)),
     upstreamsInUse: free.length,
   };
 }
@@ -135,12 +135,12 @@
 });
 
 test('a job waits a while for an upstream near its large inputs, then goes anywhere', () => {
-  const jobs = [createJob('x', {zone: 'b', crossingBytes: 5_000_000})];
-  const free = [createUpstream('u', {zone: 'a'})];
-  const input = {...createInput(jobs, free), zonesInUse: new Set(['a', 'b'])};
+  const jobs = [createJob('x', {failureDomain: 'b', crossingBytes: 5_000_000})];
+  const free = [createUpstream('u', {failureDomain: 'a'})];
+  const input = {...createInput(jobs, free), domainsInUse: new Set(['a', 'b'])};
   assert.deepEqual(assembleBatches(input), []);
   assert.equal(assembleBatches({...input, nowMs: 400}).length, 1);
-  const none = {...input, zonesInUse: new Set(['a'])};
+  const none = {...input, domainsInUse: new Set(['a'])};
   assert.equal(assembleBatches(none).length, 1);
 });
 
--- a/packages/stages/src/batch-plan.ts
+++ b/packages/stages/src/batch-plan.ts
@@ -13,14 +13,14 @@
   readonly dueAtMs: number;
   readonly priority: number;
   /** Failure domain in which its inputs lie or its results will be read. */
-  readonly zone: string | undefined;
+  readonly failureDomain: string | undefined;
   readonly crossingBytes: number;
 }
 
 /** An upstream that can take a call now, as the plan sees it. */
 export interface FreeUpstream {
   readonly id: string;
-  readonly zone: string;
+  readonly failureDomain: string;
   /** Bytes of results that it can take in. */
   readonly freeBytes: number;
   /** How long work takes there over what it takes elsewhere. */
@@ -47,7 +47,7 @@
   readonly jobs: readonly WaitingJob[];
   readonly free: readonly FreeUpstream[];
   /** Failure domains that have an upstream in use, busy ones counted. */
-  readonly zonesInUse: ReadonlySet<string>;
+  readonly domainsInUse: ReadonlySet<string>;
   /** Upstreams in use, busy ones counted. */
   readonly upstreamsInUse: number;
 }
@@ -55,7 +55,7 @@
 /** Below this, results may be read from another failure domain at once. */
 const SMALL_CROSSING_BYTES = 200_000;
 /** Share of the time left that a job waits for an upstream in its own domain. */
-const ZONE_PATIENCE = 0.35;
+const DOMAIN_PATIENCE = 0.35;
 /** An upstream this much slower is used only where the others cannot keep up. */
 const SLOW_FACTOR = 2;
 const SLOW_RESERVE_WAIT_MS = 200;
@@ -77,7 +77,9 @@
   const batches: Batch[] = [];
   free.forEach((upstream, index) => {
     const eligible = waiting.filter(
-      job => left.get(job.jobId)! > 0 && mayRunIn(job, upstream.zone, input),
+      job =>
+        left.get(job.jobId)! > 0 &&
+        mayRunIn(job, upstream.failureDomain, input),
     );
     if (eligible.length === 0) return;
     const pieces = eligible.reduce((sum, job) => sum + left.get(job.jobId)!, 0);
@@ -135,13 +137,14 @@
 
 function mayRunIn(
   job: WaitingJob,
-  zone: string,
+  failureDomain: string,
   input: BatchPlanInput,
 ): boolean {
-  if (job.zone === undefined || job.zone === zone) return true;
+  if (job.failureDomain === undefined || job.failureDomain === failureDomain)
+    return true;
   if (job.crossingBytes < SMALL_CROSSING_BYTES) return true;
-  if (!input.zonesInUse.has(job.zone)) return true;
-  const patienceMs = ZONE_PATIENCE * (job.dueAtMs - job.queuedAtMs);
+  if (!input.domainsInUse.has(job.failureDomain)) return true;
+  const patienceMs = DOMAIN_PATIENCE * (job.dueAtMs - job.queuedAtMs);
   return input.nowMs - job.queuedAtMs >= patienceMs;
 }
 
--- a/packages/stages/src/job-state.ts
+++ b/packages/stages/src/job-state.ts
@@ -56,7 +56,7 @@
       queuedAtMs,
       dueAtMs: queuedAtMs + job.dueInMs,
       priority: job.priority,
-      zone: job.zone,
+      failureDomain: job.failureDomain,
       crossingBytes: job.crossingBytes,
     };
   }
--- a/packages/stages/src/peer-watch.test.ts
+++ b/packages/stages/src/peer-watch.test.ts
@@ -12,7 +12,7 @@
 
 function createLink(t: TestContext, id: string): PeerLink {
   const link = new PeerLink({
-    identity: {id, zone: 'a'},
+    identity: {id, failureDomain: 'a'},
     network: new TcpPeerNetwork(),
     keys: new KeyRing([{id: 'k1', secret: 'first-secret-of-the-test'}]),
     clock,
@@ -34,7 +34,7 @@
   const address = await peer.listen('127.0.0.1:0');
   const watch = new PeerWatch({clock, logger, link: createLink(t, 'own')});
   const watchings = Array.from({length: 20}, () =>
-    watch.beginWatching({id: 'peer', address, zone: 'a'}),
+    watch.beginWatching({id: 'peer', address, failureDomain: 'a'}),
   );
   await waitMs(800);
   assert.ok(pingCount >= 2 && pingCount <= 6, `${pingCount} pings`);
@@ -55,7 +55,7 @@
   });
   const address = await peer.listen('127.0.0.1:0');
   const watch = new PeerWatch({clock, logger, link: createLink(t, 'own')});
-  watch.beginWatching({id: 'peer', address, zone: 'a'}).end();
+  watch.beginWatching({id: 'peer', address, failureDomain: 'a'}).end();
   await waitMs(400);
   assert.equal(pingCount, 0);
 });
--- a/packages/stages/src/request-stages.ts
+++ b/packages/stages/src/request-stages.ts
@@ -40,7 +40,7 @@
   /** Whether the caller has the time to come back. */
   readonly mayComeBack: boolean;
   /** Failure domain of the upstream that will read the last results, if chosen. */
-  readonly zone: string | undefined;
+  readonly failureDomain: string | undefined;
 }
 
 /** A stage has no results. */
@@ -60,7 +60,7 @@
 export interface StageInputs {
   readonly results: readonly StageResult[];
   /** Bytes that lie in each failure domain. */
-  readonly bytesByZone: ReadonlyMap<string, number>;
+  readonly bytesByDomain: ReadonlyMap<string, number>;
 }
 
 /** Runs the stages of one request in their order, and gives back what they made. */
@@ -157,15 +157,15 @@
       throw failing.signal.reason;
     }
     const results: StageResult[] = [];
-    const bytesByZone = new Map<string, number>();
+    const bytesByDomain = new Map<string, number>();
     for (const [index, made] of this.unreleased) {
       results.push(...made);
-      for (const {zone} of made) {
-        const bytes = bytesByZone.get(zone) ?? 0;
-        bytesByZone.set(zone, bytes + stages[index].resultBytes);
+      for (const {failureDomain} of made) {
+        const bytes = bytesByDomain.get(failureDomain) ?? 0;
+        bytesByDomain.set(failureDomain, bytes + stages[index].resultBytes);
       }
     }
-    return {results, bytesByZone};
+    return {results, bytesByDomain};
   }
 
   /** Notes how long the request itself took to its first bytes, its stages done. */
@@ -235,7 +235,7 @@
     const passedMs = this.clock.getNow() - this.startedAtMs;
     const tailMs = this.computeTailMs(index);
     const isRead = this.listReaders(index).length > 0;
-    const ownZone = isRead ? undefined : input.zone;
+    const ownDomain = isRead ? undefined : input.failureDomain;
     const inputBytes = this.countInputBytes(index, inputs);
     const outcome = await this.dispatcher.runJob(
       {
@@ -251,7 +251,7 @@
         // What cannot be read any more need not be made.
         remainingMs: input.remainingMs - passedMs - tailMs,
         priority: input.priority,
-        zone: chooseZone(inputs) ?? ownZone,
+        failureDomain: chooseFailureDomain(inputs) ?? ownDomain,
         // Each piece reads all inputs.
         crossingBytes:
           inputs.length > 0
@@ -373,12 +373,15 @@
   }
 }
 
-function chooseZone(inputs: readonly StageResult[]): string | undefined {
+function chooseFailureDomain(
+  inputs: readonly StageResult[],
+): string | undefined {
   const counts = new Map<string, number>();
-  for (const {zone} of inputs) counts.set(zone, (counts.get(zone) ?? 0) + 1);
+  for (const {failureDomain} of inputs)
+    counts.set(failureDomain, (counts.get(failureDomain) ?? 0) + 1);
   let best: string | undefined;
-  for (const [zone, count] of counts) {
-    if (best === undefined || count > counts.get(best)!) best = zone;
+  for (const [failureDomain, count] of counts) {
+    if (best === undefined || count > counts.get(best)!) best = failureDomain;
   }
   return best;
 }
--- a/packages/stages/src/stage-coordinator.ts
+++ b/packages/stages/src/stage-coordinator.ts
@@ -240,12 +240,12 @@
         .filter(upstream => upstream.isFree(nowMs, capacity))
         .map(upstream => ({
           id: upstream.record.id,
-          zone: upstream.record.zone,
+          failureDomain: upstream.record.failureDomain,
           freeBytes: this.countFreeBytes(upstream, capacity, nowMs),
           slowness: upstream.getSlowness(nowMs),
           idleSinceMs: upstream.idleSinceMs,
         })),
-      zonesInUse: new Set(used.map(({record}) => record.zone)),
+      domainsInUse: new Set(used.map(({record}) => record.failureDomain)),
       upstreamsInUse: used.length,
     });
     for (const batch of batches) void this.runBatch(batch, capacity, nowMs);
@@ -397,11 +397,11 @@
     {capacity, startedAtMs}: {capacity: StageCapacity; startedAtMs: number},
   ): void {
     const nowMs = this.parts.clock.getNow();
-    const {id, zone} = upstream.record;
+    const {id, failureDomain} = upstream.record;
     const {state, job, piece} = taken;
     if (outcome.type === 'made') {
       const {handle, address} = outcome;
-      const result: StageResult = {handle, address, zone};
+      const result: StageResult = {handle, address, failureDomain};
       this.room.recordResult(handle, {
         upstreamId: id,
         service: job.service,
--- a/packages/toml-file/src/toml-file.ts
+++ b/packages/toml-file/src/toml-file.ts
@@ -1,6 +1,7 @@
 import {HollowstackError} from '@hollowstack/errors';
 import {TomlError, parse} from 'smol-toml';
 import type {z} from 'zod';
+import {checkRenamedSettings} from './renamed-settings.ts';
 
 /**
  * Parses TOML by a schema.
@@ -18,10 +19,17 @@
   throw createSchemaError(path, '', parsed.error);
 }
 
-/** Parses TOML as it is. @throws HollowstackError `configuration-invalid` with the line. */
+/**
+ * Parses TOML as it is.
+ *
+ * @throws HollowstackError `configuration-invalid` with the line, or with the new
+ * name of a setting that was renamed.
+ */
 export function parseToml(text: string, path: string): unknown {
   try {
-    return parse(text);
+    const content = parse(text);
+    checkRenamedSettings(content, path);
+    return content;
   } catch (error) {
     if (!(error instanceof TomlError)) throw error;
     const reason = error.message.split('\n')[0];
--- a/packages/types/src/assignment.ts
+++ b/packages/types/src/assignment.ts
@@ -15,7 +15,7 @@
   /** The prompt from its beginning; the last part is the request's own. */
   parts: z.array(promptPartSchema),
   /** Bytes of inputs that lie in each failure domain. */
-  inputs: z.array(z.object({zone: z.string(), bytes: z.number()})),
+  inputs: z.array(z.object({failureDomain: z.string(), bytes: z.number()})),
   /** Engines that the request must not go to. */
   excluded: z.array(z.string()),
   /** Whether the request is sent now; otherwise only a forecast is asked for. */
--- a/packages/types/src/objects.ts
+++ b/packages/types/src/objects.ts
@@ -23,7 +23,7 @@
   id: nameSchema,
   address: addressSchema,
   /** Failure domain. */
-  zone: nameSchema,
+  failureDomain: nameSchema,
   /** Whether it compares the fencing token of an order. */
   checksFence: z.boolean().default(false),
 });
--- a/packages/types/src/reports.ts
+++ b/packages/types/src/reports.ts
@@ -31,7 +31,7 @@
 export const instanceRecordSchema = z.object({
   id: z.string(),
   address: z.string(),
-  zone: z.string(),
+  failureDomain: z.string(),
   state: z.enum(['live', 'leaving']),
 });
 /** One row of the platform's lagging list of instances. */
--- a/packages/types/src/stage-job.ts
+++ b/packages/types/src/stage-job.ts
@@ -24,8 +24,8 @@
   /** 0 is the most urgent. */
   priority: z.number(),
   /** Failure domain in which the inputs lie or the results will be read. */
-  zone: z.string().optional(),
-  /** Bytes that cross failure domains where the job is done outside `zone`. */
+  failureDomain: z.string().optional(),
+  /** Bytes that cross failure domains where the job is done outside its own. */
   crossingBytes: z.number().nonnegative(),
 });
 /** The pieces of one stage of one request, to be made together. */
@@ -36,7 +36,7 @@
   handle: z.string(),
   /** Address of the upstream that keeps it. */
   address: z.string(),
-  zone: z.string(),
+  failureDomain: z.string(),
 });
 /** A result that an upstream keeps until it is released. */
 export type StageResult = z.infer<typeof stageResultSchema>;
