Give unit and source of the constants of routing, stages and assignment

Each has its unit now and where its figure comes from; where it is a guess, the comment says so. No behaviour changes.

--- a/packages/assignment/src/assignment-plan.ts
+++ b/packages/assignment/src/assignment-plan.ts
@@ -43,7 +43,15 @@
 const CROSSING_MS_PER_BYTE = 50 / 1_000_000;
 /** Milliseconds by which a lower place in the prompt's ranking counts as worse. */
 const RANK_MS_PER_SHARED_TOKEN = 0.0015;
+/**
+ * Milliseconds by which each request in progress slows an engine down; a
+ * step of an engine with some ten of them. A guess from the sheets.
+ */
 const ACTIVE_MS = 1.5;
+/**
+ * Milliseconds that a full engine counts as worse; longer than any usual
+ * prompt takes to read. A guess.
+ */
 const FULL_MS = 2000;
 
 /** Chooses the engine with the least cost in time, in reading again and in moving. */
--- a/packages/assignment/src/engine-directory.ts
+++ b/packages/assignment/src/engine-directory.ts
@@ -40,11 +40,23 @@
   readonly slowness: Slowness;
 }
 
+/**
+ * Tokens that an engine can keep where the configuration does not say; about
+ * what the engines of the first deployments have.
+ */
 const DEFAULT_CACHE_TOKENS = 500_000;
 /** Part of an engine's memory that shared parts can count on. */
 const CACHE_SHARE = 0.8;
 const TOKENS_PER_MS = 55;
+/**
+ * Weight of the newest request in the slowness of its engine; some ten
+ * requests settle it.
+ */
 const SLOWNESS_WEIGHT = 0.2;
+/**
+ * Bound of one sample of slowness, so that a lost answer does not rule an
+ * engine out for long.
+ */
 const MAX_SLOWNESS = 10;
 /** Requests predicted to take less than this say nothing of an engine's speed. */
 const MIN_PREDICTED_MS = 20;
--- a/packages/gateway/src/answer-writer.ts
+++ b/packages/gateway/src/answer-writer.ts
@@ -5,6 +5,10 @@
 
 const NONE: ReadonlySet<string> = new Set();
 const LENGTH: ReadonlySet<string> = new Set(['content-length']);
+/**
+ * Milliseconds after which to come back where the refusal knows nothing
+ * better. A guess.
+ */
 const DEFAULT_RETRY_AFTER_MS = 500;
 
 /**
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -65,9 +65,19 @@
       readonly passOn?: () => void;
     };
 
+/**
+ * Milliseconds for a connection to stand; some hundred round trips within a
+ * region.
+ */
 const CONNECT_TIMEOUT_MS = 400;
+/**
+ * Bytes of a plain answer that are held until it is whole; more would
+ * endanger an instance of 250 MB.
+ */
 const MAX_KEPT_BYTES = 8 * 1024 * 1024;
+/** HTTP status: the address belongs to another upstream now. */
 const MISDIRECTED = 421;
+/** HTTP status: a stage result that the request names is gone. */
 const INPUT_GONE = 409;
 
 /** Sends a request to one upstream and its answer to the caller. */
--- a/packages/gateway/src/copy-exchange.ts
+++ b/packages/gateway/src/copy-exchange.ts
@@ -40,10 +40,22 @@
   readonly watch: ConfigurationWatch;
 }
 
+/**
+ * Milliseconds between rounds; two of them fit in the 2 s in which changes
+ * must be in force.
+ */
 const ROUND_MS = 700;
+/**
+ * Milliseconds for an answer without a copy; a round, so that rounds do not
+ * pile up.
+ */
 const TIMEOUT_MS = 700;
 /** A whole copy takes its time on a thin link. */
 const COPY_TIMEOUT_MS = 2000;
+/**
+ * Every so many rounds a seed is asked too, which joins groups that know
+ * nothing of each other. A guess.
+ */
 const SEEDS_EVERY_ROUNDS = 8;
 /** Milliseconds that the store's watch is given before a peer sends a copy. */
 const STORE_PATIENCE_MS = 600;
--- a/packages/gateway/src/engine-assigner.ts
+++ b/packages/gateway/src/engine-assigner.ts
@@ -24,6 +24,7 @@
 
 /** A coordinator that takes longer is done without. */
 const ASSIGN_TIMEOUT_MS = 80;
+/** Milliseconds for the coordinator to take a note; nobody waits for it. */
 const PROGRESS_TIMEOUT_MS = 1000;
 
 /** Asks the coordinator which engine a request should go to. */
--- a/packages/gateway/src/gateway-front.ts
+++ b/packages/gateway/src/gateway-front.ts
@@ -29,6 +29,10 @@
   readonly runner: RequestRunner;
 }
 
+/**
+ * Milliseconds after which an instance without a configuration may be asked
+ * again; a start takes some hundreds. A guess.
+ */
 const NOT_READY_RETRY_MS = 1000;
 /** Another instance takes the request at once. */
 const CLOSING_RETRY_MS = 50;
--- a/packages/gateway/src/gateway-server.ts
+++ b/packages/gateway/src/gateway-server.ts
@@ -13,6 +13,10 @@
   outgoing: ServerResponse,
 ) => void;
 
+/**
+ * Milliseconds between two looks at callers that are slow to send; a sixth
+ * of the usual limit.
+ */
 const CHECK_INTERVAL_MS = 500;
 /** A body may take longer than its head. */
 const BODY_TIMEOUT_MS = 30_000;
--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -3,6 +3,10 @@
 import {addressSchema} from '@hollowstack/types';
 import {z} from 'zod';
 
+/**
+ * Characters of a secret between instances, at least; 16 of them cannot be
+ * guessed.
+ */
 const MIN_SECRET_LENGTH = 16;
 
 const peerKeySchema = z.object({
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -33,9 +33,11 @@
   readonly probePath: string;
 }
 
+/** Milliseconds between two looks whether a start is complete. */
 const START_POLL_MS = 20;
 /** The balancer goes on sending until it has missed the instance twice. */
 const BALANCER_LAG_MS = 2600;
+/** Milliseconds between two looks whether a planned stop is over. */
 const DRAIN_POLL_MS = 50;
 /** What is left of the stop's time for the process to end in. */
 const DRAIN_MARGIN_MS = 1000;
@@ -44,6 +46,9 @@
  * refused rather than cut; this is the time in which the refusals go out.
  */
 const REFUSAL_MARGIN_MS = 500;
+/**
+ * Milliseconds between two ticks by which a pause of the process is noticed.
+ */
 const TICK_MS = 250;
 /** Milliseconds without a tick after which the process must have stood still. */
 const PAUSE_MS = 1000;
--- a/packages/gateway/src/kept-prompts-reader.ts
+++ b/packages/gateway/src/kept-prompts-reader.ts
@@ -13,8 +13,14 @@
   readonly protocol: EngineProtocol;
 }
 
+/**
+ * Milliseconds for a connection to an engine to stand; some hundred round
+ * trips.
+ */
 const CONNECT_TIMEOUT_MS = 300;
+/** Milliseconds for the whole list; nobody waits for it. */
 const TIMEOUT_MS = 1000;
+/** Bytes of a list, at most; some 50,000 parts. */
 const MAX_ANSWER_BYTES = 4 * 1024 * 1024;
 
 /**
--- a/packages/gateway/src/request-runner.ts
+++ b/packages/gateway/src/request-runner.ts
@@ -38,6 +38,10 @@
  * results between failure domains: the upstream is then chosen first.
  */
 const AFFINITY_FIRST_TOKENS = 4000;
+/**
+ * Milliseconds after which to come back where no upstream is left; about one
+ * trial of an upstream that was out. A guess.
+ */
 const RETRY_AFTER_MS = 300;
 /** Milliseconds without an event after which the engine of a stream counts as silent. */
 const STREAM_SILENCE_MS = 1500;
@@ -46,9 +50,17 @@
  * back; one that has less is let in, since it has no time for another attempt.
  */
 const COME_BACK_SHARE = 0.1;
+/**
+ * Milliseconds of silence that no plain upstream is blamed for; several
+ * times the usual work. A guess.
+ */
 const MIN_SILENCE_MS = 100;
 /** Times of what is usual, and share of the objective, for a plain answer. */
 const SILENCE_FACTOR = 2.5;
+/**
+ * Share of the objective after which a silent plain upstream is given up;
+ * what is left suffices for another one.
+ */
 const SILENCE_SHARE = 0.6;
 const NO_BYTES: ReadonlyMap<string, number> = new Map();
 
--- a/packages/gateway/src/store-follower.ts
+++ b/packages/gateway/src/store-follower.ts
@@ -8,6 +8,10 @@
   WatchSubscription,
 } from '@hollowstack/store';
 
+/**
+ * Milliseconds before a failed reading is tried again, at first; some ten
+ * answers of a healthy store.
+ */
 const MIN_RETRY_MS = 300;
 /** An instance must have caught up some 3 s after the store is back. */
 const MAX_RETRY_MS = 800;
--- a/packages/gateway/src/upstream-choice.ts
+++ b/packages/gateway/src/upstream-choice.ts
@@ -24,6 +24,10 @@
 
 /** Own requests that a shared prompt may bring to its home whatever the others have. */
 const HOME_ALLOWANCE = 3;
+/**
+ * An upstream this much slower than usual is left out while others are
+ * there. A guess.
+ */
 const SLOW_FACTOR = 2;
 
 /** Chooses the upstream of a request; undefined where there is none. */
--- a/packages/gateway/src/upstream-pool.ts
+++ b/packages/gateway/src/upstream-pool.ts
@@ -19,6 +19,10 @@
 
 /** Weight of the newest request in the mean of a service. */
 const MEAN_WEIGHT = 0.05;
+/**
+ * Bound of one sample of slowness, so that one odd answer does not rule an
+ * upstream out for long.
+ */
 const MAX_SLOWNESS = 8;
 /** Weight of the newest request in the slowness of its upstream. */
 const SLOWNESS_WEIGHT = 0.15;
--- a/packages/gateway/src/watch-pace.ts
+++ b/packages/gateway/src/watch-pace.ts
@@ -1,8 +1,16 @@
 import type {WatchPace} from '@hollowstack/store';
 
+/**
+ * Milliseconds that a watch waits for a change; each watch that ends has a
+ * price. Below the 30 s that stores allow.
+ */
 const WAIT_MS = 12_000;
 /** Part of the time in which a change must be in force that gathering may take. */
 const GATHER_SHARE = 1 / 3;
+/**
+ * Milliseconds to gather changes for each live instance: the calls of the
+ * whole fleet for one change stay at some 80 a second.
+ */
 const GATHER_MS_PER_INSTANCE = 12;
 
 /** What the pace of a watch follows from. */
--- a/packages/gateway/src/window-retry-budget.ts
+++ b/packages/gateway/src/window-retry-budget.ts
@@ -13,6 +13,7 @@
   retries: number;
 }
 
+/** Milliseconds that the window slides by; a twentieth of the usual window. */
 const BUCKET_MS = 500;
 /** Requests are counted a little short, since windows of others begin elsewhere. */
 const RATIO_SHARE = 0.8;
--- a/packages/log-report/src/log-report.ts
+++ b/packages/log-report/src/log-report.ts
@@ -47,6 +47,7 @@
 
 type Fate = 'inTime' | 'late' | 'refused' | 'failed';
 
+/** Milliseconds in a second. */
 const MS_PER_SECOND = 1000;
 
 /** Assembles the tables of a log. @param windowSeconds Length of a window. */
--- a/packages/log-report/src/render-report.ts
+++ b/packages/log-report/src/render-report.ts
@@ -1,5 +1,6 @@
 import type {LogReport, ReasonRow, RouteRow, ServiceRow} from './log-report.ts';
 
+/** Reasons that are shown; the rest are rare. */
 const MAX_REASONS = 12;
 
 /** Renders the tables of a log as text. */
--- a/packages/peers/src/membership.ts
+++ b/packages/peers/src/membership.ts
@@ -15,9 +15,14 @@
 /** Peers tell of each other as well, so the list itself may lag a little. */
 const WATCH_PACE: WatchPace = {waitMs: 28_000, gatherMs: 1000};
 
+/** Milliseconds of a registration where the wiring sets none. */
 const DEFAULT_LEASE_MS = 30_000;
 /** Renewals that a lease lasts for. */
 const RENEWALS_IN_LEASE = 3;
+/**
+ * Milliseconds before a failed registration is tried again; a third of the
+ * shortest lease in use.
+ */
 const RETRY_MS = 2000;
 /** Milliseconds for which a peer counts as live after it was heard of directly. */
 const HEARD_MS = 15_000;
--- a/packages/stages/src/batch-plan.ts
+++ b/packages/stages/src/batch-plan.ts
@@ -58,6 +58,10 @@
 const DOMAIN_PATIENCE = 0.35;
 /** An upstream this much slower is used only where the others cannot keep up. */
 const SLOW_FACTOR = 2;
+/**
+ * Milliseconds that work has waited when slow upstreams are used as well;
+ * about one call. A guess.
+ */
 const SLOW_RESERVE_WAIT_MS = 200;
 /** Milliseconds by which one step of priority goes before a later due time. */
 const PRIORITY_STEP_MS = 300;
--- a/packages/stages/src/peer-watch.ts
+++ b/packages/stages/src/peer-watch.ts
@@ -22,7 +22,15 @@
   timer: Timer | undefined;
 }
 
+/**
+ * Milliseconds between pings of a coordinator that owes an answer; two fit
+ * in the 0.6 s in which its silence must be noticed.
+ */
 const PING_EVERY_MS = 150;
+/**
+ * Milliseconds for the answer to a ping; some hundred round trips, and room
+ * for a busy process.
+ */
 const PING_TIMEOUT_MS = 450;
 
 /**
--- a/packages/stages/src/service-times.ts
+++ b/packages/stages/src/service-times.ts
@@ -11,6 +11,7 @@
 const LEARNING_RATE = 0.2;
 /** Bounds of what is learnt, as factors of the configured time. */
 const MIN_FACTOR = 0.1;
+/** Upper bound of what is learnt, as a factor of the configured time. */
 const MAX_FACTOR = 3;
 /** Weight of the newest call in the fill of a service's calls. */
 const FILL_WEIGHT = 0.1;
--- a/packages/stages/src/stage-admission.ts
+++ b/packages/stages/src/stage-admission.ts
@@ -37,6 +37,10 @@
 const TOLERANCE = 1.1;
 /** A result is held for about this many calls' fixed time, before it was learnt. */
 const USUAL_HOLD_CALLS = 4;
+/**
+ * Milliseconds after which to come back, at least; about one call of a
+ * stage.
+ */
 const MIN_RETRY_MS = 300;
 /** Share of its time after which a request can still come back. */
 const MAX_RETRY_SHARE = 0.3;
--- a/packages/stages/src/stage-caller.ts
+++ b/packages/stages/src/stage-caller.ts
@@ -12,8 +12,17 @@
   StageProtocol,
 } from './stage-protocol.ts';
 
+/**
+ * Milliseconds for a connection to stand; some hundred round trips within a
+ * region.
+ */
 const CONNECT_TIMEOUT_MS = 400;
+/**
+ * Bytes of an answer, at most; names of results take some tens of bytes
+ * each.
+ */
 const MAX_ANSWER_BYTES = 1024 * 1024;
+/** Milliseconds for a release to be answered; nobody waits for it. */
 const RELEASE_TIMEOUT_MS = 1000;
 
 /** Which upstream a call goes to. */
--- a/packages/stages/src/stage-coordinator.ts
+++ b/packages/stages/src/stage-coordinator.ts
@@ -40,7 +40,12 @@
 const FULL_PAUSE_MS = 60;
 /** Results may be somewhat larger than their stage says. */
 const SIZE_MARGIN = 1.05;
+/**
+ * A call is given up after this many times what it should take; upstreams at
+ * a quarter of their speed are slow, not gone.
+ */
 const CALL_TIMEOUT_FACTOR = 3;
+/** Milliseconds beside that, for connections and lost packets. */
 const CALL_TIMEOUT_MARGIN_MS = 400;
 
 /**
--- a/packages/stages/src/stage-dispatcher.ts
+++ b/packages/stages/src/stage-dispatcher.ts
@@ -32,9 +32,19 @@
 
 /** Times a job may be submitted: each one that follows finds its coordinator gone. */
 const MAX_SUBMISSIONS = 2;
+/**
+ * Milliseconds beyond a job's own time in which the coordinator says that it
+ * is over.
+ */
 const REPLY_MARGIN_MS = 100;
+/** Milliseconds for the coordinator to take a note; nobody waits for it. */
 const RELEASE_TIMEOUT_MS = 1000;
+/**
+ * Milliseconds to wait for admission; a coordinator that takes longer is
+ * done without. Some thirty round trips.
+ */
 const ADMIT_TIMEOUT_MS = 100;
+/** Random bytes of the name of a job; no two meet in the life of a fleet. */
 const JOB_ID_BYTES = 8;
 
 /**
