Tell callers of an instance without a configuration to come back after 2 s

Hypothesis: after a loss of all power in an outage of the store, callers came back after 1 s, were refused again, and had no second retry left when the store was back 4 s later. Change: 2 s for 1 s.

--- a/packages/gateway/src/gateway-front.ts
+++ b/packages/gateway/src/gateway-front.ts
@@ -30,10 +30,11 @@
 }
 
 /**
- * Milliseconds after which an instance without a configuration may be asked
- * again; a start takes some hundreds. A guess.
+ * Milliseconds after which a caller may come back to an instance that knows no
+ * configuration. Outages of the store take seconds, and a caller heeds no more
+ * than a third of its time; 2 s is that third for the shorter generations.
  */
-const NOT_READY_RETRY_MS = 1000;
+const NOT_READY_RETRY_MS = 2000;
 /** Another instance takes the request at once. */
 const CLOSING_RETRY_MS = 50;
 const DRAW_SCALE = 0x1_0000_0000;
