Give a slow upstream no job that it would make late

Hypothesis: under load the most urgent jobs went to whatever upstream was free, also to one four times slower, where each of them was late for sure. Change: an upstream at least twice as slow as usual gets only jobs that are in time there, or late anyway, while another one works at about the usual speed. Test: "a job that a slow upstream would make late waits for one of usual speed".

--- a/packages/stages/src/batch-plan.test.ts
+++ b/packages/stages/src/batch-plan.test.ts
@@ -59,6 +59,7 @@
     free,
     domainsInUse: new Set(free.map(({failureDomain}) => failureDomain)),
     upstreamsInUse: free.length,
+    hasUsualUpstream: free.some(({slowness}) => slowness < 2),
   };
 }
 
@@ -151,3 +152,22 @@
   assert.deepEqual(assembleBatches(input), []);
   assert.equal(assembleBatches({...input, nowMs: 300}).length, 1);
 });
+
+test('a job that a slow upstream would make late waits for one of usual speed', () => {
+  const slow = createUpstream('slow', {slowness: 4});
+  const pressing = createJob('pressing', {dueAtMs: 400, queuedAtMs: -500});
+  const patient = createJob('patient', {dueAtMs: 3000, queuedAtMs: -500});
+  const missed = createJob('missed', {dueAtMs: 100, queuedAtMs: -500});
+  const input = {
+    ...createInput([pressing, patient, missed], [slow]),
+    upstreamsInUse: 2,
+    hasUsualUpstream: true,
+  };
+  const [batch] = assembleBatches(input);
+  assert.deepEqual(
+    batch.parts.map(({jobId}) => jobId),
+    ['patient', 'missed'],
+  );
+  const [only] = assembleBatches({...input, hasUsualUpstream: false});
+  assert.equal(only.parts.length, 3);
+});
--- a/packages/stages/src/batch-plan.ts
+++ b/packages/stages/src/batch-plan.ts
@@ -50,6 +50,8 @@
   readonly domainsInUse: ReadonlySet<string>;
   /** Upstreams in use, busy ones counted. */
   readonly upstreamsInUse: number;
+  /** Whether one of them, busy or not, works at about the usual speed. */
+  readonly hasUsualUpstream: boolean;
 }
 
 /** Below this, results may be read from another failure domain at once. */
@@ -57,7 +59,7 @@
 /** Share of the time left that a job waits for an upstream in its own domain. */
 const DOMAIN_PATIENCE = 0.35;
 /** An upstream this much slower is used only where the others cannot keep up. */
-const SLOW_FACTOR = 2;
+export const SLOW_FACTOR = 2;
 /**
  * Milliseconds that work has waited when slow upstreams are used as well;
  * about one call. A guess.
@@ -83,7 +85,8 @@
     const eligible = waiting.filter(
       job =>
         left.get(job.jobId)! > 0 &&
-        mayRunIn(job, upstream.failureDomain, input),
+        mayRunIn(job, upstream.failureDomain, input) &&
+        mayRunOn(job, upstream, input),
     );
     if (eligible.length === 0) return;
     const pieces = eligible.reduce((sum, job) => sum + left.get(job.jobId)!, 0);
@@ -152,6 +155,18 @@
   return input.nowMs - job.queuedAtMs >= patienceMs;
 }
 
+// On a slow upstream a job would be late that another one, busy now, could
+// still serve in time.
+function mayRunOn(
+  job: WaitingJob,
+  {slowness}: FreeUpstream,
+  input: BatchPlanInput,
+): boolean {
+  if (slowness < SLOW_FACTOR || !input.hasUsualUpstream) return true;
+  if (isLate(job, 1, input)) return true;
+  return !isLate(job, slowness, input);
+}
+
 function chooseUpstreams(
   input: BatchPlanInput,
   waiting: readonly WaitingJob[],
@@ -176,12 +191,20 @@
 
 // Jobs that are late already would hold up those that can still be in time.
 function computeRank(job: WaitingJob, input: BatchPlanInput): number {
-  const {callMs} = input.capacity;
-  const finishMs = input.nowMs + callMs + job.pieceMs * job.pieceCount;
-  const lateMs = finishMs > job.dueAtMs ? LATE_MS : 0;
+  const lateMs = isLate(job, 1, input) ? LATE_MS : 0;
   return job.dueAtMs + job.priority * PRIORITY_STEP_MS + lateMs;
 }
 
+// Whether a call of its own, begun now, would end too late for the job.
+function isLate(
+  job: WaitingJob,
+  slowness: number,
+  {nowMs, capacity}: BatchPlanInput,
+): boolean {
+  const workMs = capacity.callMs + job.pieceMs * job.pieceCount;
+  return nowMs + workMs * slowness > job.dueAtMs;
+}
+
 function compareUpstreams(left: FreeUpstream, right: FreeUpstream): number {
   const bySpeed = Math.round(left.slowness) - Math.round(right.slowness);
   return bySpeed || left.idleSinceMs - right.idleSinceMs;
--- a/packages/stages/src/stage-coordinator.ts
+++ b/packages/stages/src/stage-coordinator.ts
@@ -13,7 +13,7 @@
   StageOutcome,
   StageResult,
 } from '@hollowstack/types';
-import {assembleBatches, type Batch} from './batch-plan.ts';
+import {SLOW_FACTOR, assembleBatches, type Batch} from './batch-plan.ts';
 import {JobState, type TakenPiece} from './job-state.ts';
 import {ResultReleaser} from './result-releaser.ts';
 import {ResultRoom} from './result-room.ts';
@@ -252,6 +252,9 @@
         })),
       domainsInUse: new Set(used.map(({record}) => record.failureDomain)),
       upstreamsInUse: used.length,
+      hasUsualUpstream: used.some(
+        upstream => upstream.getSlowness(nowMs) < SLOW_FACTOR,
+      ),
     });
     for (const batch of batches) void this.runBatch(batch, capacity, nowMs);
   }
