--- a/packages/stages/src/stage-admission.test.ts
+++ b/packages/stages/src/stage-admission.test.ts
@@ -45,12 +45,14 @@
 ): StageAdmission {
   return new StageAdmission({
     clock,
-    getCapacity: () => CAPACITY,
-    countPlaces: () => 1,
-    countMemoryBytes: () => memoryBytes,
-    countHeldBytes: () => 0,
+    fleet: {
+      getCapacity: () => CAPACITY,
+      countPlaces: () => 1,
+      countMemoryBytes: () => memoryBytes,
+      countHeldBytes: () => 0,
+      getHoldMs: (_, defaultMs) => defaultMs,
+    },
     times: new ServiceTimes(),
-    getHoldMs: (_, defaultMs) => defaultMs,
   });
 }
 
--- a/packages/stages/src/stage-admission.ts
+++ b/packages/stages/src/stage-admission.ts
@@ -2,6 +2,7 @@
 import type {StageCapacity} from '@hollowstack/routes';
 import type {StageAdmissionRequest, StageStep} from '@hollowstack/types';
 import type {ServiceTimes} from './service-times.ts';
+import type {StageFleet} from './stage-fleet.ts';
 import {
   WorkLedger,
   computeWorkMs,
@@ -9,20 +10,22 @@
   type WorkAhead,
 } from './work-ledger.ts';
 
-/** What admission works with. */
+/** What admission asks of the upstreams of the stage services. */
+export type AdmissionFleet = Pick<
+  StageFleet,
+  | 'getCapacity'
+  | 'countPlaces'
+  | 'countMemoryBytes'
+  | 'countHeldBytes'
+  | 'getHoldMs'
+>;
+
+/** Dependencies of StageAdmission. */
 export interface StageAdmissionParts {
   readonly clock: Clock;
-  readonly getCapacity: (service: string) => StageCapacity | undefined;
-  /** Calls that the usable upstreams of a service work on at a time. */
-  readonly countPlaces: (service: string) => number;
-  /** Bytes of results that the usable upstreams of a service can hold. */
-  readonly countMemoryBytes: (service: string) => number;
+  readonly fleet: AdmissionFleet;
   /** What calls take, as learnt. */
   readonly times: ServiceTimes;
-  /** Bytes of results that they hold, those of calls in progress left out. */
-  readonly countHeldBytes: (service: string) => number;
-  /** Returns milliseconds for which results of a service are held, calls included. */
-  readonly getHoldMs: (service: string, defaultMs: number) => number;
 }
 
 /** Whether a request may begin its stages. */
@@ -60,10 +63,10 @@
   }
 
   judge(request: StageAdmissionRequest): StageAdmissionDecision {
-    const {getCapacity, times} = this.parts;
+    const {fleet, times} = this.parts;
     const stagesMs = predictFinishMs({
       steps: request.steps,
-      getCapacity,
+      getCapacity: service => fleet.getCapacity(service),
       getPieceMs: ({stageKey}, {pieceMs}) => times.getItemMs(stageKey, pieceMs),
       getWaitMs: service => this.computeWaitMs(service, request.priority),
     });
@@ -102,13 +105,13 @@
   }
 
   private admit(request: StageAdmissionRequest): void {
-    const {clock, getCapacity} = this.parts;
+    const {clock, fleet} = this.parts;
     const {requestId, priority} = request;
     this.recordEnded(requestId);
     this.admitted.set(requestId, request);
     request.steps.forEach((step, index) => {
       const {service, pieceCount} = step;
-      const capacity = getCapacity(service);
+      const capacity = fleet.getCapacity(service);
       if (!capacity || pieceCount === 0) return;
       this.ledger.addStep(service, requestId, index, {
         ...this.computeWork(step, capacity),
@@ -135,19 +138,18 @@
   // Upstreams and their result memory are two resources; the scarcer one decides.
   private computeWaitMs(service: string, priority: number): number {
     const {workMs, resultBytes} = this.ledger.computeAhead(service, priority);
-    const callsMs = workMs / Math.max(1, this.parts.countPlaces(service));
+    const callsMs = workMs / Math.max(1, this.parts.fleet.countPlaces(service));
     return Math.max(callsMs, this.computeMemoryWaitMs(service, resultBytes));
   }
 
   // Memory that is full frees at the rate of its size over the time that
   // results are held.
   private computeMemoryWaitMs(service: string, bytesAhead: number): number {
-    const {countMemoryBytes, countHeldBytes, getHoldMs, getCapacity} =
-      this.parts;
-    const callMs = getCapacity(service)?.callMs ?? 0;
-    const holdMs = getHoldMs(service, USUAL_HOLD_CALLS * callMs);
-    const wantedBytes = bytesAhead + countHeldBytes(service);
-    const memoryBytes = Math.max(1, countMemoryBytes(service));
+    const {fleet} = this.parts;
+    const callMs = fleet.getCapacity(service)?.callMs ?? 0;
+    const holdMs = fleet.getHoldMs(service, USUAL_HOLD_CALLS * callMs);
+    const wantedBytes = bytesAhead + fleet.countHeldBytes(service);
+    const memoryBytes = Math.max(1, fleet.countMemoryBytes(service));
     return holdMs * Math.max(0, wantedBytes / memoryBytes - 1);
   }
 }
--- /dev/null
+++ b/packages/stages/src/stage-call-log.ts
@@ -0,0 +1,59 @@
+import type {EventLogger} from '@hollowstack/logger';
+import type {MetricsRegistry} from '@hollowstack/metrics';
+import type {TakenPiece} from './job-state.ts';
+import type {PieceFailure, PieceOutcome} from './stage-protocol.ts';
+
+/** An answered call, as logs and metrics tell of it. */
+export interface AnsweredCall {
+  readonly service: string;
+  readonly upstreamId: string;
+  readonly taken: readonly TakenPiece[];
+  readonly outcomes: readonly PieceOutcome[];
+  readonly tookMs: number;
+  readonly expectedMs: number;
+  /** Bytes of result memory reserved and held at the upstream. */
+  readonly usedBytes: number;
+  readonly waitingJobs: number;
+}
+
+/** Tells logs and metrics of a call that was answered. */
+export function logAnsweredCall(
+  call: AnsweredCall,
+  logger: EventLogger,
+  metrics: MetricsRegistry,
+): void {
+  const {service, upstreamId, taken, tookMs} = call;
+  metrics.addToCounter(
+    'hollowstack_stage_pieces_total',
+    {service},
+    taken.length,
+  );
+  metrics.recordLatency(
+    'hollowstack_stage_call_seconds',
+    {service, upstream: upstreamId},
+    tookMs,
+  );
+  logger.logEvent('stage.call', {
+    service,
+    upstream: upstreamId,
+    items: taken.length,
+    requests: [...new Set(taken.map(({job}) => job.requestId))].join(','),
+    tookMs: Math.round(tookMs),
+    expectedMs: Math.round(call.expectedMs),
+    noRoom: countFailed(call.outcomes, 'no-room'),
+    inputGone: countFailed(call.outcomes, 'input-gone'),
+    late: countFailed(call.outcomes, 'late'),
+    failed: countFailed(call.outcomes, 'failed'),
+    usedBytes: Math.round(call.usedBytes),
+    waitingJobs: call.waitingJobs,
+  });
+}
+
+function countFailed(
+  outcomes: readonly PieceOutcome[],
+  failure: PieceFailure,
+): number {
+  return outcomes.filter(
+    outcome => outcome.type === 'failed' && outcome.failure === failure,
+  ).length;
+}
--- a/packages/stages/src/stage-coordinator.ts
+++ b/packages/stages/src/stage-coordinator.ts
@@ -1,4 +1,3 @@
-import {DurationEstimator} from '@hollowstack/admission';
 import type {Clock, Timer} from '@hollowstack/clock';
 import type {EventLogger} from '@hollowstack/logger';
 import type {MetricsRegistry} from '@hollowstack/metrics';
@@ -16,15 +15,16 @@
 import {SLOW_FACTOR, assembleBatches, type Batch} from './batch-plan.ts';
 import {JobState, type TakenPiece} from './job-state.ts';
 import {ResultReleaser} from './result-releaser.ts';
-import {ResultRoom} from './result-room.ts';
 import {ServiceTimes, type CallShare} from './service-times.ts';
 import {
   StageAdmission,
   type StageAdmissionDecision,
 } from './stage-admission.ts';
+import {logAnsweredCall} from './stage-call-log.ts';
 import {StageCallError, type StageCaller} from './stage-caller.ts';
-import type {PieceFailure, PieceOutcome, RunAnswer} from './stage-protocol.ts';
-import {StageUpstream} from './stage-upstreams.ts';
+import type {PieceOutcome, RunAnswer} from './stage-protocol.ts';
+import {StageFleet} from './stage-fleet.ts';
+import type {StageUpstream} from './stage-upstreams.ts';
 
 /** What the coordinator works with. */
 export interface StageCoordinatorParts {
@@ -38,8 +38,6 @@
 const REPLAN_MS = 20;
 /** Milliseconds for which an upstream that was full is left alone. */
 const FULL_PAUSE_MS = 60;
-/** Results may be somewhat larger than their stage says. */
-const SIZE_MARGIN = 1.05;
 /**
  * A call is given up after this many times what it should take; upstreams at
  * a quarter of their speed are slow, not gone.
@@ -55,30 +53,22 @@
 export class StageCoordinator {
   private readonly parts: StageCoordinatorParts;
   private readonly jobs = new Map<string, JobState>();
-  private readonly upstreams = new Map<string, StageUpstream>();
-  private readonly room = new ResultRoom();
+  private readonly fleet: StageFleet;
   private readonly releaser: ResultReleaser;
   private readonly admission: StageAdmission;
   private readonly times = new ServiceTimes();
-  private readonly holdTimes: DurationEstimator;
-  private capacities = new Map<string, StageCapacity>();
   private timer: Timer | undefined;
 
   constructor(parts: StageCoordinatorParts) {
     this.parts = parts;
-    this.holdTimes = new DurationEstimator(parts.clock);
+    this.fleet = new StageFleet(parts.clock);
     this.admission = new StageAdmission({
       clock: parts.clock,
-      getCapacity: service => this.capacities.get(service),
-      countPlaces: service => this.countPlaces(service),
-      countMemoryBytes: service => this.countMemoryBytes(service),
+      fleet: this.fleet,
       times: this.times,
-      countHeldBytes: service => this.room.countHeldBytes(service),
-      getHoldMs: (service, defaultMs) =>
-        this.holdTimes.getMeanMs(service, defaultMs),
     });
     this.releaser = new ResultReleaser(parts.clock, parts.caller, handles => {
-      for (const handle of handles) this.recordReleased(handle);
+      this.fleet.recordReleased(handles);
       this.scheduleCalls();
     });
   }
@@ -95,9 +85,11 @@
 
   /** Takes the stage services of a newer configuration. */
   setConfiguration(table: RouteTable): void {
-    this.capacities = new Map(
-      table.configuration.services.flatMap(({name, stage}) =>
-        stage ? [[name, stage] as const] : [],
+    this.fleet.setCapacities(
+      new Map(
+        table.configuration.services.flatMap(({name, stage}) =>
+          stage ? [[name, stage] as const] : [],
+        ),
       ),
     );
     this.scheduleCalls();
@@ -105,17 +97,7 @@
 
   /** Takes the upstreams that are registered now. */
   setUpstreams(records: readonly RegisteredUpstream[]): void {
-    const listed = new Set(records.map(({id}) => id));
-    for (const id of this.upstreams.keys()) {
-      if (listed.has(id)) continue;
-      this.upstreams.delete(id);
-      this.room.removeUpstream(id);
-    }
-    for (const record of records) {
-      const known = this.upstreams.get(record.id);
-      if (known) known.record = record;
-      else this.upstreams.set(record.id, new StageUpstream(record));
-    }
+    this.fleet.setUpstreams(records);
     this.scheduleCalls();
   }
 
@@ -164,37 +146,6 @@
     this.failAllJobs('the instance stops');
   }
 
-  private recordReleased(handle: string): void {
-    const result = this.room.release(handle);
-    if (!result) return;
-    const heldMs = this.parts.clock.getNow() - result.sinceMs;
-    this.holdTimes.recordMs(result.service, heldMs);
-  }
-
-  private countMemoryBytes(service: string): number {
-    const nowMs = this.parts.clock.getNow();
-    const bytes = this.capacities.get(service)?.resultBytes ?? 0;
-    let sum = 0;
-    for (const upstream of this.upstreams.values()) {
-      const isOther = upstream.record.service !== service;
-      if (isOther || !upstream.isUsable(nowMs)) continue;
-      sum += bytes / SIZE_MARGIN - upstream.getUnknownBytes(nowMs);
-    }
-    return sum;
-  }
-
-  private countPlaces(service: string): number {
-    const nowMs = this.parts.clock.getNow();
-    const concurrency = this.capacities.get(service)?.concurrency ?? 1;
-    let places = 0;
-    for (const upstream of this.upstreams.values()) {
-      if (upstream.record.service !== service) continue;
-      if (upstream.isUsable(nowMs))
-        places += concurrency / upstream.getSlowness(nowMs);
-    }
-    return places;
-  }
-
   private scheduleCalls(): void {
     this.timer?.cancel();
     this.timer = this.parts.clock.schedule(0, () => this.runDueCalls());
@@ -203,7 +154,7 @@
   private runDueCalls(): void {
     const nowMs = this.parts.clock.getNow();
     this.failLateJobs(nowMs);
-    this.room.removeExpired(nowMs);
+    this.fleet.removeExpired();
     const services = new Set<string>();
     for (const state of this.jobs.values()) {
       if (state.waitingCount > 0) services.add(state.job.service);
@@ -226,13 +177,9 @@
   }
 
   private runServiceCalls(service: string, nowMs: number): void {
-    const capacity = this.capacities.get(service);
+    const capacity = this.fleet.getCapacity(service);
     if (!capacity) return;
-    const used = [...this.upstreams.values()].filter(
-      upstream =>
-        upstream.record.service === service &&
-        (upstream.isUsable(nowMs) || upstream.callsInFlight > 0),
-    );
+    const used = this.fleet.listUsed(service);
     const batches = assembleBatches({
       nowMs,
       capacity,
@@ -246,7 +193,7 @@
         .map(upstream => ({
           id: upstream.record.id,
           failureDomain: upstream.record.failureDomain,
-          freeBytes: this.countFreeBytes(upstream, capacity, nowMs),
+          freeBytes: this.fleet.countFreeBytes(upstream),
           slowness: upstream.getSlowness(nowMs),
           idleSinceMs: upstream.idleSinceMs,
         })),
@@ -259,27 +206,17 @@
     for (const batch of batches) void this.runBatch(batch, capacity, nowMs);
   }
 
-  private countFreeBytes(
-    upstream: StageUpstream,
-    capacity: StageCapacity,
-    nowMs: number,
-  ): number {
-    const used = this.room.getUsedBytes(upstream.record.id);
-    const unknown = upstream.getUnknownBytes(nowMs);
-    return capacity.resultBytes / SIZE_MARGIN - used - unknown;
-  }
-
   private async runBatch(
     batch: Batch,
     capacity: StageCapacity,
     nowMs: number,
   ): Promise<void> {
-    const upstream = this.upstreams.get(batch.upstreamId)!;
+    const upstream = this.fleet.findUpstream(batch.upstreamId)!;
     const taken = batch.parts.flatMap(part =>
       this.jobs.get(part.jobId)!.takePieces(part.pieceCount, nowMs),
     );
     const {id} = upstream.record;
-    for (const piece of taken) this.room.reserve(id, piece.job.resultBytes);
+    for (const {job} of taken) this.fleet.reserveBytes(id, job.resultBytes);
     const shares = listShares(taken, capacity);
     const expectedMs = capacity.callMs + this.times.computeItemsMs(shares);
     upstream.beginCall();
@@ -324,21 +261,24 @@
     const tookMs = nowMs - call.startedAtMs;
     upstream.recordSuccess(nowMs, tookMs / call.expectedMs);
     this.recordTimes(upstream, taken, answer, call);
-    this.logCall(upstream, taken, answer.outcomes, tookMs, call.expectedMs);
-    this.parts.metrics.addToCounter(
-      'hollowstack_stage_pieces_total',
+    const {id, service} = upstream.record;
+    const {outcomes} = answer;
+    logAnsweredCall(
       {
-        service: upstream.record.service,
+        service,
+        upstreamId: id,
+        taken,
+        outcomes,
+        tookMs,
+        expectedMs: call.expectedMs,
+        usedBytes: this.fleet.getUsedBytes(id),
+        waitingJobs: this.jobs.size,
       },
-      taken.length,
-    );
-    this.parts.metrics.recordLatency(
-      'hollowstack_stage_call_seconds',
-      {service: upstream.record.service, upstream: upstream.record.id},
-      tookMs,
+      this.parts.logger,
+      this.parts.metrics,
     );
     taken.forEach((piece, index) =>
-      this.settlePiece(upstream, piece, answer.outcomes[index], call),
+      this.settlePiece(upstream, piece, outcomes[index], call),
     );
   }
 
@@ -370,34 +310,6 @@
     return this.times.getItemMs(state.job.stageKey, capacity.pieceMs);
   }
 
-  private logCall(
-    upstream: StageUpstream,
-    taken: readonly TakenPiece[],
-    outcomes: readonly PieceOutcome[],
-    tookMs: number,
-    expectedMs: number,
-  ): void {
-    const {id, service} = upstream.record;
-    const countFailed = (failure: PieceFailure) =>
-      outcomes.filter(
-        outcome => outcome.type === 'failed' && outcome.failure === failure,
-      ).length;
-    this.parts.logger.logEvent('stage.call', {
-      service,
-      upstream: id,
-      items: taken.length,
-      requests: [...new Set(taken.map(({job}) => job.requestId))].join(','),
-      tookMs: Math.round(tookMs),
-      expectedMs: Math.round(expectedMs),
-      noRoom: countFailed('no-room'),
-      inputGone: countFailed('input-gone'),
-      late: countFailed('late'),
-      failed: countFailed('failed'),
-      usedBytes: Math.round(this.room.getUsedBytes(id)),
-      waitingJobs: this.jobs.size,
-    });
-  }
-
   private settlePiece(
     upstream: StageUpstream,
     taken: TakenPiece,
@@ -410,7 +322,7 @@
     if (outcome.type === 'made') {
       const {handle, address} = outcome;
       const result: StageResult = {handle, address, failureDomain};
-      this.room.recordResult(handle, {
+      this.fleet.recordResult(handle, {
         upstreamId: id,
         service: job.service,
         bytes: job.resultBytes,
@@ -422,7 +334,7 @@
       }
       return;
     }
-    this.room.cancelReservation(id, job.resultBytes);
+    this.fleet.cancelReservation(id, job.resultBytes);
     const {failure} = outcome;
     if (failure === 'late' || failure === 'input-gone') {
       state.fail(failure, `upstream ${id} answered ${failure}`);
@@ -431,7 +343,7 @@
     }
     if (failure === 'no-room') {
       // Somebody else's results lie there, of an instance that is gone maybe.
-      const free = this.countFreeBytes(upstream, capacity, nowMs);
+      const free = this.fleet.countFreeBytes(upstream);
       upstream.addUnknownBytes(free - job.resultBytes + 1, nowMs);
       state.putBackPiece(piece.piece);
       return;
@@ -459,7 +371,7 @@
       reason,
     });
     for (const piece of taken) {
-      this.room.cancelReservation(id, piece.job.resultBytes);
+      this.fleet.cancelReservation(id, piece.job.resultBytes);
       this.putBackOrFail(piece, `call to upstream ${id} failed: ${reason}`);
     }
   }
@@ -469,7 +381,7 @@
     taken: readonly TakenPiece[],
   ): void {
     for (const {state, job, piece} of taken) {
-      this.room.cancelReservation(upstream.record.id, job.resultBytes);
+      this.fleet.cancelReservation(upstream.record.id, job.resultBytes);
       state.putBackPiece(piece.piece);
     }
   }
--- /dev/null
+++ b/packages/stages/src/stage-fleet.ts
@@ -0,0 +1,144 @@
+import {DurationEstimator} from '@hollowstack/admission';
+import type {Clock} from '@hollowstack/clock';
+import type {RegisteredUpstream, StageCapacity} from '@hollowstack/routes';
+import {ResultRoom, type HeldResult} from './result-room.ts';
+import {StageUpstream} from './stage-upstreams.ts';
+
+/** Results may be larger than their stage says by this factor; seen on played days. */
+const SIZE_MARGIN = 1.05;
+
+/** The upstreams of all stage services, and the result memory that is left at each. */
+export class StageFleet {
+  private readonly clock: Clock;
+  private readonly room = new ResultRoom();
+  private readonly holdTimes: DurationEstimator;
+  private readonly upstreams = new Map<string, StageUpstream>();
+  private capacities: ReadonlyMap<string, StageCapacity> = new Map();
+
+  constructor(clock: Clock) {
+    this.clock = clock;
+    this.holdTimes = new DurationEstimator(clock);
+  }
+
+  /** Replaces what the configuration says of each stage service. */
+  setCapacities(capacities: ReadonlyMap<string, StageCapacity>): void {
+    this.capacities = capacities;
+  }
+
+  getCapacity(service: string): StageCapacity | undefined {
+    return this.capacities.get(service);
+  }
+
+  /** Takes the upstreams that are registered now; what lay at others is lost. */
+  setUpstreams(records: readonly RegisteredUpstream[]): void {
+    const listed = new Set(records.map(({id}) => id));
+    for (const id of this.upstreams.keys()) {
+      if (listed.has(id)) continue;
+      this.upstreams.delete(id);
+      this.room.removeUpstream(id);
+    }
+    for (const record of records) {
+      const known = this.upstreams.get(record.id);
+      if (known) known.record = record;
+      else this.upstreams.set(record.id, new StageUpstream(record));
+    }
+  }
+
+  findUpstream(id: string): StageUpstream | undefined {
+    return this.upstreams.get(id);
+  }
+
+  /** Lists the upstreams of a service that take calls or are at work on one. */
+  listUsed(service: string): StageUpstream[] {
+    const nowMs = this.clock.getNow();
+    return this.listOfService(service).filter(
+      upstream => upstream.isUsable(nowMs) || upstream.callsInFlight > 0,
+    );
+  }
+
+  /** Counts the calls that a service works on at a time, slow upstreams in part. */
+  countPlaces(service: string): number {
+    const nowMs = this.clock.getNow();
+    const concurrency = this.getCapacity(service)?.concurrency ?? 1;
+    return this.listUsable(service).reduce(
+      (sum, upstream) => sum + concurrency / upstream.getSlowness(nowMs),
+      0,
+    );
+  }
+
+  /** Counts the bytes of results that the usable upstreams of a service can hold. */
+  countMemoryBytes(service: string): number {
+    const nowMs = this.clock.getNow();
+    const bytes = (this.getCapacity(service)?.resultBytes ?? 0) / SIZE_MARGIN;
+    return this.listUsable(service).reduce(
+      (sum, upstream) => sum + bytes - upstream.getUnknownBytes(nowMs),
+      0,
+    );
+  }
+
+  /** Counts the bytes of results that an upstream has room for. */
+  countFreeBytes(upstream: StageUpstream): number {
+    const {id, service} = upstream.record;
+    const bytes = (this.getCapacity(service)?.resultBytes ?? 0) / SIZE_MARGIN;
+    const unknown = upstream.getUnknownBytes(this.clock.getNow());
+    return bytes - this.getUsedBytes(id) - unknown;
+  }
+
+  /** Returns the bytes reserved and held at an upstream. */
+  getUsedBytes(upstreamId: string): number {
+    return this.room.getUsedBytes(upstreamId);
+  }
+
+  /** Counts the bytes of results that a service holds, calls in progress left out. */
+  countHeldBytes(service: string): number {
+    return this.room.countHeldBytes(service);
+  }
+
+  /** Returns milliseconds for which results of a service are held, as learnt. */
+  getHoldMs(service: string, defaultMs: number): number {
+    return this.holdTimes.getMeanMs(service, defaultMs);
+  }
+
+  /** Reserves room for a result before its call. */
+  reserveBytes(upstreamId: string, bytes: number): void {
+    this.room.reserve(upstreamId, bytes);
+  }
+
+  /** Takes a reservation back that did not become a result. */
+  cancelReservation(upstreamId: string, bytes: number): void {
+    this.room.cancelReservation(upstreamId, bytes);
+  }
+
+  /** Turns a reservation into a held result. */
+  recordResult(handle: string, result: HeldResult): void {
+    this.room.recordResult(handle, result);
+  }
+
+  /** Notes that results were released, and how long they were held. */
+  recordReleased(handles: readonly string[]): void {
+    const nowMs = this.clock.getNow();
+    for (const handle of handles) {
+      const result = this.room.release(handle);
+      if (!result) continue;
+      this.holdTimes.recordMs(result.service, nowMs - result.sinceMs);
+    }
+  }
+
+  /** Forgets the results that their upstreams no longer keep. */
+  removeExpired(): void {
+    this.room.removeExpired(this.clock.getNow());
+  }
+
+  private listUsable(service: string): StageUpstream[] {
+    const nowMs = this.clock.getNow();
+    return this.listOfService(service).filter(upstream =>
+      upstream.isUsable(nowMs),
+    );
+  }
+
+  private listOfService(service: string): StageUpstream[] {
+    return [...this.upstreams.values()].filter(
+      ({record}) => record.service === service,
+    );
+  }
+}
