--- a/packages/local-system/src/local-system.ts
+++ b/packages/local-system/src/local-system.ts
@@ -60,11 +60,7 @@
   readonly standIn: StandIn;
 }
 
-const FAILURE_DOMAINS = [
-  'failureDomain-a',
-  'failureDomain-b',
-  'failureDomain-c',
-];
+const FAILURE_DOMAINS = ['domain-a', 'domain-b', 'domain-c'];
 
 const POOL_OPTIONS: PoolOptions = {
   slots: 4,
--- a/packages/process-fleet/src/process-fleet.ts
+++ b/packages/process-fleet/src/process-fleet.ts
@@ -37,11 +37,7 @@
 }
 
 const READY_EVENT = '"name":"entry.ready"';
-const FAILURE_DOMAINS = [
-  'failureDomain-a',
-  'failureDomain-b',
-  'failureDomain-c',
-];
+const FAILURE_DOMAINS = ['domain-a', 'domain-b', 'domain-c'];
 
 /** A whole system of separate processes on the loopback interface. */
 export class ProcessFleet {
