Never say that a request has not run when an earlier attempt may have

Found by reading the change: a stream whose first engine broke off before its first event, whose second engine lacked the inputs, and whose stages then could not run again was answered 503, "not run", though the first engine may have run it. The error of the last step was taken at its word. Change: what the request knows of its attempts goes first; such an error is 502 or 504.

--- a/packages/gateway/src/gateway-front.ts
+++ b/packages/gateway/src/gateway-front.ts
@@ -169,7 +169,7 @@
       this.recordSettled(request, 'answered', '');
     } catch (thrown) {
       const reason = request.signal.aborted ? request.signal.reason : thrown;
-      const error = toHollowstackError(reason);
+      const error = createTrueError(toHollowstackError(reason), request);
       if (!outgoing.writableEnded) {
         writeError(outgoing, error, facts.requestId, protocol);
       }
@@ -267,6 +267,17 @@
   );
 }
 
+// A later step that did not run says nothing of an attempt before it that may
+// have: what the request knows goes first.
+function createTrueError(
+  error: HollowstackError,
+  request: RoutedRequest,
+): HollowstackError {
+  const ran = request.getRan();
+  if (ran === 'no' || error.ran !== 'no') return error;
+  return new HollowstackError(error.kind, error.message, {ran, cause: error});
+}
+
 function createStoppingError(): HollowstackError {
   return new HollowstackError('not-ready', 'this instance is stopping', {
     ran: 'no',
