--- a/packages/assignment/src/reading-speed.ts
+++ b/packages/assignment/src/reading-speed.ts
@@ -6,6 +6,7 @@
 const MIN_TOKENS = 1000;
 /** Bounds of what is learnt, far beyond any engine known. */
 const MIN_TOKENS_PER_MS = 2;
+/** Upper bound of what is learnt, likewise. */
 const MAX_TOKENS_PER_MS = 2000;
 
 /** How fast the engines of each service read prompts, learnt from first events. */
