Let a rank that is known beforehand choose the coordinator, and ask for it at the start

Cause: the instance that registered first coordinated. Change: strength, then rendezvous over the names; candidates that have given no sign of life are asked every 200 ms in the first 5 s, 1 s apart afterwards, by pings that a stopping instance refuses. An instance that stops is no candidate and says so to its peers; a list that a peer sends confirms nobody any more.

--- /dev/null
+++ b/packages/gateway/src/coordinator-search.test.ts
@@ -0,0 +1,152 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {ManualClock, waitFor} from '@hollowstack/clock';
+import {
+  Membership,
+  PEER_PREFIX,
+  chooseCoordinator,
+  type PeerRecord,
+  type PeerReply,
+  type PeerRequest,
+} from '@hollowstack/peers';
+import {
+  KeyValueStore,
+  type Lease,
+  type RangeResult,
+  type TransactionResult,
+  type WatchEvent,
+} from '@hollowstack/store';
+import {CoordinatorSearch} from './coordinator-search.ts';
+
+/** Instances of the fleet under test, and how many of them are strong. */
+const FLEET_SIZE = 200;
+const STRONG_COUNT = 15;
+/** Milliseconds within which the processes of a fleet start. */
+const START_SPREAD_MS = 300;
+const ROUND_TRIP_MS = 4;
+/** Milliseconds after the first start in which all must agree. */
+const AGREEMENT_MS = START_SPREAD_MS + 300;
+
+/** A store that is away but for the list that every instance read. */
+class ListOnlyStore extends KeyValueStore {
+  private readonly records: readonly PeerRecord[];
+
+  constructor(records: readonly PeerRecord[]) {
+    super();
+    this.records = records;
+  }
+
+  async readRange(): Promise<RangeResult> {
+    const keyValues = this.records.map((record, index) => ({
+      key: PEER_PREFIX + record.id,
+      value: JSON.stringify(record),
+      modRevision: index,
+      createRevision: index,
+    }));
+    return {storeId: 's', storeRevision: 1000, keyValues};
+  }
+
+  async runTransaction(): Promise<TransactionResult> {
+    throw new Error('the store is away');
+  }
+
+  async grantLease(): Promise<Lease> {
+    throw new Error('the store is away');
+  }
+
+  async renewLease(): Promise<boolean> {
+    return false;
+  }
+
+  async revokeLease(): Promise<void> {}
+
+  async *watchRanges(): AsyncIterable<readonly WatchEvent[]> {}
+}
+
+interface Fleet {
+  readonly clock: ManualClock;
+  /** The live instances by id. */
+  readonly members: ReadonlyMap<string, Membership>;
+  readonly searches: readonly CoordinatorSearch[];
+  readonly strongIds: readonly string[];
+}
+
+function createRandom(seed: number): () => number {
+  let state = seed;
+  return () => {
+    state = (Math.imul(state, 1664525) + 1013904223) >>> 0;
+    return state / 2 ** 32;
+  };
+}
+
+// All instances were lost and start again; `deadShare` of them do not.
+function startFleet(seed: number, deadShare: number): Fleet {
+  const random = createRandom(seed);
+  const clock = new ManualClock();
+  const records = Array.from({length: FLEET_SIZE}, (_, index) => ({
+    id: `instance-${seed}-${index}`,
+    address: `10.0.0.${index}:1`,
+    failureDomain: `domain-${index % 5}`,
+    cores: index < STRONG_COUNT ? 1.35 : 0.3,
+  }));
+  const listening = new Map<string, Membership>();
+  const members = new Map<string, Membership>();
+  const searches: CoordinatorSearch[] = [];
+  const sendRequest = async (
+    address: string,
+    request: PeerRequest,
+  ): Promise<PeerReply> => {
+    assert.equal(request.type, 'ping');
+    await waitFor(clock, ROUND_TRIP_MS);
+    if (listening.has(address)) return {type: 'done'};
+    throw new Error('refused');
+  };
+  for (const self of records) {
+    if (random() < deadShare) continue;
+    const membership = new Membership({
+      self,
+      store: new ListOnlyStore(records),
+      clock,
+      random,
+    });
+    members.set(self.id, membership);
+    const search = new CoordinatorSearch({
+      link: {sendRequest, closePeer: () => {}},
+      membership,
+      clock,
+      random,
+    });
+    searches.push(search);
+    clock.schedule(random() * START_SPREAD_MS, () => {
+      listening.set(self.address, membership);
+      void membership.refresh();
+      void search.start();
+    });
+  }
+  const strongIds = records
+    .slice(0, STRONG_COUNT)
+    .map(({id}) => id)
+    .filter(id => members.has(id));
+  return {clock, members, searches, strongIds};
+}
+
+for (const [seed, deadShare] of [
+  [1, 0],
+  [2, 0],
+  [3, 0.2],
+  [4, 0.5],
+  [5, 0.8],
+] as const) {
+  test(`after the loss of all, instances agree within 0.3 s of their start (seed ${seed}, ${deadShare} stay away)`, async () => {
+    const {clock, members, searches, strongIds} = startFleet(seed, deadShare);
+    await clock.advance(AGREEMENT_MS);
+    const chosen = new Set(
+      [...members].map(
+        ([id, membership]) => chooseCoordinator(membership)?.id ?? id,
+      ),
+    );
+    for (const search of searches) search.stop();
+    assert.equal(chosen.size, 1, [...chosen].join(' '));
+    if (strongIds.length > 0) assert.ok(strongIds.includes([...chosen][0]));
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/coordinator-search.ts
@@ -0,0 +1,97 @@
+import {RepeatingTask, type Clock} from '@hollowstack/clock';
+import {
+  listUnconfirmedRivals,
+  type Membership,
+  type PeerLink,
+  type PeerRecord,
+} from '@hollowstack/peers';
+
+/** Dependencies of CoordinatorSearch. */
+export interface CoordinatorSearchParts {
+  readonly link: Pick<PeerLink, 'sendRequest' | 'closePeer'>;
+  readonly membership: Membership;
+  readonly clock: Clock;
+  readonly random: () => number;
+}
+
+/**
+ * Milliseconds for which an instance that has just started asks often: others
+ * that started with it are up within a second or two.
+ */
+const START_PHASE_MS = 5000;
+/** Milliseconds between rounds in that time; some forty round trips. */
+const START_ROUND_MS = 200;
+/** Milliseconds between rounds afterwards. */
+const ROUND_MS = 1000;
+/**
+ * Share of a round for which a peer that did not answer is left alone: it is
+ * asked in the next round, and not by each change of the list in between.
+ */
+const BAN_SHARE = 0.5;
+/** Milliseconds for an answer; room for a process that has just started. */
+const ASK_TIMEOUT_MS = 400;
+/** Peers asked in a round; the first by rank of them that answers decides. */
+const MAX_ASKED = 3;
+
+/**
+ * Asks the peers that would coordinate, if they live, whether they do. A list of
+ * instances outlives them, so that nobody is taken for the coordinator before
+ * it gave a sign of life; after the loss of all instances this is what makes
+ * them agree again.
+ */
+export class CoordinatorSearch {
+  private readonly parts: CoordinatorSearchParts;
+  private readonly task: RepeatingTask;
+  private readonly asked = new Set<string>();
+  private startedAtMs = 0;
+
+  constructor(parts: CoordinatorSearchParts) {
+    this.parts = parts;
+    this.task = new RepeatingTask(parts.clock, parts.random, async () => {
+      this.askRivals();
+      return this.getRoundMs();
+    });
+  }
+
+  /** Asks in rounds until stopped. */
+  start(): Promise<void> {
+    this.startedAtMs = this.parts.clock.getNow();
+    this.parts.membership.addListener(() => this.askRivals());
+    return this.task.start();
+  }
+
+  stop(): void {
+    this.task.stop();
+  }
+
+  private askRivals(): void {
+    const rivals = listUnconfirmedRivals(
+      this.parts.membership,
+      this.getRoundMs() * BAN_SHARE,
+    );
+    for (const rival of rivals.slice(0, MAX_ASKED)) void this.askRival(rival);
+  }
+
+  private async askRival(rival: PeerRecord): Promise<void> {
+    const {id, address} = rival;
+    if (this.asked.has(id)) return;
+    this.asked.add(id);
+    const {link, membership} = this.parts;
+    const reply = await link
+      .sendRequest(address, {type: 'ping'}, ASK_TIMEOUT_MS)
+      .catch((): undefined => undefined);
+    this.asked.delete(id);
+    if (reply?.type === 'done') {
+      membership.recordHeard(rival);
+      return;
+    }
+    membership.recordUnreachable(id);
+    // A connection that does not stand would hold up the next question as well.
+    if (!reply) link.closePeer(address);
+  }
+
+  private getRoundMs(): number {
+    const passedMs = this.parts.clock.getNow() - this.startedAtMs;
+    return passedMs < START_PHASE_MS ? START_ROUND_MS : ROUND_MS;
+  }
+}
--- a/packages/gateway/src/copy-exchange.ts
+++ b/packages/gateway/src/copy-exchange.ts
@@ -5,7 +5,6 @@
   type Timer,
 } from '@hollowstack/clock';
 import {
-  listUnconfirmedRivals,
   type CopyWishes,
   type Membership,
   type PeerLink,
@@ -70,8 +69,6 @@
   upstreams: false,
   members: false,
 };
-/** Peers asked in a round of whom nothing was heard yet. */
-const MAX_UNCONFIRMED = 6;
 /** Peers that an instance of a large fleet keeps connections to. */
 const NEIGHBOUR_COUNT = 8;
 /** Every so many rounds a peer beyond the neighbours is asked. */
@@ -107,18 +104,7 @@
     this.newsTimer?.cancel();
   }
 
-  /** Asks the peers of whom nothing was heard yet and who would coordinate. */
-  async askUnconfirmedPeers(): Promise<void> {
-    const {membership} = this.parts;
-    const peers = listUnconfirmedRivals(membership);
-    await Promise.all(
-      peers
-        .slice(0, MAX_UNCONFIRMED)
-        .map(({address}) => this.askPeer(address, NO_WISHES)),
-    );
-  }
-
-  /** Asks one peer and those not heard of yet, or the seeds while no peer is known. */
+  /** Asks one peer, or the seeds while no peer is known. */
   async runRound(): Promise<void> {
     const addresses = this.chooseAddresses();
     const wishes = this.listWishes();
@@ -136,7 +122,7 @@
   answerCopy(asked: Extract<PeerRequest, {type: 'copy'}>): PeerReply {
     const {holder, registry, membership} = this.parts;
     const {wishes} = asked;
-    membership.recordHeard(asked.self);
+    this.recordPeer(asked);
     const isConfigurationNews =
       holder.getRevision() > asked.configurationRevision;
     const isDigestOther = registry.computeDigest() !== asked.digest;
@@ -145,6 +131,7 @@
     return {
       type: 'copy',
       self: membership.getSelf(),
+      isLeaving: membership.isLeaving(),
       configurationRevision: holder.getRevision(),
       storeRevision: registry.getStoreRevision(),
       isDigestOther,
@@ -179,13 +166,10 @@
     const others = seeds.filter(address => address !== own);
     this.round += 1;
     if (peers.length === 0) return others;
-    const unconfirmed = listUnconfirmedRivals(membership)
-      .slice(0, MAX_UNCONFIRMED)
-      .map(({address}) => address);
     const isFar = this.round % FAR_EVERY_ROUNDS === 0;
     const near = isFar ? peers : this.listNeighbours(peers);
     const peer = near[Math.floor(random() * near.length)];
-    const chosen = [peer.address, ...unconfirmed];
+    const chosen = [peer.address];
     if (this.round % SEEDS_EVERY_ROUNDS === 0 && others.length > 0) {
       chosen.push(others[Math.floor(random() * others.length)]);
     }
@@ -207,6 +191,7 @@
         {
           type: 'copy',
           self: membership.getSelf(),
+          isLeaving: membership.isLeaving(),
           configurationRevision: holder.getRevision(),
           storeRevision: registry.getStoreRevision(),
           digest: registry.computeDigest(),
@@ -220,7 +205,7 @@
       return;
     }
     const source = `peer ${address}`;
-    membership.recordHeard(reply.self);
+    this.recordPeer(reply);
     this.recordRevisions(reply, wishes);
     this.scheduleNewsCheck(address);
     if (reply.configurationText !== undefined) {
@@ -230,7 +215,7 @@
       const {entries, storeRevision} = reply.upstreams;
       registry.replaceEntries(entries, storeRevision, source);
     }
-    for (const member of reply.members ?? []) membership.recordHeard(member);
+    for (const member of reply.members ?? []) membership.addPeer(member);
   }
 
   // What one peer has and the watch has not brought in its time is asked for at
@@ -291,6 +276,13 @@
     }
   }
 
+  // One that stops still answers, but nothing new must go to it.
+  private recordPeer(peer: {self: PeerRecord; isLeaving: boolean}): void {
+    const {membership} = this.parts;
+    if (peer.isLeaving) membership.recordUnreachable(peer.self.id);
+    else membership.recordHeard(peer.self);
+  }
+
   private recordUnreachable(address: string): void {
     const {membership} = this.parts;
     const peer = membership
--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -21,6 +21,7 @@
   createSingleKeyRange,
   type KeyValueStore,
 } from '@hollowstack/store';
+import {CoordinatorSearch} from './coordinator-search.ts';
 import {CopyExchange} from './copy-exchange.ts';
 import {EngineAssigner} from './engine-assigner.ts';
 import type {EngineProtocol} from './engine-protocol.ts';
@@ -222,7 +223,12 @@
       refresh: () => watchHub.refresh(),
     },
   });
-  membership.addListener(() => void exchange.askUnconfirmedPeers());
+  const coordinatorSearch = new CoordinatorSearch({
+    link,
+    membership,
+    clock,
+    random,
+  });
   const peerRequests = new GatewayPeerRequests({
     coordinator,
     directory,
@@ -258,6 +264,7 @@
     membership,
     link,
     exchange,
+    coordinatorSearch,
     registry,
     coordinator,
     server,
--- a/packages/gateway/src/gateway-peer-requests.ts
+++ b/packages/gateway/src/gateway-peer-requests.ts
@@ -16,6 +16,11 @@
   readonly lifecycle: GatewayLifecycle;
 }
 
+const STOPPING: PeerReply = {
+  type: 'failed',
+  message: 'this instance is stopping',
+};
+
 /** Answers what peers ask of a gateway. */
 export class GatewayPeerRequests {
   private readonly parts: GatewayPeerParts;
@@ -28,17 +33,20 @@
     const {coordinator, directory, exchange, keptPrompts, lifecycle} =
       this.parts;
     return match<PeerRequest, Promise<PeerReply> | PeerReply>(request)
-      .with({type: 'ping'}, () => ({type: 'done'}))
+      .with({type: 'ping'}, () => {
+        if (lifecycle.isStopping()) return STOPPING;
+        return {type: 'done'};
+      })
       .with({type: 'stage-job'}, async ({job}) => {
         if (lifecycle.isStopping()) {
-          return {type: 'failed', message: 'this instance is stopping'};
+          return STOPPING;
         }
         const outcome = await coordinator.runJob(job);
         return {type: 'stage-outcome', outcome};
       })
       .with({type: 'stage-admit'}, ({request: asked}) => {
         if (lifecycle.isStopping()) {
-          return {type: 'failed', message: 'this instance is stopping'};
+          return STOPPING;
         }
         return {type: 'stage-admission', ...coordinator.admitRequest(asked)};
       })
@@ -56,7 +64,7 @@
       })
       .with({type: 'assign'}, ({request}) => {
         if (lifecycle.isStopping()) {
-          return {type: 'failed', message: 'this instance is stopping'};
+          return STOPPING;
         }
         keptPrompts.readService(request.service);
         const choice = directory.reserveEngine(request);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,6 +6,7 @@
 import type {WatchHub} from '@hollowstack/store';
 import {splitAddress} from '@hollowstack/types';
 import {createServer, type Server} from 'node:http';
+import type {CoordinatorSearch} from './coordinator-search.ts';
 import type {CopyExchange} from './copy-exchange.ts';
 import type {GatewayLifecycle} from './gateway-lifecycle.ts';
 import type {GatewayServer} from './gateway-server.ts';
@@ -27,6 +28,7 @@
   readonly membership: Membership;
   readonly link: PeerLink;
   readonly exchange: CopyExchange;
+  readonly coordinatorSearch: CoordinatorSearch;
   readonly registry: UpstreamRegistry;
   readonly coordinator: StageCoordinator;
   readonly server: GatewayServer;
@@ -76,6 +78,7 @@
     void parts.watchHub.start();
     void parts.membership.start();
     void parts.exchange.start();
+    void parts.coordinatorSearch.start();
     this.startPauseGuard();
     const isEnding = () => this.isStopped || lifecycle.isStopping();
     // An instance that knows routes but no upstreams could only refuse.
@@ -132,6 +135,7 @@
     this.isStopped = true;
     void parts.membership.stop();
     parts.exchange.stop();
+    parts.coordinatorSearch.stop();
     parts.registry.stop();
     parts.watchHub.stop();
     for (const follower of parts.followers) follower.stop();
--- a/packages/peers/src/coordinator.test.ts
+++ b/packages/peers/src/coordinator.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {ManualClock} from '@hollowstack/clock';
+import {listByRendezvous} from '@hollowstack/routing';
 import {
   KeyValueStore,
   type Lease,
@@ -13,8 +14,12 @@
   PEER_PREFIX,
   chooseCoordinator,
   listUnconfirmedRivals,
+  type PeerRecord,
 } from './index.ts';
 
+/** Milliseconds for which a peer that did not answer is left alone here. */
+const BAN_MS = 200;
+
 class EmptyStore extends KeyValueStore {
   putCount = 0;
   events: readonly WatchEvent[] = [];
@@ -69,85 +74,134 @@
   return 0.5;
 }
 
-function createMembership(store = new EmptyStore()): Membership {
+function createRecord(id: string, cores?: number): PeerRecord {
+  return {id, address: `10.0.0.1:${id}`, failureDomain: 'a', cores};
+}
+
+function getCoordinatorId(membership: Membership): string {
+  return chooseCoordinator(membership)?.id ?? 'self';
+}
+
+function createMembership(
+  store = new EmptyStore(),
+  clock = new ManualClock(),
+): Membership {
   return new Membership({
     self: {id: 'self', address: '10.0.0.1:1', failureDomain: 'a'},
     store,
-    clock: new ManualClock(),
+    clock,
     random: getMiddle,
   });
 }
 
-test('the instance that registered first coordinates, also after others restart', () => {
+test('the first by name coordinates, whoever registered or restarted before', () => {
+  const ids = ['a', 'b', 'c', 'd', 'self'];
+  const [first, second] = listByRendezvous('coordinator', ids);
   const membership = createMembership();
-  membership.handleEvents([
-    createPut('b', 5),
-    createPut('self', 7),
-    createPut('c', 9),
-  ]);
-  assert.equal(chooseCoordinator(membership)?.id, 'b');
-  membership.handleEvents([createPut('c', 12)]);
-  assert.equal(chooseCoordinator(membership)?.id, 'b');
-  membership.handleEvents([createPut('b', 15)]);
-  assert.equal(chooseCoordinator(membership), undefined);
+  membership.handleEvents(ids.map((id, index) => createPut(id, 5 + index)));
+  assert.equal(getCoordinatorId(membership), first);
+  membership.handleEvents([createPut(second, 2)]);
+  assert.equal(getCoordinatorId(membership), first);
+  membership.handleEvents([createDelete(first, 20)]);
+  assert.equal(getCoordinatorId(membership), second);
+  membership.handleEvents([createPut(first, 30)]);
+  assert.equal(getCoordinatorId(membership), first);
 });
 
 test('one that does not answer is passed over until it registers anew', () => {
+  const ids = ['a', 'b', 'c', 'self'];
+  const [first, second] = listByRendezvous(
+    'coordinator',
+    ids.filter(id => id !== 'self'),
+  );
   const membership = createMembership();
   membership.handleEvents([
-    createPut('b', 5),
-    createPut('c', 6),
+    createPut(first, 5, 2),
+    createPut(second, 6, 2),
     createPut('self', 7),
   ]);
-  membership.recordUnreachable('b');
-  assert.equal(chooseCoordinator(membership)?.id, 'c');
-  membership.handleEvents([createDelete('c', 8)]);
-  assert.equal(chooseCoordinator(membership), undefined);
-  membership.handleEvents([createPut('b', 9), createDelete('self', 10)]);
-  assert.equal(chooseCoordinator(membership)?.id, 'b');
+  membership.recordUnreachable(first);
+  assert.equal(getCoordinatorId(membership), second);
+  membership.handleEvents([createDelete(second, 8)]);
+  assert.equal(getCoordinatorId(membership), 'self');
+  membership.handleEvents([createPut(first, 9, 2)]);
+  assert.equal(getCoordinatorId(membership), first);
 });
 
-test('the oldest of the strongest coordinates, whatever weaker ones are older', () => {
+test('the first of the strongest coordinates, whatever weaker ones there are', () => {
   const membership = createMembership();
+  const strong = ['strong-1', 'strong-2', 'strong-3'];
+  const [first, second, third] = listByRendezvous('coordinator', strong);
   membership.handleEvents([
     createPut('weak', 3, 0.3),
     createPut('self', 4),
-    createPut('strong', 6, 1.35),
-    createPut('younger', 8, 1.3),
+    ...strong.map((id, index) => createPut(id, 6 + index, 1.35 - index / 50)),
   ]);
-  assert.equal(chooseCoordinator(membership)?.id, 'strong');
-  membership.handleEvents([createDelete('strong', 9)]);
-  assert.equal(chooseCoordinator(membership)?.id, 'younger');
-  membership.handleEvents([createDelete('younger', 10)]);
-  assert.equal(chooseCoordinator(membership), undefined);
+  assert.equal(getCoordinatorId(membership), first);
+  membership.handleEvents([createDelete(first, 9)]);
+  assert.equal(getCoordinatorId(membership), second);
+  membership.handleEvents([createDelete(second, 10), createDelete(third, 11)]);
+  assert.equal(getCoordinatorId(membership), 'self');
 });
 
-test('only those who would coordinate are asked whether they live', async () => {
+test('one that stops gives way to any peer, and decides for itself without one', async () => {
+  const membership = createMembership();
+  membership.handleEvents([createPut('weak', 3, 0.3)]);
+  assert.equal(getCoordinatorId(membership), 'self');
+  await membership.stop();
+  assert.equal(getCoordinatorId(membership), 'weak');
+  membership.recordUnreachable('weak');
+  assert.equal(getCoordinatorId(membership), 'self');
+});
+
+test('only those who would coordinate are asked whether they live, the first of them first', async () => {
   const store = new EmptyStore();
+  const strong = ['strong-1', 'strong-2', 'strong-3'];
+  const [first, second, third] = listByRendezvous('coordinator', strong);
   store.events = [
-    createPut('older', 2),
-    createPut('strong', 5, 1.35),
-    createPut('older-strong', 4, 1.35),
+    ...strong.map((id, index) => createPut(id, 3 + index, 1.35)),
     createPut('self', 6),
-    createPut('younger', 7),
-    createPut('weak', 3, 0.3),
+    createPut('weak', 7, 0.3),
   ];
   const membership = createMembership(store);
   await membership.refresh();
-  const listIds = () => listUnconfirmedRivals(membership).map(({id}) => id);
-  assert.deepEqual(listIds(), ['older-strong', 'strong', 'older']);
-  membership.recordUnreachable('older-strong');
-  membership.handleEvents([createPut('strong', 8, 1.35)]);
+  const listIds = () =>
+    listUnconfirmedRivals(membership, BAN_MS).map(({id}) => id);
+  assert.deepEqual(listIds(), [first, second, third]);
+  membership.recordUnreachable(first);
+  membership.handleEvents([createPut(second, 8, 1.35)]);
   assert.deepEqual(listIds(), []);
-  assert.equal(chooseCoordinator(membership)?.id, 'strong');
+  assert.equal(getCoordinatorId(membership), second);
+});
+
+test('one that did not answer is asked again once its ban is over', async () => {
+  const clock = new ManualClock();
+  const membership = createMembership(new EmptyStore(), clock);
+  membership.handleEvents([createPut('strong', 3, 2)]);
+  membership.recordUnreachable('strong');
+  const listIds = () =>
+    listUnconfirmedRivals(membership, BAN_MS).map(({id}) => id);
+  assert.deepEqual(listIds(), []);
+  await clock.advance(BAN_MS + 1);
+  assert.deepEqual(listIds(), ['strong']);
+  membership.recordHeard(createRecord('strong', 2));
+  assert.equal(getCoordinatorId(membership), 'strong');
+});
+
+test('one that only others know of does not coordinate before it is heard', () => {
+  const membership = createMembership();
+  membership.addPeer(createRecord('strong', 2));
+  assert.equal(getCoordinatorId(membership), 'self');
+  membership.recordHeard(createRecord('strong', 2));
+  assert.equal(getCoordinatorId(membership), 'strong');
 });
 
 test('without any registration all choose alike among those heard of', () => {
   const membership = createMembership();
-  membership.recordHeard({id: 'b', address: '10.0.0.1:2', failureDomain: 'a'});
-  membership.recordHeard({id: 'c', address: '10.0.0.1:3', failureDomain: 'a'});
-  const first = chooseCoordinator(membership)?.id;
-  assert.equal(chooseCoordinator(membership)?.id, first);
+  membership.recordHeard(createRecord('b'));
+  membership.recordHeard(createRecord('c'));
+  const [first] = listByRendezvous('coordinator', ['self', 'b', 'c']);
+  assert.equal(getCoordinatorId(membership), first);
 });
 
 test('an instance whose own registration is gone registers again, unless it stops', async () => {
--- a/packages/peers/src/coordinator.ts
+++ b/packages/peers/src/coordinator.ts
@@ -4,14 +4,19 @@
 
 const COORDINATOR_KEY = 'coordinator';
 
-/** Share of the most processor that an instance needs in order to coordinate. */
+/**
+ * Share of the most processor that an instance needs in order to coordinate;
+ * equal machines differ by less in what they report.
+ */
 const STRONG_SHARE = 0.9;
 
 /**
- * Chooses the instance that decides for all: of those known to live, and with
- * the most processor, the one that registered first, so that all agree without
- * asking anybody and a restart moves nothing back. Where no registration is known, the first by rendezvous.
- * While instances differ, each decides with less knowledge, and nothing else.
+ * Chooses the instance that decides for all: of those known to live and with
+ * the most processor, the first by rendezvous over the names. The rank needs
+ * nothing that is learnt only once instances run, so that after the loss of all
+ * of them every one of them expects the same coordinator from its first list on.
+ * While instances know of different peers, each decides with less knowledge,
+ * and nothing else.
  *
  * @returns undefined where it is this instance.
  */
@@ -19,9 +24,9 @@
   membership: Membership,
 ): PeerRecord | undefined {
   const peers = membership.listConfirmedPeers();
-  const self = membership.getSelf();
-  const ids = listStrongest([self, ...peers]);
-  const first = findOldest(membership, ids) ?? findByRendezvous(ids);
+  const isSelfOut = membership.isLeaving() && peers.length > 0;
+  const candidates = isSelfOut ? peers : [membership.getSelf(), ...peers];
+  const first = findFirst(candidates);
   return peers.find(({id}) => id === first);
 }
 
@@ -29,23 +34,22 @@
  * Lists peers of whom nothing was heard yet and who would coordinate in place of
  * the present one, the first of them first. Others need not be asked whether
  * they live.
+ *
+ * @param banMs Milliseconds for which a peer that did not answer is left alone.
  */
-export function listUnconfirmedRivals(membership: Membership): PeerRecord[] {
+export function listUnconfirmedRivals(
+  membership: Membership,
+  banMs: number,
+): PeerRecord[] {
   const present = chooseCoordinator(membership) ?? membership.getSelf();
-  const getRevision = ({id}: PeerRecord) =>
-    membership.getRegistrationRevision(id) ?? Infinity;
   return membership
-    .listUnconfirmedPeers()
-    .filter(peer => {
-      if (getCores(present) < STRONG_SHARE * getCores(peer)) return true;
-      const isWeaker = getCores(peer) < STRONG_SHARE * getCores(present);
-      return !isWeaker && getRevision(peer) < getRevision(present);
-    })
-    .sort(
-      (left, right) =>
-        getCores(right) - getCores(left) ||
-        getRevision(left) - getRevision(right),
-    );
+    .listUnconfirmedPeers(banMs)
+    .filter(peer => findFirst([peer, present]) === peer.id)
+    .sort((left, right) => (findFirst([left, right]) === left.id ? -1 : 1));
+}
+
+function findFirst(instances: readonly PeerRecord[]): string {
+  return listByRendezvous(COORDINATOR_KEY, listStrongest(instances))[0];
 }
 
 // Deciding for all costs more the larger the fleet is, and the smallest
@@ -60,22 +64,3 @@
 function getCores({cores}: PeerRecord): number {
   return cores ?? 1;
 }
-
-function findOldest(
-  membership: Membership,
-  ids: readonly string[],
-): string | undefined {
-  let oldest: string | undefined;
-  let oldestRevision = Infinity;
-  for (const id of ids) {
-    const revision = membership.getRegistrationRevision(id);
-    if (revision === undefined || revision >= oldestRevision) continue;
-    oldest = id;
-    oldestRevision = revision;
-  }
-  return oldest;
-}
-
-function findByRendezvous(ids: readonly string[]): string {
-  return listByRendezvous(COORDINATOR_KEY, ids)[0];
-}
--- a/packages/peers/src/membership.ts
+++ b/packages/peers/src/membership.ts
@@ -39,12 +39,6 @@
   readonly leaseMs?: number;
 }
 
-interface RegisteredPeer {
-  readonly record: PeerRecord;
-  /** Store revision of the registration; a restart brings a new one. */
-  readonly revision: number;
-}
-
 /**
  * Who the live instances are: those registered in the platform's service and
  * those heard of directly, so that an outage of the service hides nobody.
@@ -55,7 +49,7 @@
     watchPace: WATCH_PACE,
   };
   private readonly parts: MembershipParts;
-  private readonly registered = new Map<string, RegisteredPeer>();
+  private readonly registered = new Map<string, PeerRecord>();
   private readonly heard = new Map<
     string,
     {record: PeerRecord; atMs: number}
@@ -67,6 +61,7 @@
   private readonly confirmed = new Set<string>();
   private readonly leaseMs: number;
   private leaseId: string | undefined;
+  private hasStopped = false;
 
   constructor(parts: MembershipParts) {
     this.parts = parts;
@@ -84,7 +79,7 @@
   /** Returns the live peers, this instance left out. */
   listPeers(): PeerRecord[] {
     const peers = new Map<string, PeerRecord>();
-    for (const [id, {record}] of this.registered) peers.set(id, record);
+    for (const [id, record] of this.registered) peers.set(id, record);
     const freshMs = this.parts.clock.getNow() - HEARD_MS;
     for (const [id, {record, atMs}] of this.heard) {
       if (atMs >= freshMs) peers.set(id, record);
@@ -93,11 +88,15 @@
     return [...peers.values()];
   }
 
-  /** Returns the live peers that have not failed to answer lately. */
-  listReachablePeers(): PeerRecord[] {
-    const sinceMs = this.parts.clock.getNow() - UNREACHABLE_MS;
+  /**
+   * Returns the live peers that have not failed to answer lately.
+   *
+   * @param banMs Milliseconds that count as lately.
+   */
+  listReachablePeers(banMs = UNREACHABLE_MS): PeerRecord[] {
+    const sinceMs = this.parts.clock.getNow() - banMs;
     return this.listPeers().filter(
-      ({id}) => (this.unreachable.get(id) ?? 0) < sinceMs,
+      ({id}) => (this.unreachable.get(id) ?? -Infinity) < sinceMs,
     );
   }
 
@@ -110,9 +109,15 @@
     return this.listReachablePeers().filter(({id}) => this.confirmed.has(id));
   }
 
-  /** Returns the reachable peers of whom nothing was heard yet. */
-  listUnconfirmedPeers(): PeerRecord[] {
-    return this.listReachablePeers().filter(({id}) => !this.confirmed.has(id));
+  /**
+   * Returns the peers of whom nothing was heard yet.
+   *
+   * @param banMs Milliseconds for which one that did not answer is left out.
+   */
+  listUnconfirmedPeers(banMs: number): PeerRecord[] {
+    return this.listReachablePeers(banMs).filter(
+      ({id}) => !this.confirmed.has(id),
+    );
   }
 
   /** Returns how many instances are live, this one counted. */
@@ -124,9 +129,9 @@
     return this.listPeers().find(peer => peer.id === id);
   }
 
-  /** Returns the store revision of an instance's registration, if it has one. */
-  getRegistrationRevision(id: string): number | undefined {
-    return this.registered.get(id)?.revision;
+  /** Returns whether this instance has taken itself off the list. */
+  isLeaving(): boolean {
+    return this.hasStopped;
   }
 
   /** Notes that a peer was heard of just now. */
@@ -138,6 +143,13 @@
     if (isNew) this.callListeners();
   }
 
+  /** Adds a peer that another one knows of; whether it lives is still to be asked. */
+  addPeer(record: PeerRecord): void {
+    if (this.heard.has(record.id) || this.registered.has(record.id)) return;
+    this.heard.set(record.id, {record, atMs: this.parts.clock.getNow()});
+    this.callListeners();
+  }
+
   /** Notes that a peer does not answer; the list alone decides about it again. */
   recordUnreachable(id: string): void {
     this.heard.delete(id);
@@ -157,6 +169,7 @@
 
   /** Stops renewing and takes this instance off the list. */
   async stop(): Promise<void> {
+    this.hasStopped = true;
     this.task.stop();
     const {leaseId} = this;
     this.leaseId = undefined;
@@ -172,7 +185,7 @@
         // Who registers anew has just started.
         this.unreachable.delete(id);
         this.confirmed.add(id);
-        this.setRegistered(id, event.value, event.modRevision);
+        this.setRegistered(id, event.value);
       }
     }
     this.callListeners();
@@ -189,8 +202,8 @@
       .catch(() => undefined);
     if (!found) return;
     this.registered.clear();
-    for (const {key, value, modRevision} of found.keyValues) {
-      this.setRegistered(key.slice(PEER_PREFIX.length), value, modRevision);
+    for (const {key, value} of found.keyValues) {
+      this.setRegistered(key.slice(PEER_PREFIX.length), value);
     }
     this.callListeners();
     await this.renewIfMissing();
@@ -227,10 +240,9 @@
     return true;
   }
 
-  private setRegistered(id: string, value: string, revision: number): void {
+  private setRegistered(id: string, value: string): void {
     const record = peerRecordSchema.safeParse(JSON.parse(value));
-    if (record.success)
-      this.registered.set(id, {record: record.data, revision});
+    if (record.success) this.registered.set(id, record.data);
   }
 
   private removeRegistered(id: string): void {
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -78,6 +78,8 @@
   z.object({
     type: z.literal('copy'),
     self: peerRecordSchema,
+    /** Whether it is in a planned stop. */
+    isLeaving: z.boolean(),
     configurationRevision: z.number(),
     storeRevision: z.number(),
     /** Compares the upstreams that both sides know. */
@@ -140,6 +142,8 @@
   z.object({
     type: z.literal('copy'),
     self: peerRecordSchema,
+    /** Whether it is in a planned stop. */
+    isLeaving: z.boolean(),
     configurationRevision: z.number(),
     storeRevision: z.number(),
     /** Whether both sides know other upstreams. */
