Pass the store's changes on between instances, so that calls do not grow with the fleet

Cause: each instance held three watches, and each change cost each of them a call; calls to the store are the largest price of the large fleet. Change: three instances of each failure domain, the strongest first, watch the store; the others hold a question open at two of them in turn, go to the next where one is silent, behind or turned away, and to the store where none answers. A gap in what a peer remembers is closed by comparing whole readings, an outage is told once. A fleet of nine in three domains watches as before.

--- a/packages/entry/src/peer-requests.ts
+++ b/packages/entry/src/peer-requests.ts
@@ -53,6 +53,8 @@
         {type: 'copy'},
         {type: 'assign'},
         {type: 'assignment-progress'},
+        {type: 'relay-watch'},
+        {type: 'relay-read'},
         (): PeerReply => ({
           type: 'failed',
           message: 'this instance does not serve routed services',
--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -6,6 +6,7 @@
 import {
   KeyRing,
   Membership,
+  PEER_PREFIX,
   PeerLink,
   type PeerNetwork,
 } from '@hollowstack/peers';
@@ -21,6 +22,7 @@
   createSingleKeyRange,
   type KeyValueStore,
 } from '@hollowstack/store';
+import {RelayServer, RelayedStore} from '@hollowstack/store-relay';
 import {CoordinatorSearch} from './coordinator-search.ts';
 import {CopyExchange} from './copy-exchange.ts';
 import {EngineAssigner} from './engine-assigner.ts';
@@ -70,7 +72,7 @@
   settings: GatewaySettings,
   environment: GatewayEnvironment,
 ): Gateway {
-  const {clock, logger, random, store} = environment;
+  const {clock, logger, random} = environment;
   const protocol = environment.requestProtocol;
   const {id, failureDomain, cpuShare, cpuSpeed} = settings.instance;
   const getNow = () => clock.getNow();
@@ -85,13 +87,6 @@
     address: settings.listen.peerAddress,
     cores: cpuShare * cpuSpeed,
   };
-  const membership = new Membership({
-    self,
-    store,
-    clock,
-    random,
-    leaseMs: MEMBER_LEASE_MS,
-  });
   const link = new PeerLink({
     identity: {id, failureDomain},
     network: environment.peerNetwork,
@@ -100,6 +95,22 @@
     logger,
     metrics,
   });
+  const store = new RelayedStore({
+    store: environment.store,
+    clock,
+    logger,
+    link,
+    memberRange: createPrefixRange(PEER_PREFIX),
+    getMembers: () => membership,
+    followWithinMs: settings.store.followWithinMs,
+  });
+  const membership: Membership = new Membership({
+    self,
+    store,
+    clock,
+    random,
+    leaseMs: MEMBER_LEASE_MS,
+  });
   const coordinator = new StageCoordinator({
     clock,
     logger,
@@ -171,7 +182,7 @@
 
   const watchPace = createWatchPace({
     followWithinMs: settings.store.followWithinMs,
-    getInstanceCount: () => membership.getLiveCount(),
+    getWatcherCount: () => store.countWatchers(),
   });
   const configurationFollower = new StoreFollower({
     store,
@@ -234,8 +245,8 @@
     directory,
     keptPrompts,
     exchange,
-    membership,
     lifecycle,
+    relay: new RelayServer({clock, store}),
   });
   link.setRequestHandler(request => peerRequests.answerRequest(request));
 
--- a/packages/gateway/src/gateway-peer-requests.ts
+++ b/packages/gateway/src/gateway-peer-requests.ts
@@ -1,6 +1,7 @@
 import type {EngineDirectory} from '@hollowstack/assignment';
-import type {Membership, PeerReply, PeerRequest} from '@hollowstack/peers';
+import type {PeerReply, PeerRequest} from '@hollowstack/peers';
 import type {StageCoordinator} from '@hollowstack/stages';
+import type {RelayServer} from '@hollowstack/store-relay';
 import {match} from 'ts-pattern';
 import type {CopyExchange} from './copy-exchange.ts';
 import type {KeptPromptsReader} from './kept-prompts-reader.ts';
@@ -12,8 +13,8 @@
   readonly directory: EngineDirectory;
   readonly keptPrompts: KeptPromptsReader;
   readonly exchange: CopyExchange;
-  readonly membership: Membership;
   readonly lifecycle: GatewayLifecycle;
+  readonly relay: RelayServer;
 }
 
 const STOPPING: PeerReply = {
@@ -30,7 +31,7 @@
   }
 
   async answerRequest(request: PeerRequest): Promise<PeerReply> {
-    const {coordinator, directory, exchange, keptPrompts, lifecycle} =
+    const {coordinator, directory, exchange, keptPrompts, lifecycle, relay} =
       this.parts;
     return match<PeerRequest, Promise<PeerReply> | PeerReply>(request)
       .with({type: 'ping'}, () => {
@@ -79,6 +80,14 @@
         return {type: 'done'};
       })
       .with({type: 'copy'}, asked => exchange.answerCopy(asked))
+      .with({type: 'relay-watch'}, asked => {
+        if (lifecycle.isStopping()) return STOPPING;
+        return relay.answerWatch(asked);
+      })
+      .with({type: 'relay-read'}, asked => {
+        if (lifecycle.isStopping()) return STOPPING;
+        return relay.answerRead(asked);
+      })
       .otherwise(({type}) => ({
         type: 'failed',
         message: `a gateway does not answer ${type}`,
--- a/packages/gateway/src/watch-pace.ts
+++ b/packages/gateway/src/watch-pace.ts
@@ -8,21 +8,21 @@
 /** Part of the time in which a change must be in force that gathering may take. */
 const GATHER_SHARE = 1 / 3;
 /**
- * Milliseconds to gather changes for each live instance: the calls of the
- * whole fleet for one change stay at some 80 a second.
+ * Milliseconds to gather changes for each instance that watches: the calls of
+ * the whole fleet for one range stay at some 80 a second.
  */
-const GATHER_MS_PER_INSTANCE = 12;
+const GATHER_MS_PER_WATCHER = 12;
 
 /** What the pace of a watch follows from. */
 export interface WatchPaceInput {
   /** Milliseconds in which a change must be in force here. */
   readonly followWithinMs: number;
-  readonly getInstanceCount: () => number;
+  readonly getWatcherCount: () => number;
 }
 
 /**
- * Creates the pace of a watch that all instances hold. Every change costs each
- * of them a call, so that a larger fleet gathers changes for longer.
+ * Creates the pace of a watch that several instances hold. Every change costs
+ * each of them a call, so that more of them gather changes for longer.
  */
 export function createWatchPace(input: WatchPaceInput): WatchPace {
   return {
@@ -30,7 +30,7 @@
     get gatherMs() {
       return Math.min(
         input.followWithinMs * GATHER_SHARE,
-        input.getInstanceCount() * GATHER_MS_PER_INSTANCE,
+        input.getWatcherCount() * GATHER_MS_PER_WATCHER,
       );
     },
   };
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -119,6 +119,16 @@
     level: 'warn',
     text: 'a peer does not answer; what waits there goes elsewhere',
   },
+  'relay.feed': {
+    number: 510,
+    level: 'info',
+    text: 'the changes of the store come from another place from now on',
+  },
+  'relay.source-silent': {
+    number: 511,
+    level: 'warn',
+    text: 'a peer that passes the changes of the store on does not answer',
+  },
   'upstream.out': {
     number: 600,
     level: 'warn',
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -24,6 +24,20 @@
 export type PeerRecord = z.infer<typeof peerRecordSchema>;
 export {peerRecordSchema};
 
+const storeEventSchema = z.object({
+  type: z.enum(['put', 'delete']),
+  key: z.string(),
+  value: z.string(),
+  modRevision: z.number(),
+});
+
+const storeKeyValueSchema = z.object({
+  key: z.string(),
+  value: z.string(),
+  modRevision: z.number(),
+  createRevision: z.number(),
+});
+
 // A configuration may be large and a link thin, so a copy is sent only on request.
 const copyWishesSchema = z.object({
   configuration: z.boolean(),
@@ -87,6 +101,24 @@
     /** What the answer should carry beside the revisions, where it is newer. */
     wishes: copyWishesSchema,
   }),
+  z.object({
+    type: z.literal('relay-watch'),
+    ranges: z.array(
+      z.object({
+        /** First key of the range, which names it. */
+        start: z.string(),
+        /** Changes behind this store revision are asked for. */
+        sinceRevision: z.number(),
+      }),
+    ),
+    /** Longest milliseconds until an answer without changes. */
+    waitMs: z.number().nonnegative(),
+  }),
+  z.object({
+    type: z.literal('relay-read'),
+    /** First keys of the ranges whose content is asked for. */
+    starts: z.array(z.string()),
+  }),
 ]);
 /** What one instance asks another. */
 export type PeerRequest = z.infer<typeof peerRequestSchema>;
@@ -154,6 +186,35 @@
     upstreams: storeCopySchema.optional(),
     members: z.array(peerRecordSchema).optional(),
   }),
+  z.object({
+    type: z.literal('relay-changes'),
+    /** Whether the store was away before the sender's watch began. */
+    isAfterOutage: z.boolean(),
+    ranges: z.array(
+      z.object({
+        start: z.string(),
+        /** Whether changes before those that are sent are no longer known. */
+        isGap: z.boolean(),
+        events: z.array(storeEventSchema),
+      }),
+    ),
+  }),
+  z.object({
+    type: z.literal('relay-ranges'),
+    ranges: z.array(
+      z.object({
+        start: z.string(),
+        storeId: z.string(),
+        storeRevision: z.number(),
+        keyValues: z.array(storeKeyValueSchema),
+      }),
+    ),
+  }),
+  z.object({
+    type: z.literal('relay-unavailable'),
+    /** Whether the sender would watch the store, but cannot reach it. */
+    isAway: z.boolean(),
+  }),
   z.object({type: z.literal('failed'), message: z.string()}),
 ]);
 /** What the other answers. */
--- /dev/null
+++ b/packages/store-relay/src/relayed-store.test.ts
@@ -0,0 +1,140 @@
+import assert from 'node:assert/strict';
+import {test, type TestContext} from 'node:test';
+import {ManualClock} from '@hollowstack/clock';
+import {FOLLOW_WITHIN_MS, TestFleet, type TestInstance} from './test-fleet.ts';
+
+const FLEET_SIZE = 60;
+const DOMAIN_COUNT = 5;
+/** Three of each failure domain. */
+const WATCHER_COUNT = 15;
+/** Milliseconds after which a fleet that started at once has its watchers. */
+const START_MS = 6000;
+
+interface Started {
+  readonly fleet: TestFleet;
+  readonly clock: ManualClock;
+}
+
+async function startFleet(t: TestContext): Promise<Started> {
+  const clock = new ManualClock();
+  const fleet = new TestFleet(clock);
+  fleet.store.put('test/a', '1');
+  fleet.start(FLEET_SIZE, DOMAIN_COUNT);
+  t.after(() => fleet.stop());
+  await clock.advance(START_MS);
+  return {fleet, clock};
+}
+
+function listWatchers({instances}: TestFleet): TestInstance[] {
+  return instances.filter(({relayed}) => relayed.getState() === 'watching');
+}
+
+function countWithout(
+  instances: readonly TestInstance[],
+  key: string,
+  value: string | undefined,
+): number {
+  return instances.filter(({reader}) => reader.values.get(key) !== value)
+    .length;
+}
+
+test('three instances of each failure domain watch, and all hear of a change', async t => {
+  const {fleet, clock} = await startFleet(t);
+  assert.equal(listWatchers(fleet).length, WATCHER_COUNT);
+  assert.equal(countWithout(fleet.instances, 'test/a', '1'), 0);
+  const {readCount, watchCount} = fleet.store;
+  for (const value of ['2', '3', '4']) {
+    fleet.store.put('test/a', value);
+    await clock.advance(200);
+    assert.equal(countWithout(fleet.instances, 'test/a', value), 0);
+  }
+  fleet.store.remove('test/a');
+  await clock.advance(200);
+  assert.equal(countWithout(fleet.instances, 'test/a', undefined), 0);
+  assert.equal(fleet.store.readCount, readCount);
+  assert.equal(fleet.store.watchCount, watchCount);
+});
+
+test('a start costs each instance few reads, and the fleet few watches', async t => {
+  const {fleet} = await startFleet(t);
+  assert.ok(
+    fleet.store.readCount <= 3 * FLEET_SIZE + WATCHER_COUNT,
+    `${fleet.store.readCount} reads`,
+  );
+  assert.ok(
+    fleet.store.watchCount <= 2 * WATCHER_COUNT,
+    `${fleet.store.watchCount} watches`,
+  );
+});
+
+test('a change reaches all in time while two of three watchers of a domain are silent', async t => {
+  const {fleet, clock} = await startFleet(t);
+  const silent = listWatchers(fleet)
+    .filter(({failureDomain}) => failureDomain === 'domain-0')
+    .slice(0, 2);
+  for (const watcher of silent) watcher.isAnswering = false;
+  fleet.store.put('test/b', '1');
+  await clock.advance(FOLLOW_WITHIN_MS);
+  assert.equal(countWithout(fleet.instances, 'test/b', '1'), 0);
+});
+
+test('a change reaches all in time while all watchers are silent to peers', async t => {
+  const {fleet, clock} = await startFleet(t);
+  for (const watcher of listWatchers(fleet)) watcher.isAnswering = false;
+  await clock.advance(100);
+  fleet.store.put('test/b', '1');
+  await clock.advance(FOLLOW_WITHIN_MS);
+  assert.equal(countWithout(fleet.instances, 'test/b', '1'), 0);
+});
+
+test('a watcher that no longer hears of the store without knowing keeps nobody behind', async t => {
+  const {fleet, clock} = await startFleet(t);
+  const [deaf] = listWatchers(fleet);
+  deaf.client.path = 'silent';
+  fleet.store.put('test/b', '1');
+  await clock.advance(FOLLOW_WITHIN_MS);
+  const others = fleet.instances.filter(instance => instance !== deaf);
+  assert.equal(countWithout(others, 'test/b', '1'), 0);
+});
+
+test('watchers that the store turns away send their followers to others', async t => {
+  const {fleet, clock} = await startFleet(t);
+  const away = listWatchers(fleet).filter(
+    ({failureDomain}) => failureDomain === 'domain-1',
+  );
+  for (const watcher of away) watcher.client.path = 'refused';
+  await clock.advance(1000);
+  fleet.store.put('test/b', '1');
+  await clock.advance(FOLLOW_WITHIN_MS);
+  const others = fleet.instances.filter(instance => !away.includes(instance));
+  assert.equal(countWithout(others, 'test/b', '1'), 0);
+});
+
+test('an outage costs followers next to no calls, and each hears once that it is over', async t => {
+  const {fleet, clock} = await startFleet(t);
+  const watchers = listWatchers(fleet);
+  const followers = fleet.instances.filter(
+    instance => !watchers.includes(instance),
+  );
+  for (const {client} of fleet.instances) client.path = 'refused';
+  await clock.advance(FOLLOW_WITHIN_MS - 500);
+  fleet.store.remove('test/a');
+  fleet.store.put('test/b', '1');
+  const readsBefore = fleet.store.readCount;
+  for (const {client} of fleet.instances) client.path = 'open';
+  await clock.advance(FOLLOW_WITHIN_MS);
+  assert.equal(countWithout(fleet.instances, 'test/b', '1'), 0);
+  assert.equal(countWithout(fleet.instances, 'test/a', undefined), 0);
+  for (const {reader} of followers) assert.equal(reader.outageCount, 1);
+  const reads = fleet.store.readCount - readsBefore;
+  assert.ok(reads <= 3 * WATCHER_COUNT, `${reads} reads`);
+});
+
+test('a fleet of nine in three failure domains watches as a whole', async t => {
+  const clock = new ManualClock();
+  const fleet = new TestFleet(clock);
+  fleet.start(9, 3);
+  t.after(() => fleet.stop());
+  await clock.advance(START_MS);
+  assert.equal(listWatchers(fleet).length, 9);
+});
--- /dev/null
+++ b/packages/store-relay/src/relayed-store.ts
@@ -0,0 +1,482 @@
+import {waitFor, type Clock} from '@hollowstack/clock';
+import type {EventLogger} from '@hollowstack/logger';
+import type {
+  PeerLink,
+  PeerRecord,
+  PeerReply,
+  PeerRequest,
+} from '@hollowstack/peers';
+import {
+  KeyValueStore,
+  type KeyRange,
+  type Lease,
+  type RangeResult,
+  type Transaction,
+  type TransactionResult,
+  type WatchEvent,
+} from '@hollowstack/store';
+import {RangeMirror} from './range-mirror.ts';
+import {RelaySources} from './relay-sources.ts';
+import {chooseStoreWatchers, listRelaySources} from './store-watchers.ts';
+
+/** What the relay asks of the list of instances. */
+export interface RelayMembers {
+  getSelf(): PeerRecord;
+  listReachablePeers(): PeerRecord[];
+  /** Notes that a peer does not answer. */
+  recordUnreachable(id: string): void;
+  /** Reads the list; an outage leaves the last one standing. */
+  refresh(): Promise<void>;
+}
+
+/** Dependencies of RelayedStore. */
+export interface RelayedStoreParts {
+  /** The store itself. */
+  readonly store: KeyValueStore;
+  readonly clock: Clock;
+  readonly logger: EventLogger;
+  readonly link: Pick<PeerLink, 'sendRequest'>;
+  /** Range in which the instances are registered. */
+  readonly memberRange: KeyRange;
+  /** Called from the first watch on. */
+  readonly getMembers: () => RelayMembers;
+  /** Milliseconds in which a change must be in force here. */
+  readonly followWithinMs: number;
+}
+
+/**
+ * Whether this instance can tell peers of changes: it watches the store, it
+ * would but the store is away, or it takes them from peers itself.
+ */
+export type RelayState = 'watching' | 'away' | 'following';
+
+/** Where the changes come from, for the log. */
+type FeedSource = 'store' | 'peers';
+
+/**
+ * Part of the time in which a change must be in force for which a peer may hold
+ * a question without news: a silent peer and the question to the next one fit in
+ * that time.
+ */
+const POLL_SHARE = 0.2;
+/**
+ * Milliseconds beyond it after which a peer counts as silent: some hundred
+ * round trips, and room for a copy on a thin link.
+ */
+const SILENCE_MARGIN_MS = 500;
+/** Milliseconds for a first answer; a start goes on with the store instead. */
+const FIRST_TIMEOUT_MS = 250;
+/** Peers asked at a start before the store is read. */
+const MAX_FIRST_SOURCES = 2;
+/**
+ * Milliseconds after a start before a role is taken: processes of a fleet start
+ * within 300 ms of each other, and whoever took the first list at its word
+ * would watch the store for a fleet that is a fraction of its size.
+ */
+const SETTLE_MS = 600;
+/** Milliseconds of watching the store where no peer passes changes on. */
+const FALLBACK_MS = 3000;
+/** Milliseconds between two looks whether this instance is still to watch. */
+const ROLE_CHECK_MS = 1000;
+/** Milliseconds before peers that cannot reach the store are asked again. */
+const AWAY_PAUSE_MS = 250;
+/**
+ * Milliseconds after an outage in which a second source that tells of it says
+ * nothing new; sources are back within the 1 s of their own pauses.
+ */
+const OUTAGE_MEMORY_MS = 5000;
+
+/**
+ * The store, with its changes taken from peers that watch it. A few instances of
+ * each failure domain watch; the others hold a question open at one of two of
+ * them in turn, go to the next where one is silent or behind, and to the store
+ * where none answers.
+ */
+export class RelayedStore extends KeyValueStore {
+  private readonly parts: RelayedStoreParts;
+  private readonly mirrors = new Map<string, RangeMirror>();
+  private readonly sources: RelaySources;
+  private readonly changeListeners = new Set<() => void>();
+  private state: RelayState = 'following';
+  private feed: FeedSource | undefined;
+  private isFirstStart = true;
+  /** Revision from which the store's changes are still to be told. */
+  private startRevision = 0;
+  /** Failures of the store's watch, or to begin it, since it last stood. */
+  private breaks = 0;
+  private beganAfterOutage = false;
+  private hasOutageEnded = false;
+  private outageEndedAtMs = -Infinity;
+
+  constructor(parts: RelayedStoreParts) {
+    super();
+    this.parts = parts;
+    this.sources = new RelaySources(parts.clock);
+  }
+
+  /** Returns whether peers can be told of changes. */
+  getState(): RelayState {
+    if (this.state !== 'watching') return this.state;
+    const isWhole = [...this.mirrors.values()].every(mirror =>
+      mirror.isWhole(),
+    );
+    return isWhole ? 'watching' : 'away';
+  }
+
+  override isAfterOutage(): boolean {
+    return this.hasOutageEnded;
+  }
+
+  /** Returns whether the watch that peers are told from began after an outage. */
+  hasBegunAfterOutage(): boolean {
+    return this.beganAfterOutage;
+  }
+
+  /**
+   * Returns the changes of a range, by its first key, behind a revision; undefined
+   * where some of them are not known.
+   */
+  listChanges(
+    start: string,
+    sinceRevision: number,
+  ): readonly WatchEvent[] | undefined {
+    return this.mirrors.get(start)?.listChanges(sinceRevision);
+  }
+
+  /** Returns how many instances watch the store, as far as this one knows. */
+  countWatchers(): number {
+    return this.listWatchers().length;
+  }
+
+  /** Returns the content of a range, by its first key, where it is known. */
+  createReading(start: string): RangeResult | undefined {
+    return this.mirrors.get(start)?.createReading();
+  }
+
+  /** Adds a function that is called at each change until the returned one is called. */
+  addChangeListener(listener: () => void): () => void {
+    this.changeListeners.add(listener);
+    return () => this.changeListeners.delete(listener);
+  }
+
+  /** Reads a range; one that is followed is at hand. */
+  async readRange(range: KeyRange, minModRevision = 0): Promise<RangeResult> {
+    const mirror = this.mirrors.get(range.start);
+    const known = mirror?.createReading();
+    if (known) {
+      const keyValues = known.keyValues.filter(
+        ({modRevision}) => modRevision >= minModRevision,
+      );
+      return {...known, keyValues};
+    }
+    const reading = await this.parts.store.readRange(range, minModRevision);
+    if (minModRevision === 0) mirror?.applyReading(reading);
+    return reading;
+  }
+
+  runTransaction(transaction: Transaction): Promise<TransactionResult> {
+    return this.parts.store.runTransaction(transaction);
+  }
+
+  grantLease(ttlMs: number): Promise<Lease> {
+    return this.parts.store.grantLease(ttlMs);
+  }
+
+  renewLease(leaseId: string): Promise<boolean> {
+    return this.parts.store.renewLease(leaseId);
+  }
+
+  revokeLease(leaseId: string): Promise<void> {
+    return this.parts.store.revokeLease(leaseId);
+  }
+
+  async *watchRanges(
+    ranges: readonly KeyRange[],
+    _fromRevision: number,
+    signal: AbortSignal,
+  ): AsyncIterable<readonly WatchEvent[]> {
+    this.mirrors.clear();
+    for (const range of ranges) {
+      this.mirrors.set(range.start, new RangeMirror(range));
+    }
+    const isFromPeers = await this.begin();
+    yield [];
+    if (!isFromPeers && this.isFirstStart) yield* this.waitForOthers(signal);
+    this.isFirstStart = false;
+    while (!signal.aborted) {
+      if (this.isWatcher()) yield* this.watchStore(signal, Infinity);
+      else yield* this.followPeers(signal);
+    }
+  }
+
+  // Has the ranges from a peer, or finds out that the store answers.
+  private async begin(): Promise<boolean> {
+    if (!this.isWatcher() && (await this.readFromPeers())) return true;
+    const list = await this.parts.store
+      .readRange(this.parts.memberRange)
+      .catch(error => {
+        this.recordBreak();
+        throw error;
+      });
+    this.mirrors.get(this.parts.memberRange.start)?.applyReading(list);
+    await this.parts.getMembers().refresh();
+    this.startRevision = list.storeRevision;
+    if (!this.isWatcher() && (await this.readFromPeers())) return true;
+    this.setFeed('store');
+    this.state = 'watching';
+    this.beganAfterOutage = this.breaks > 1;
+    this.breaks = 0;
+    return false;
+  }
+
+  private async *waitForOthers(
+    signal: AbortSignal,
+  ): AsyncIterable<readonly WatchEvent[]> {
+    const {clock, store, memberRange} = this.parts;
+    await waitFor(clock, SETTLE_MS, signal);
+    const list = await store.readRange(memberRange);
+    const news = this.mirrors.get(memberRange.start)?.applyReading(list) ?? [];
+    if (news.length > 0) yield news;
+  }
+
+  private async *watchStore(
+    signal: AbortSignal,
+    untilMs: number,
+  ): AsyncIterable<readonly WatchEvent[]> {
+    const {store} = this.parts;
+    const ranges = [...this.mirrors.values()].map(({range}) => range);
+    const ending = new AbortController();
+    const either = AbortSignal.any([signal, ending.signal]);
+    const endRoleCheck = this.beginRoleCheck(untilMs, () => ending.abort());
+    this.setFeed('store');
+    this.state = 'watching';
+    try {
+      const since = this.getOldestRevision();
+      for await (const events of store.watchRanges(ranges, since, either)) {
+        const news = this.applyEvents(events);
+        if (news.length > 0) yield news;
+      }
+    } catch (error) {
+      if (ending.signal.aborted && !signal.aborted) return;
+      this.recordBreak();
+      throw error;
+    } finally {
+      endRoleCheck();
+    }
+  }
+
+  private async *followPeers(
+    signal: AbortSignal,
+  ): AsyncIterable<readonly WatchEvent[]> {
+    const {clock, followWithinMs} = this.parts;
+    let heardAtMs = clock.getNow();
+    this.setFeed('peers');
+    this.state = 'following';
+    while (!signal.aborted && !this.isWatcher()) {
+      const source = this.sources.chooseSource(this.listSources());
+      if (source) {
+        const changes = await this.askForChanges(source);
+        if (!changes) continue;
+        heardAtMs = clock.getNow();
+        if (changes.isAfterOutage) yield* this.createOutageEnd();
+        if (changes.news.length > 0) yield changes.news;
+        continue;
+      }
+      const isAway = this.sources.removeAway();
+      if (isAway && clock.getNow() - heardAtMs < followWithinMs) {
+        await waitFor(clock, AWAY_PAUSE_MS, signal);
+        continue;
+      }
+      heardAtMs = clock.getNow();
+      // Where the watchers cannot reach the store, it is most likely away.
+      if (isAway && !(await this.isStoreThere())) continue;
+      yield* this.watchStore(signal, clock.getNow() + FALLBACK_MS);
+      return;
+    }
+  }
+
+  // Readers take an empty list for a watch that stands anew, and ask whether
+  // that was after an outage.
+  private *createOutageEnd(): Iterable<readonly WatchEvent[]> {
+    const nowMs = this.parts.clock.getNow();
+    if (nowMs - this.outageEndedAtMs < OUTAGE_MEMORY_MS) return;
+    this.outageEndedAtMs = nowMs;
+    this.hasOutageEnded = true;
+    yield [];
+    this.hasOutageEnded = false;
+  }
+
+  private async isStoreThere(): Promise<boolean> {
+    const {store, memberRange} = this.parts;
+    return store.readRange(memberRange).then(
+      () => true,
+      () => false,
+    );
+  }
+
+  /** Asks one source; undefined where it cannot be used. */
+  private async askForChanges(
+    source: PeerRecord,
+  ): Promise<
+    {news: readonly WatchEvent[]; isAfterOutage: boolean} | undefined
+  > {
+    const waitMs = this.parts.followWithinMs * POLL_SHARE;
+    const ranges = [...this.mirrors.values()].map(mirror => ({
+      start: mirror.range.start,
+      sinceRevision: mirror.getRevision(),
+    }));
+    const reply = await this.askSource(
+      source,
+      {type: 'relay-watch', ranges, waitMs},
+      waitMs + SILENCE_MARGIN_MS,
+    );
+    if (reply?.type !== 'relay-changes') return undefined;
+    const news = reply.ranges.flatMap(({start, events}) =>
+      this.mirrors.get(start)!.applyEvents(events),
+    );
+    const missed = reply.ranges.filter(({isGap}) => isGap);
+    const starts = missed.map(({start}) => start);
+    const read = await this.readFromSource(source, starts, SILENCE_MARGIN_MS);
+    if (!read) return undefined;
+    this.callChangeListeners();
+    return {
+      news: [...news, ...read],
+      isAfterOutage: missed.length > 0 && reply.isAfterOutage,
+    };
+  }
+
+  private async readFromPeers(): Promise<boolean> {
+    const starts = [...this.mirrors.keys()];
+    for (let asked = 0; asked < MAX_FIRST_SOURCES; asked++) {
+      const source = this.sources.chooseSource(this.listSources());
+      if (!source) return false;
+      const read = await this.readFromSource(source, starts, FIRST_TIMEOUT_MS);
+      if (read) return true;
+    }
+    return false;
+  }
+
+  private async readFromSource(
+    source: PeerRecord,
+    starts: readonly string[],
+    timeoutMs: number,
+  ): Promise<readonly WatchEvent[] | undefined> {
+    if (starts.length === 0) return [];
+    const reply = await this.askSource(
+      source,
+      {type: 'relay-read', starts: [...starts]},
+      timeoutMs,
+    );
+    if (reply?.type !== 'relay-ranges') return undefined;
+    return reply.ranges.flatMap(({start, ...reading}) =>
+      this.mirrors.get(start)!.applyReading(reading),
+    );
+  }
+
+  private async askSource(
+    source: PeerRecord,
+    request: PeerRequest,
+    timeoutMs: number,
+  ): Promise<PeerReply | undefined> {
+    const {id, address} = source;
+    const reply = await this.parts.link
+      .sendRequest(address, request, timeoutMs)
+      .catch((error: unknown) => {
+        const reason = error instanceof Error ? error.message : String(error);
+        this.parts.logger.logEvent('relay.source-silent', {
+          peer: id,
+          address,
+          reason,
+        });
+        return undefined;
+      });
+    if (!reply) {
+      this.sources.recordFailure(id, 'silent');
+      this.parts.getMembers().recordUnreachable(id);
+    } else if (reply.type === 'relay-unavailable') {
+      this.sources.recordFailure(id, reply.isAway ? 'away' : 'not-watching');
+    } else if (reply.type === 'failed') {
+      this.sources.recordFailure(id, 'not-watching');
+    }
+    return reply;
+  }
+
+  private applyEvents(events: readonly WatchEvent[]): WatchEvent[] {
+    const news = [...this.mirrors.values()].flatMap(mirror =>
+      mirror.applyEvents(
+        events.filter(({key}) => isInRange(key, mirror.range)),
+      ),
+    );
+    if (news.length > 0) this.callChangeListeners();
+    return news;
+  }
+
+  private getOldestRevision(): number {
+    const revisions = [...this.mirrors.values()].map(mirror =>
+      mirror.isWhole() ? mirror.getRevision() : this.startRevision,
+    );
+    return Math.min(...revisions);
+  }
+
+  private listSources(): PeerRecord[] {
+    const members = this.parts.getMembers();
+    return listRelaySources(members.getSelf(), this.listWatchers());
+  }
+
+  private isWatcher(): boolean {
+    const {id} = this.parts.getMembers().getSelf();
+    return this.listWatchers().some(watcher => watcher.id === id);
+  }
+
+  private listWatchers(): PeerRecord[] {
+    const members = this.parts.getMembers();
+    return chooseStoreWatchers([
+      members.getSelf(),
+      ...members.listReachablePeers(),
+    ]);
+  }
+
+  // A change of the list that is gone at the next look moves nobody.
+  private beginRoleCheck(untilMs: number, end: () => void): () => void {
+    const {clock} = this.parts;
+    let wasNeeded = true;
+    const check = () => {
+      const isNeeded =
+        untilMs === Infinity ? this.isWatcher() : clock.getNow() < untilMs;
+      if (!isNeeded && !wasNeeded) {
+        end();
+        return;
+      }
+      wasNeeded = isNeeded;
+      timer = clock.schedule(ROLE_CHECK_MS, check);
+    };
+    let timer = clock.schedule(ROLE_CHECK_MS, check);
+    return () => timer.cancel();
+  }
+
+  private recordBreak(): void {
+    this.breaks += 1;
+    this.state = 'away';
+    this.callChangeListeners();
+  }
+
+  private setFeed(feed: FeedSource): void {
+    if (feed === this.feed) return;
+    this.feed = feed;
+    this.parts.logger.logEvent('relay.feed', {
+      feed,
+      watchers: this.listWatchers()
+        .map(({id}) => id)
+        .join(','),
+    });
+  }
+
+  private callChangeListeners(): void {
+    for (const listener of this.changeListeners) listener();
+  }
+}
+
+function isInRange(key: string, range: KeyRange): boolean {
+  if (range.end === undefined) return key === range.start;
+  return key >= range.start && key < range.end;
+}
--- /dev/null
+++ b/packages/store-relay/src/test-fleet.ts
@@ -0,0 +1,272 @@
+import {waitFor, type Clock, type ManualClock} from '@hollowstack/clock';
+import {SilentEventLogger} from '@hollowstack/logger';
+import {
+  Membership,
+  PEER_PREFIX,
+  type PeerReply,
+  type PeerRequest,
+} from '@hollowstack/peers';
+import {
+  KeyValueStore,
+  StoreError,
+  WatchHub,
+  createPrefixRange,
+  type KeyRange,
+  type KeyValue,
+  type Lease,
+  type RangeResult,
+  type Transaction,
+  type TransactionResult,
+  type WatchEvent,
+  type WatchSubscription,
+} from '@hollowstack/store';
+import {RelayServer} from './relay-server.ts';
+import {RelayedStore} from './relayed-store.ts';
+
+/** Milliseconds between two looks of a watch in this store. */
+const WATCH_POLL_MS = 20;
+/** Milliseconds of a call to the store or a peer. */
+const CALL_MS = 4;
+/** Milliseconds in which a change must be in force in these tests. */
+export const FOLLOW_WITHIN_MS = 3000;
+/** The range that the instances of these tests follow. */
+export const TEST_RANGE: KeyRange = createPrefixRange('test/');
+
+/** How the store treats one instance. */
+export type StorePath = 'open' | 'refused' | 'silent';
+
+/** A store in memory, shared by the instances of a test. */
+export class MemoryStore {
+  readonly clock: Clock;
+  revision = 1;
+  readCount = 0;
+  watchCount = 0;
+  private readonly keyValues = new Map<string, KeyValue>();
+  private readonly events: WatchEvent[] = [];
+
+  constructor(clock: Clock) {
+    this.clock = clock;
+  }
+
+  put(key: string, value: string): void {
+    this.revision += 1;
+    const modRevision = this.revision;
+    this.keyValues.set(key, {
+      key,
+      value,
+      modRevision,
+      createRevision: modRevision,
+    });
+    this.events.push({type: 'put', key, value, modRevision});
+  }
+
+  remove(key: string): void {
+    if (!this.keyValues.delete(key)) return;
+    this.revision += 1;
+    const modRevision = this.revision;
+    this.events.push({type: 'delete', key, value: '', modRevision});
+  }
+
+  read(range: KeyRange): RangeResult {
+    this.readCount += 1;
+    const keyValues = [...this.keyValues.values()].filter(({key}) =>
+      key.startsWith(range.start),
+    );
+    return {storeId: 's', storeRevision: this.revision, keyValues};
+  }
+
+  listEvents(
+    ranges: readonly KeyRange[],
+    sinceRevision: number,
+  ): readonly WatchEvent[] {
+    return this.events.filter(
+      ({key, modRevision}) =>
+        modRevision > sinceRevision &&
+        ranges.some(({start}) => key.startsWith(start)),
+    );
+  }
+}
+
+/** One instance's way to the store. */
+class StoreClient extends KeyValueStore {
+  path: StorePath = 'open';
+  private readonly store: MemoryStore;
+
+  constructor(store: MemoryStore) {
+    super();
+    this.store = store;
+  }
+
+  async readRange(range: KeyRange): Promise<RangeResult> {
+    await this.call();
+    return this.store.read(range);
+  }
+
+  async runTransaction({onSuccess}: Transaction): Promise<TransactionResult> {
+    await this.call();
+    for (const step of onSuccess) {
+      if (step.type === 'put') this.store.put(step.key, step.value);
+    }
+    const storeRevision = this.store.revision;
+    return {succeeded: true, storeId: 's', storeRevision, reads: []};
+  }
+
+  async grantLease(ttlMs: number): Promise<Lease> {
+    await this.call();
+    return {id: '1', ttlMs};
+  }
+
+  async renewLease(): Promise<boolean> {
+    await this.call();
+    return true;
+  }
+
+  async revokeLease(): Promise<void> {}
+
+  async *watchRanges(
+    ranges: readonly KeyRange[],
+    fromRevision: number,
+    signal: AbortSignal,
+  ): AsyncIterable<readonly WatchEvent[]> {
+    await this.call();
+    this.store.watchCount += 1;
+    let since = fromRevision > 0 ? fromRevision : this.store.revision;
+    yield [];
+    while (!signal.aborted) {
+      if (this.path === 'refused') throw new StoreError('refused', 'none');
+      const isHeard = this.path === 'open';
+      const events = isHeard ? this.store.listEvents(ranges, since) : [];
+      if (events.length > 0) {
+        since = events.at(-1)!.modRevision;
+        yield events;
+      }
+      await waitFor(this.store.clock, WATCH_POLL_MS, signal);
+    }
+  }
+
+  private async call(): Promise<void> {
+    await waitFor(this.store.clock, CALL_MS);
+    if (this.path !== 'open') throw new StoreError(this.path, 'none');
+  }
+}
+
+/** What an instance of a test has heard of the followed range. */
+export class TestReader implements WatchSubscription {
+  readonly range = TEST_RANGE;
+  readonly values = new Map<string, string>();
+  outageCount = 0;
+  private readonly store: KeyValueStore;
+
+  constructor(store: KeyValueStore) {
+    this.store = store;
+  }
+
+  handleEvents(events: readonly WatchEvent[]): void {
+    for (const {type, key, value} of events) {
+      if (type === 'delete') this.values.delete(key);
+      else this.values.set(key, value);
+    }
+  }
+
+  handleResync(isAfterOutage: boolean): void {
+    if (isAfterOutage) this.outageCount += 1;
+    this.store.readRange(TEST_RANGE).then(
+      ({keyValues}) => {
+        this.values.clear();
+        for (const {key, value} of keyValues) this.values.set(key, value);
+      },
+      () => {},
+    );
+  }
+}
+
+/** One instance under test. */
+export interface TestInstance {
+  readonly id: string;
+  readonly failureDomain: string;
+  readonly client: StoreClient;
+  readonly relayed: RelayedStore;
+  readonly reader: TestReader;
+  readonly membership: Membership;
+  /** Whether it answers peers. */
+  isAnswering: boolean;
+  stop(): void;
+}
+
+/** Instances that follow one store, over a network in memory. */
+export class TestFleet {
+  readonly store: MemoryStore;
+  readonly instances: TestInstance[] = [];
+  private readonly clock: ManualClock;
+  private readonly servers = new Map<string, RelayServer>();
+
+  constructor(clock: ManualClock) {
+    this.clock = clock;
+    this.store = new MemoryStore(clock);
+  }
+
+  /** Starts instances, spread evenly over failure domains. */
+  start(count: number, domainCount: number): void {
+    for (let index = 0; index < count; index++) {
+      this.startInstance(`instance-${index}`, `domain-${index % domainCount}`);
+    }
+  }
+
+  /** Stops all instances at once and without a word. */
+  stop(): void {
+    for (const instance of this.instances) instance.stop();
+  }
+
+  private startInstance(id: string, failureDomain: string): void {
+    const {clock} = this;
+    const random = () => 0.5;
+    const client = new StoreClient(this.store);
+    const relayed: RelayedStore = new RelayedStore({
+      store: client,
+      clock,
+      logger: new SilentEventLogger(),
+      link: {sendRequest: (address, request) => this.send(address, request)},
+      memberRange: createPrefixRange(PEER_PREFIX),
+      getMembers: () => membership,
+      followWithinMs: FOLLOW_WITHIN_MS,
+    });
+    const self = {id, address: id, failureDomain};
+    const membership = new Membership({self, store: relayed, clock, random});
+    const reader = new TestReader(relayed);
+    const hub = new WatchHub(relayed, clock, random, {
+      minBackoffMs: 200,
+      maxBackoffMs: 1000,
+    });
+    hub.addSubscription(reader);
+    hub.addSubscription(membership);
+    this.servers.set(id, new RelayServer({clock, store: relayed}));
+    this.instances.push({
+      id,
+      failureDomain,
+      client,
+      relayed,
+      reader,
+      membership,
+      isAnswering: true,
+      stop: () => {
+        hub.stop();
+        void membership.stop();
+      },
+    });
+    void membership.start();
+    void hub.start();
+  }
+
+  private async send(
+    address: string,
+    request: PeerRequest,
+  ): Promise<PeerReply> {
+    await waitFor(this.clock, CALL_MS);
+    const target = this.instances.find(({id}) => id === address)!;
+    if (!target.isAnswering) throw new Error('refused');
+    const server = this.servers.get(address)!;
+    if (request.type === 'relay-read') return server.answerRead(request);
+    if (request.type === 'relay-watch') return server.answerWatch(request);
+    throw new Error(`${request.type} was not expected`);
+  }
+}
--- a/packages/store/src/key-value-store.ts
+++ b/packages/store/src/key-value-store.ts
@@ -120,7 +120,8 @@
 
   /**
    * Watches ranges over one call until the signal aborts.
-   * It yields an empty list once the watch stands.
+   * It yields an empty list once the watch stands, and again whenever changes
+   * may have been missed.
    *
    * @param fromRevision First store revision whose changes are told.
    */
@@ -129,6 +130,14 @@
     fromRevision: number,
     signal: AbortSignal,
   ): AsyncIterable<readonly WatchEvent[]>;
+
+  /**
+   * Returns whether the watch stands anew after the store was away, as far as
+   * the store itself knows; to be asked when a watch yields an empty list.
+   */
+  isAfterOutage(): boolean {
+    return false;
+  }
 }
 
 /** Creates the range of all keys that begin with a prefix. */
--- a/packages/store/src/watch-hub.ts
+++ b/packages/store/src/watch-hub.ts
@@ -80,18 +80,18 @@
 
   private async watchOnce(signal: AbortSignal): Promise<void> {
     const ranges = this.subscriptions.map(({range}) => range);
-    let isStanding = false;
     for await (const events of this.store.watchRanges(ranges, 0, signal)) {
-      if (!isStanding) {
-        isStanding = true;
-        // One failure is a watch that was cut; a second one is a store that is away.
-        const isAfterOutage = this.failures > 1;
-        this.failures = 0;
-        for (const reader of this.subscriptions) {
-          reader.handleResync(isAfterOutage);
-        }
-      }
-      this.sendToReaders(events);
+      if (events.length === 0) this.startResync();
+      else this.sendToReaders(events);
+    }
+  }
+
+  private startResync(): void {
+    // One failure is a watch that was cut; a second one is a store that is away.
+    const isAfterOutage = this.failures > 1 || this.store.isAfterOutage();
+    this.failures = 0;
+    for (const reader of this.subscriptions) {
+      reader.handleResync(isAfterOutage);
     }
   }
 
