Hold requests through the first moments of a start instead of refusing them

Cause: an instance that listens before it knows configuration and coordinator refused with 2 s to come back, or decided alone: on the small twin seven of 18 instances coordinated for themselves 0.3 to 0.5 s after the loss of all. Change: a start is over once the list of instances is known and those on it that would coordinate were asked, 0.3 s at most after the rest; requests of the first 0.8 s of a process wait for that. A pause of the process opens the watch anew.

--- a/packages/gateway/src/coordinator-search.ts
+++ b/packages/gateway/src/coordinator-search.ts
@@ -44,6 +44,7 @@
   private readonly task: RepeatingTask;
   private readonly asked = new Set<string>();
   private startedAtMs = 0;
+  private isListKnown = false;
 
   constructor(parts: CoordinatorSearchParts) {
     this.parts = parts;
@@ -56,10 +57,21 @@
   /** Asks in rounds until stopped. */
   start(): Promise<void> {
     this.startedAtMs = this.parts.clock.getNow();
-    this.parts.membership.addListener(() => this.askRivals());
+    this.parts.membership.addListener(() => {
+      this.isListKnown = true;
+      this.askRivals();
+    });
     return this.task.start();
   }
 
+  /**
+   * Returns whether the list of instances is known and nobody on it is being asked
+   * who would coordinate in place of the one that is chosen now.
+   */
+  isSettled(): boolean {
+    return this.isListKnown && this.asked.size === 0;
+  }
+
   stop(): void {
     this.task.stop();
   }
--- a/packages/gateway/src/gateway-front.ts
+++ b/packages/gateway/src/gateway-front.ts
@@ -35,6 +35,13 @@
  * than a third of its time; 2 s is that third for the shorter generations.
  */
 const NOT_READY_RETRY_MS = 2000;
+/**
+ * Milliseconds of an instance's life in which a request waits for its
+ * configuration and coordinator instead of being refused. Both are there some
+ * 300 ms after the start where the store or a peer answers; a caller that is
+ * refused comes back 2 s later.
+ */
+const START_HOLD_MS = 800;
 /** Another instance takes the request at once. */
 const CLOSING_RETRY_MS = 50;
 const DRAW_SCALE = 0x1_0000_0000;
@@ -42,9 +49,11 @@
 /** Takes routed requests: finds their route and workspace, and runs them. */
 export class GatewayFront {
   private readonly parts: GatewayFrontParts;
+  private readonly startedAtMs: number;
 
   constructor(parts: GatewayFrontParts) {
     this.parts = parts;
+    this.startedAtMs = parts.clock.getNow();
   }
 
   /** Answers one request; never rejects. */
@@ -59,7 +68,10 @@
     const requestId = typeof id === 'string' ? id : undefined;
     if (lifecycle.isStopping()) outgoing.setHeader('Connection', 'close');
     try {
-      const arrivedAtMs = this.parts.clock.getNow();
+      const {clock} = this.parts;
+      const arrivedAtMs = clock.getNow();
+      const holdMs = this.startedAtMs + START_HOLD_MS - arrivedAtMs;
+      await lifecycle.waitForStart(clock, holdMs);
       const table = this.getTable();
       const admitted = this.admitRequest(incoming, table);
       if (requestId === undefined) {
--- a/packages/gateway/src/gateway-lifecycle.ts
+++ b/packages/gateway/src/gateway-lifecycle.ts
@@ -1,3 +1,4 @@
+import type {Clock} from '@hollowstack/clock';
 import type {ServerResponse} from 'node:http';
 
 /** Where in its life a gateway is. */
@@ -8,9 +9,28 @@
   private state: GatewayState = 'starting';
   private readonly open = new Set<ServerResponse>();
   private readonly refusals = new Set<() => void>();
+  private readonly startWaiters: Array<() => void> = [];
 
+  /** Changes the state; whoever waits for the end of the start goes on. */
   setState(state: GatewayState): void {
     this.state = state;
+    for (const resolve of this.startWaiters.splice(0)) resolve();
+  }
+
+  /**
+   * Resolves once the instance has what it needs to decide, or the time is over.
+   *
+   * @param limitMs Milliseconds to wait at most.
+   */
+  async waitForStart(clock: Clock, limitMs: number): Promise<void> {
+    if (this.state !== 'starting' || limitMs <= 0) return;
+    await new Promise<void>(resolve => {
+      const timer = clock.schedule(limitMs, resolve);
+      this.startWaiters.push(() => {
+        timer.cancel();
+        resolve();
+      });
+    });
   }
 
   isReady(): boolean {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -37,6 +37,11 @@
 
 /** Milliseconds between two looks whether a start is complete. */
 const START_POLL_MS = 20;
+/**
+ * Milliseconds that a start waits for the coordinator beyond what it must know;
+ * most of a question to one that has started at the same time.
+ */
+const SETTLE_LIMIT_MS = 300;
 /** The balancer goes on sending until it has missed the instance twice. */
 const BALANCER_LAG_MS = 2600;
 /** Milliseconds between two looks whether a planned stop is over. */
@@ -87,6 +92,11 @@
     while (!isLoaded() && !isEnding()) {
       await waitFor(clock, START_POLL_MS);
     }
+    const loadedAtMs = clock.getNow();
+    while (!parts.coordinatorSearch.isSettled() && !isEnding()) {
+      if (clock.getNow() - loadedAtMs >= SETTLE_LIMIT_MS) break;
+      await waitFor(clock, START_POLL_MS);
+    }
     if (isEnding()) return;
     lifecycle.setState('ready');
     logger.logEvent('entry.ready', {revision: parts.holder.getRevision()});
@@ -182,7 +192,7 @@
   // What waited here through a pause has been submitted elsewhere since, and
   // what is known of upstreams is as old as the pause.
   private startPauseGuard(): void {
-    const {clock, coordinator, logger, followers} = this.parts;
+    const {clock, coordinator, logger, watchHub} = this.parts;
     let tickedAtMs = clock.getNow();
     const tick = () => {
       if (this.isStopped) return;
@@ -191,7 +201,7 @@
       if (pausedMs > PAUSE_MS) {
         logger.logEvent('entry.paused', {pausedMs: Math.round(pausedMs)});
         coordinator.failAllJobs('the coordinator stood still');
-        for (const follower of followers) void follower.refresh();
+        watchHub.refresh();
       }
       clock.schedule(TICK_MS, tick);
     };
