Learn at the coordinator how long requests take to their first bytes

Cause: an instance of 195 sees one or two requests a second over all routes, so what it learns of the time behind the stages comes late; after a start it asks with a default of 120 ms, and predictions are 0.3 to 0.6 s too low. Change: the coordinator takes the times that all instances report with the first event of a request, and uses its mean for the route where it has one.

--- a/packages/gateway/src/gateway-peer-requests.ts
+++ b/packages/gateway/src/gateway-peer-requests.ts
@@ -77,6 +77,8 @@
       })
       .with({type: 'assignment-progress'}, ({progress}) => {
         directory.recordProgress(progress);
+        const {requestId, firstMs} = progress;
+        if (firstMs !== undefined) coordinator.recordFirst(requestId, firstMs);
         return {type: 'done'};
       })
       .with({type: 'copy'}, asked => exchange.answerCopy(asked))
--- a/packages/stages/src/request-stages.ts
+++ b/packages/stages/src/request-stages.ts
@@ -101,6 +101,7 @@
     const {input} = this;
     const decision = await this.dispatcher.admitRequest({
       requestId: input.requestId,
+      route: input.route.name,
       steps: input.route.stages.map(({service, after, resultBytes}, index) => ({
         service,
         stageKey: this.createStageKey(index),
--- a/packages/stages/src/stage-admission.test.ts
+++ b/packages/stages/src/stage-admission.test.ts
@@ -21,6 +21,7 @@
 ): StageAdmissionRequest {
   return {
     requestId,
+    route: 'r',
     steps: [createStep('s', 10, [])],
     requestMs: 120,
     dueInMs: 1000,
@@ -125,3 +126,18 @@
   await clock.advance(8001);
   assert.equal(admission.judge(createRequest('z')).isAdmitted, true);
 });
+
+test('what requests took to their first bytes is learnt of all instances together', () => {
+  const admission = createAdmission();
+  const ask = (requestId: string, route: string) =>
+    admission.judge(createRequest(requestId, {route, requestMs: 100}))
+      .predictedMs;
+  const untaughtMs = ask('a', 'slow');
+  admission.recordFirst('a', 400);
+  admission.recordFirst('unknown', 9000);
+  admission.recordEnded('a');
+  assert.equal(ask('b', 'slow'), untaughtMs + 300);
+  admission.recordEnded('b');
+  assert.equal(ask('c', 'other'), untaughtMs);
+  admission.stop();
+});
--- a/packages/stages/src/stage-admission.ts
+++ b/packages/stages/src/stage-admission.ts
@@ -1,3 +1,4 @@
+import {DurationEstimator} from '@hollowstack/admission';
 import type {Clock, Timer} from '@hollowstack/clock';
 import type {StageCapacity} from '@hollowstack/routes';
 import type {StageAdmissionRequest, StageStep} from '@hollowstack/types';
@@ -57,9 +58,12 @@
   private readonly ledger = new WorkLedger();
   private readonly timers = new Map<string, Timer>();
   private readonly admitted = new Map<string, StageAdmissionRequest>();
+  /** Milliseconds from sending a request to its first bytes, by route. */
+  private readonly firstTimes: DurationEstimator;
 
   constructor(parts: StageAdmissionParts) {
     this.parts = parts;
+    this.firstTimes = new DurationEstimator(parts.clock);
   }
 
   judge(request: StageAdmissionRequest): StageAdmissionDecision {
@@ -70,7 +74,7 @@
       getPieceMs: ({stageKey}, {pieceMs}) => times.getItemMs(stageKey, pieceMs),
       getWaitMs: service => this.computeWaitMs(service, request.priority),
     });
-    const predictedMs = stagesMs + request.requestMs;
+    const predictedMs = stagesMs + this.predictFirstMs(request);
     const isLate = predictedMs > request.dueInMs * TOLERANCE;
     if (isLate && request.mayComeBack) {
       const lateMs = predictedMs - request.dueInMs;
@@ -84,6 +88,16 @@
     return {isAdmitted: true, predictedMs, retryAfterMs: 0};
   }
 
+  /**
+   * Notes how long a request took to its first bytes once its stages were done.
+   * All instances tell it here: one of 200 sees a route's request every second
+   * or two, too few to learn from.
+   */
+  recordFirst(requestId: string, firstMs: number): void {
+    const request = this.admitted.get(requestId);
+    if (request) this.firstTimes.recordMs(request.route, firstMs);
+  }
+
   /** Notes that a step of a request is done. */
   recordDone(service: string, requestId: string, step: number): void {
     this.ledger.removeStep(service, requestId, step);
@@ -104,6 +118,10 @@
     for (const id of [...this.admitted.keys()]) this.recordEnded(id);
   }
 
+  private predictFirstMs({route, requestMs}: StageAdmissionRequest): number {
+    return this.firstTimes.getMeanMs(route, requestMs);
+  }
+
   private admit(request: StageAdmissionRequest): void {
     const {clock, fleet} = this.parts;
     const {requestId, priority} = request;
--- a/packages/stages/src/stage-coordinator.ts
+++ b/packages/stages/src/stage-coordinator.ts
@@ -78,6 +78,11 @@
     return this.admission.judge(request);
   }
 
+  /** Notes how long a request took to its first bytes once its stages were done. */
+  recordFirst(requestId: string, firstMs: number): void {
+    this.admission.recordFirst(requestId, firstMs);
+  }
+
   /** Notes that a request needs no more stages. */
   endRequest(requestId: string): void {
     this.admission.recordEnded(requestId);
--- a/packages/types/src/stage-job.ts
+++ b/packages/types/src/stage-job.ts
@@ -89,8 +89,13 @@
 /** A question whether the stages of a request can be done in time. */
 export const stageAdmissionRequestSchema = z.object({
   requestId: z.string(),
+  /** Names the route, for what is learnt of it. */
+  route: z.string(),
   steps: z.array(stageStepSchema),
-  /** Milliseconds that the request itself takes to its first bytes. */
+  /**
+   * Milliseconds that the request itself takes to its first bytes, as the asking
+   * instance knows.
+   */
   requestMs: z.number(),
   /** Milliseconds until the request's objective. */
   dueInMs: z.number(),
