Watch from the list's revision where a first reading tells none

Cause: before the operator's first write the store answers 404 without a revision, so that a watcher began its watch at revision 0, which means now: a configuration written between its reading and its watch was missed. Change: a first reading counts as new as the list that was read before it. Test: a key written 0.3 s after the start of a fleet reaches all (failed before).

--- a/packages/store-relay/src/relayed-store.test.ts
+++ b/packages/store-relay/src/relayed-store.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {test, type TestContext} from 'node:test';
 import {ManualClock} from '@hollowstack/clock';
+import {createSingleKeyRange} from '@hollowstack/store';
 import {FOLLOW_WITHIN_MS, TestFleet, type TestInstance} from './test-fleet.ts';
 
 const FLEET_SIZE = 60;
@@ -138,3 +139,14 @@
   await clock.advance(START_MS);
   assert.equal(listWatchers(fleet).length, 9);
 });
+
+test('a key that is written for the first time while a fleet starts reaches all', async t => {
+  const clock = new ManualClock();
+  const fleet = new TestFleet(clock, createSingleKeyRange('test/first'));
+  fleet.start(9, 3);
+  t.after(() => fleet.stop());
+  await clock.advance(300);
+  fleet.store.put('test/first', '1');
+  await clock.advance(FOLLOW_WITHIN_MS);
+  assert.equal(countWithout(fleet.instances, 'test/first', '1'), 0);
+});
--- a/packages/store-relay/src/relayed-store.ts
+++ b/packages/store-relay/src/relayed-store.ts
@@ -23,6 +23,8 @@
 export interface RelayMembers {
   getSelf(): PeerRecord;
   listReachablePeers(): PeerRecord[];
+  /** Returns what was computed from the list under a name until the list changes. */
+  getCached<T>(name: string, compute: () => T): T;
   /** Notes that a peer does not answer. */
   recordUnreachable(id: string): void;
   /** Reads the list; an outage leaves the last one standing. */
@@ -170,7 +172,7 @@
       return {...known, keyValues};
     }
     const reading = await this.parts.store.readRange(range, minModRevision);
-    if (minModRevision === 0) mirror?.applyReading(reading);
+    if (minModRevision === 0) this.applyFirstReading(mirror, reading);
     return reading;
   }
 
@@ -401,6 +403,16 @@
     return reply;
   }
 
+  // A store may tell no revision with a key that is not there; the reading is
+  // still newer than the list that was read before it.
+  private applyFirstReading(
+    mirror: RangeMirror | undefined,
+    reading: RangeResult,
+  ): void {
+    const storeRevision = Math.max(reading.storeRevision, this.startRevision);
+    mirror?.applyReading({...reading, storeRevision});
+  }
+
   private applyEvents(events: readonly WatchEvent[]): WatchEvent[] {
     const news = [...this.mirrors.values()].flatMap(mirror =>
       mirror.applyEvents(
@@ -430,10 +442,9 @@
 
   private listWatchers(): PeerRecord[] {
     const members = this.parts.getMembers();
-    return chooseStoreWatchers([
-      members.getSelf(),
-      ...members.listReachablePeers(),
-    ]);
+    return members.getCached('store-watchers', () =>
+      chooseStoreWatchers([members.getSelf(), ...members.listReachablePeers()]),
+    );
   }
 
   // A change of the list that is gone at the next look moves nobody.
--- a/packages/store-relay/src/test-fleet.ts
+++ b/packages/store-relay/src/test-fleet.ts
@@ -72,7 +72,10 @@
     const keyValues = [...this.keyValues.values()].filter(({key}) =>
       key.startsWith(range.start),
     );
-    return {storeId: 's', storeRevision: this.revision, keyValues};
+    // As the platform's store does for a single key that is not there.
+    const isMissing = range.end === undefined && keyValues.length === 0;
+    const storeRevision = isMissing ? 0 : this.revision;
+    return {storeId: 's', storeRevision, keyValues};
   }
 
   listEvents(
@@ -152,13 +155,14 @@
 
 /** What an instance of a test has heard of the followed range. */
 export class TestReader implements WatchSubscription {
-  readonly range = TEST_RANGE;
+  readonly range: KeyRange;
   readonly values = new Map<string, string>();
   outageCount = 0;
   private readonly store: KeyValueStore;
 
-  constructor(store: KeyValueStore) {
+  constructor(store: KeyValueStore, range: KeyRange) {
     this.store = store;
+    this.range = range;
   }
 
   handleEvents(events: readonly WatchEvent[]): void {
@@ -170,7 +174,7 @@
 
   handleResync(isAfterOutage: boolean): void {
     if (isAfterOutage) this.outageCount += 1;
-    this.store.readRange(TEST_RANGE).then(
+    this.store.readRange(this.range).then(
       ({keyValues}) => {
         this.values.clear();
         for (const {key, value} of keyValues) this.values.set(key, value);
@@ -198,10 +202,13 @@
   readonly store: MemoryStore;
   readonly instances: TestInstance[] = [];
   private readonly clock: ManualClock;
+  private readonly range: KeyRange;
   private readonly servers = new Map<string, RelayServer>();
 
-  constructor(clock: ManualClock) {
+  /** @param range What its instances follow beside the list of instances. */
+  constructor(clock: ManualClock, range = TEST_RANGE) {
     this.clock = clock;
+    this.range = range;
     this.store = new MemoryStore(clock);
   }
 
@@ -232,7 +239,7 @@
     });
     const self = {id, address: id, failureDomain};
     const membership = new Membership({self, store: relayed, clock, random});
-    const reader = new TestReader(relayed);
+    const reader = new TestReader(relayed, this.range);
     const hub = new WatchHub(relayed, clock, random, {
       minBackoffMs: 200,
       maxBackoffMs: 1000,
