--- a/packages/gateway/src/copy-exchange.ts
+++ b/packages/gateway/src/copy-exchange.ts
@@ -35,19 +35,18 @@
   readonly seeds: readonly string[];
   readonly holder: RouteHolder;
   readonly registry: UpstreamRegistry;
+  /** Milliseconds in which a change must be in force here. */
+  readonly followWithinMs: number;
   /** The store's watch, as far as it concerns the configuration. */
   readonly watch: ConfigurationWatch;
 }
 
 /**
- * Milliseconds between rounds; two of them fit in the 2 s in which changes
- * must be in force.
- */
-const ROUND_MS = 700;
-/**
- * Milliseconds for an answer without a copy; a round, so that rounds do not
- * pile up.
+ * Part of the time in which changes must be in force that lies between rounds;
+ * two of them fit in it, and the question that follows.
  */
+const ROUND_SHARE = 0.35;
+/** Milliseconds for an answer without a copy; some hundred round trips. */
 const TIMEOUT_MS = 700;
 /** A whole copy takes its time on a thin link. */
 const COPY_TIMEOUT_MS = 2000;
@@ -84,14 +83,16 @@
   private readonly task: RepeatingTask;
   private readonly configurationNews = new PeerNews(STORE_PATIENCE_MS);
   private readonly upstreamNews = new PeerNews(STORE_PATIENCE_MS);
+  private readonly roundMs: number;
   private round = 0;
   private newsTimer: Timer | undefined;
 
   constructor(parts: CopyExchangeParts) {
     this.parts = parts;
+    this.roundMs = parts.followWithinMs * ROUND_SHARE;
     this.task = new RepeatingTask(parts.clock, parts.random, async () => {
       await this.runRound();
-      return ROUND_MS;
+      return this.roundMs;
     });
   }
 
@@ -114,7 +115,7 @@
     // A peer that is gone must not hold up the next round.
     await Promise.race([
       Promise.all(asked),
-      waitFor(this.parts.clock, ROUND_MS),
+      waitFor(this.parts.clock, this.roundMs),
     ]);
   }
 
@@ -125,7 +126,7 @@
     this.recordPeer(asked);
     const isConfigurationNews =
       holder.getRevision() > asked.configurationRevision;
-    const isDigestOther = registry.computeDigest() !== asked.digest;
+    const isDigestOther = registry.getDigest() !== asked.digest;
     const areUpstreamsNews =
       registry.getStoreRevision() > asked.storeRevision && isDigestOther;
     return {
@@ -194,7 +195,7 @@
           isLeaving: membership.isLeaving(),
           configurationRevision: holder.getRevision(),
           storeRevision: registry.getStoreRevision(),
-          digest: registry.computeDigest(),
+          digest: registry.getDigest(),
           wishes,
         },
         wishes.configuration || wishes.upstreams ? COPY_TIMEOUT_MS : TIMEOUT_MS,
--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -233,6 +233,7 @@
     seeds: settings.peers.seeds,
     holder,
     registry,
+    followWithinMs: settings.store.followWithinMs,
     watch: {
       getLastChangeMs: () => configurationFollower.getLastChangeMs(),
       refresh: () => watchHub.refresh(),
--- a/packages/gateway/src/upstream-registry.ts
+++ b/packages/gateway/src/upstream-registry.ts
@@ -33,6 +33,8 @@
   private readonly missing = new Set<string>();
   private grace: Timer | undefined;
   private storeRevision = 0;
+  /** The digest of the entries; undefined once they have changed. */
+  private digest: string | undefined;
 
   constructor(protocol: RequestProtocol, logger: EventLogger, clock: Clock) {
     this.protocol = protocol;
@@ -113,7 +115,12 @@
   }
 
   /** Returns a text that is equal where two instances know the same upstreams. */
-  computeDigest(): string {
+  getDigest(): string {
+    this.digest ??= this.computeDigest();
+    return this.digest;
+  }
+
+  private computeDigest(): string {
     const text = [...this.entries]
       .filter(([key]) => !this.missing.has(key))
       .map(([, {upstream}]) =>
@@ -125,6 +132,7 @@
   }
 
   private setEntry(key: string, text: string, source: string): void {
+    this.digest = undefined;
     const parsed = this.protocol.parseUpstream(key, text);
     if (!parsed) return;
     this.missing.delete(key);
@@ -145,6 +153,7 @@
   }
 
   private removeEntry(key: string, source: string): void {
+    this.digest = undefined;
     const entry = this.entries.get(key);
     if (!entry || this.missing.has(key)) return;
     const mayComeBack = this.grace !== undefined && !entry.upstream.isLeaving;
@@ -162,6 +171,7 @@
 
   private endGrace(): void {
     this.grace = undefined;
+    this.digest = undefined;
     const lapsed = [...this.missing];
     this.missing.clear();
     for (const key of lapsed) this.removeEntry(key, 'grace');
