Split the relay's client and its mirrors from the relayed store

The store's decorator had grown to 480 lines; asking peers and keeping content are jobs of their own. A watch that ends for any reason says so to followers at once (it went on answering until the next begin failed).

--- a/packages/store-relay/src/index.ts
+++ b/packages/store-relay/src/index.ts
@@ -1,9 +1,9 @@
 /** A few instances watch the store and pass its changes on to the others. */
 export {RangeMirror} from './range-mirror.ts';
+export type {RelayMembers} from './relay-members.ts';
 export {RelayServer, type RelayServerParts} from './relay-server.ts';
 export {
   RelayedStore,
-  type RelayMembers,
   type RelayState,
   type RelayedStoreParts,
 } from './relayed-store.ts';
--- a/packages/store-relay/src/relayed-store.ts
+++ b/packages/store-relay/src/relayed-store.ts
@@ -1,11 +1,6 @@
 import {waitFor, type Clock} from '@hollowstack/clock';
 import type {EventLogger} from '@hollowstack/logger';
-import type {
-  PeerLink,
-  PeerRecord,
-  PeerReply,
-  PeerRequest,
-} from '@hollowstack/peers';
+import type {PeerLink, PeerRecord} from '@hollowstack/peers';
 import {
   KeyValueStore,
   type KeyRange,
@@ -15,21 +10,10 @@
   type TransactionResult,
   type WatchEvent,
 } from '@hollowstack/store';
-import {RangeMirror} from './range-mirror.ts';
-import {RelaySources} from './relay-sources.ts';
-import {chooseStoreWatchers, listRelaySources} from './store-watchers.ts';
-
-/** What the relay asks of the list of instances. */
-export interface RelayMembers {
-  getSelf(): PeerRecord;
-  listReachablePeers(): PeerRecord[];
-  /** Returns what was computed from the list under a name until the list changes. */
-  getCached<T>(name: string, compute: () => T): T;
-  /** Notes that a peer does not answer. */
-  recordUnreachable(id: string): void;
-  /** Reads the list; an outage leaves the last one standing. */
-  refresh(): Promise<void>;
-}
+import {RangeMirrors} from './range-mirrors.ts';
+import {RelayClient} from './relay-client.ts';
+import type {RelayMembers} from './relay-members.ts';
+import {chooseStoreWatchers} from './store-watchers.ts';
 
 /** Dependencies of RelayedStore. */
 export interface RelayedStoreParts {
@@ -55,21 +39,6 @@
 /** Where the changes come from, for the log. */
 type FeedSource = 'store' | 'peers';
 
-/**
- * Part of the time in which a change must be in force for which a peer may hold
- * a question without news: a silent peer and the question to the next one fit in
- * that time.
- */
-const POLL_SHARE = 0.2;
-/**
- * Milliseconds beyond it after which a peer counts as silent: some hundred
- * round trips, and room for a copy on a thin link.
- */
-const SILENCE_MARGIN_MS = 500;
-/** Milliseconds for a first answer; a start goes on with the store instead. */
-const FIRST_TIMEOUT_MS = 250;
-/** Peers asked at a start before the store is read. */
-const MAX_FIRST_SOURCES = 2;
 /**
  * Milliseconds after a start before a role is taken: processes of a fleet start
  * within 300 ms of each other, and whoever took the first list at its word
@@ -96,8 +65,8 @@
  */
 export class RelayedStore extends KeyValueStore {
   private readonly parts: RelayedStoreParts;
-  private readonly mirrors = new Map<string, RangeMirror>();
-  private readonly sources: RelaySources;
+  private readonly mirrors = new RangeMirrors();
+  private readonly client: RelayClient;
   private readonly changeListeners = new Set<() => void>();
   private state: RelayState = 'following';
   private feed: FeedSource | undefined;
@@ -113,16 +82,17 @@
   constructor(parts: RelayedStoreParts) {
     super();
     this.parts = parts;
-    this.sources = new RelaySources(parts.clock);
+    this.client = new RelayClient({
+      ...parts,
+      mirrors: this.mirrors,
+      listWatchers: () => this.listWatchers(),
+    });
   }
 
   /** Returns whether peers can be told of changes. */
   getState(): RelayState {
     if (this.state !== 'watching') return this.state;
-    const isWhole = [...this.mirrors.values()].every(mirror =>
-      mirror.isWhole(),
-    );
-    return isWhole ? 'watching' : 'away';
+    return this.mirrors.isWhole() ? 'watching' : 'away';
   }
 
   override isAfterOutage(): boolean {
@@ -142,7 +112,7 @@
     start: string,
     sinceRevision: number,
   ): readonly WatchEvent[] | undefined {
-    return this.mirrors.get(start)?.listChanges(sinceRevision);
+    return this.mirrors.findMirror(start)?.listChanges(sinceRevision);
   }
 
   /** Returns how many instances watch the store, as far as this one knows. */
@@ -152,7 +122,7 @@
 
   /** Returns the content of a range, by its first key, where it is known. */
   createReading(start: string): RangeResult | undefined {
-    return this.mirrors.get(start)?.createReading();
+    return this.mirrors.findMirror(start)?.createReading();
   }
 
   /** Adds a function that is called at each change until the returned one is called. */
@@ -163,8 +133,7 @@
 
   /** Reads a range; one that is followed is at hand. */
   async readRange(range: KeyRange, minModRevision = 0): Promise<RangeResult> {
-    const mirror = this.mirrors.get(range.start);
-    const known = mirror?.createReading();
+    const known = this.createReading(range.start);
     if (known) {
       const keyValues = known.keyValues.filter(
         ({modRevision}) => modRevision >= minModRevision,
@@ -172,7 +141,7 @@
       return {...known, keyValues};
     }
     const reading = await this.parts.store.readRange(range, minModRevision);
-    if (minModRevision === 0) this.applyFirstReading(mirror, reading);
+    if (minModRevision === 0) this.applyFirstReading(range.start, reading);
     return reading;
   }
 
@@ -197,33 +166,31 @@
     _fromRevision: number,
     signal: AbortSignal,
   ): AsyncIterable<readonly WatchEvent[]> {
-    this.mirrors.clear();
-    for (const range of ranges) {
-      this.mirrors.set(range.start, new RangeMirror(range));
-    }
-    const isFromPeers = await this.begin();
-    yield [];
-    if (!isFromPeers && this.isFirstStart) yield* this.waitForOthers(signal);
-    this.isFirstStart = false;
-    while (!signal.aborted) {
-      if (this.isWatcher()) yield* this.watchStore(signal, Infinity);
-      else yield* this.followPeers(signal);
+    this.mirrors.replaceRanges(ranges);
+    try {
+      const isFromPeers = await this.begin();
+      yield [];
+      if (!isFromPeers && this.isFirstStart) yield* this.waitForOthers(signal);
+      this.isFirstStart = false;
+      while (!signal.aborted) {
+        if (this.isWatcher()) yield* this.watchStore(signal, Infinity);
+        else yield* this.followPeers(signal);
+      }
+    } catch (error) {
+      this.recordBreak();
+      throw error;
     }
   }
 
   // Has the ranges from a peer, or finds out that the store answers.
   private async begin(): Promise<boolean> {
-    if (!this.isWatcher() && (await this.readFromPeers())) return true;
-    const list = await this.parts.store
-      .readRange(this.parts.memberRange)
-      .catch(error => {
-        this.recordBreak();
-        throw error;
-      });
-    this.mirrors.get(this.parts.memberRange.start)?.applyReading(list);
-    await this.parts.getMembers().refresh();
+    const {store, memberRange, getMembers} = this.parts;
+    if (!this.isWatcher() && (await this.client.readAll())) return true;
+    const list = await store.readRange(memberRange);
+    this.mirrors.applyReading(memberRange.start, list);
+    await getMembers().refresh();
     this.startRevision = list.storeRevision;
-    if (!this.isWatcher() && (await this.readFromPeers())) return true;
+    if (!this.isWatcher() && (await this.client.readAll())) return true;
     this.setFeed('store');
     this.state = 'watching';
     this.beganAfterOutage = this.breaks > 1;
@@ -237,7 +204,7 @@
     const {clock, store, memberRange} = this.parts;
     await waitFor(clock, SETTLE_MS, signal);
     const list = await store.readRange(memberRange);
-    const news = this.mirrors.get(memberRange.start)?.applyReading(list) ?? [];
+    const news = this.mirrors.applyReading(memberRange.start, list);
     if (news.length > 0) yield news;
   }
 
@@ -246,22 +213,22 @@
     untilMs: number,
   ): AsyncIterable<readonly WatchEvent[]> {
     const {store} = this.parts;
-    const ranges = [...this.mirrors.values()].map(({range}) => range);
     const ending = new AbortController();
     const either = AbortSignal.any([signal, ending.signal]);
     const endRoleCheck = this.beginRoleCheck(untilMs, () => ending.abort());
     this.setFeed('store');
     this.state = 'watching';
     try {
-      const since = this.getOldestRevision();
+      const since = this.mirrors.getOldestRevision(this.startRevision);
+      const ranges = this.mirrors.listRanges();
       for await (const events of store.watchRanges(ranges, since, either)) {
-        const news = this.applyEvents(events);
-        if (news.length > 0) yield news;
+        const news = this.mirrors.applyEvents(events);
+        if (news.length === 0) continue;
+        this.callChangeListeners();
+        yield news;
       }
     } catch (error) {
-      if (ending.signal.aborted && !signal.aborted) return;
-      this.recordBreak();
-      throw error;
+      if (!ending.signal.aborted || signal.aborted) throw error;
     } finally {
       endRoleCheck();
     }
@@ -275,16 +242,16 @@
     this.setFeed('peers');
     this.state = 'following';
     while (!signal.aborted && !this.isWatcher()) {
-      const source = this.sources.chooseSource(this.listSources());
+      const source = this.client.chooseSource();
       if (source) {
-        const changes = await this.askForChanges(source);
-        if (!changes) continue;
+        const news = await this.client.askForChanges(source);
+        if (!news) continue;
         heardAtMs = clock.getNow();
-        if (changes.isAfterOutage) yield* this.createOutageEnd();
-        if (changes.news.length > 0) yield changes.news;
+        if (news.isAfterOutage) yield* this.createOutageEnd();
+        if (news.events.length > 0) yield news.events;
         continue;
       }
-      const isAway = this.sources.removeAway();
+      const isAway = this.client.removeAway();
       if (isAway && clock.getNow() - heardAtMs < followWithinMs) {
         await waitFor(clock, AWAY_PAUSE_MS, signal);
         continue;
@@ -316,123 +283,11 @@
     );
   }
 
-  /** Asks one source; undefined where it cannot be used. */
-  private async askForChanges(
-    source: PeerRecord,
-  ): Promise<
-    {news: readonly WatchEvent[]; isAfterOutage: boolean} | undefined
-  > {
-    const waitMs = this.parts.followWithinMs * POLL_SHARE;
-    const ranges = [...this.mirrors.values()].map(mirror => ({
-      start: mirror.range.start,
-      sinceRevision: mirror.getRevision(),
-    }));
-    const reply = await this.askSource(
-      source,
-      {type: 'relay-watch', ranges, waitMs},
-      waitMs + SILENCE_MARGIN_MS,
-    );
-    if (reply?.type !== 'relay-changes') return undefined;
-    const news = reply.ranges.flatMap(({start, events}) =>
-      this.mirrors.get(start)!.applyEvents(events),
-    );
-    const missed = reply.ranges.filter(({isGap}) => isGap);
-    const starts = missed.map(({start}) => start);
-    const read = await this.readFromSource(source, starts, SILENCE_MARGIN_MS);
-    if (!read) return undefined;
-    this.callChangeListeners();
-    return {
-      news: [...news, ...read],
-      isAfterOutage: missed.length > 0 && reply.isAfterOutage,
-    };
-  }
-
-  private async readFromPeers(): Promise<boolean> {
-    const starts = [...this.mirrors.keys()];
-    for (let asked = 0; asked < MAX_FIRST_SOURCES; asked++) {
-      const source = this.sources.chooseSource(this.listSources());
-      if (!source) return false;
-      const read = await this.readFromSource(source, starts, FIRST_TIMEOUT_MS);
-      if (read) return true;
-    }
-    return false;
-  }
-
-  private async readFromSource(
-    source: PeerRecord,
-    starts: readonly string[],
-    timeoutMs: number,
-  ): Promise<readonly WatchEvent[] | undefined> {
-    if (starts.length === 0) return [];
-    const reply = await this.askSource(
-      source,
-      {type: 'relay-read', starts: [...starts]},
-      timeoutMs,
-    );
-    if (reply?.type !== 'relay-ranges') return undefined;
-    return reply.ranges.flatMap(({start, ...reading}) =>
-      this.mirrors.get(start)!.applyReading(reading),
-    );
-  }
-
-  private async askSource(
-    source: PeerRecord,
-    request: PeerRequest,
-    timeoutMs: number,
-  ): Promise<PeerReply | undefined> {
-    const {id, address} = source;
-    const reply = await this.parts.link
-      .sendRequest(address, request, timeoutMs)
-      .catch((error: unknown) => {
-        const reason = error instanceof Error ? error.message : String(error);
-        this.parts.logger.logEvent('relay.source-silent', {
-          peer: id,
-          address,
-          reason,
-        });
-        return undefined;
-      });
-    if (!reply) {
-      this.sources.recordFailure(id, 'silent');
-      this.parts.getMembers().recordUnreachable(id);
-    } else if (reply.type === 'relay-unavailable') {
-      this.sources.recordFailure(id, reply.isAway ? 'away' : 'not-watching');
-    } else if (reply.type === 'failed') {
-      this.sources.recordFailure(id, 'not-watching');
-    }
-    return reply;
-  }
-
   // A store may tell no revision with a key that is not there; the reading is
   // still newer than the list that was read before it.
-  private applyFirstReading(
-    mirror: RangeMirror | undefined,
-    reading: RangeResult,
-  ): void {
+  private applyFirstReading(start: string, reading: RangeResult): void {
     const storeRevision = Math.max(reading.storeRevision, this.startRevision);
-    mirror?.applyReading({...reading, storeRevision});
-  }
-
-  private applyEvents(events: readonly WatchEvent[]): WatchEvent[] {
-    const news = [...this.mirrors.values()].flatMap(mirror =>
-      mirror.applyEvents(
-        events.filter(({key}) => isInRange(key, mirror.range)),
-      ),
-    );
-    if (news.length > 0) this.callChangeListeners();
-    return news;
-  }
-
-  private getOldestRevision(): number {
-    const revisions = [...this.mirrors.values()].map(mirror =>
-      mirror.isWhole() ? mirror.getRevision() : this.startRevision,
-    );
-    return Math.min(...revisions);
-  }
-
-  private listSources(): PeerRecord[] {
-    const members = this.parts.getMembers();
-    return listRelaySources(members.getSelf(), this.listWatchers());
+    this.mirrors.applyReading(start, {...reading, storeRevision});
   }
 
   private isWatcher(): boolean {
@@ -486,8 +341,3 @@
     for (const listener of this.changeListeners) listener();
   }
 }
-
-function isInRange(key: string, range: KeyRange): boolean {
-  if (range.end === undefined) return key === range.start;
-  return key >= range.start && key < range.end;
-}
