--- a/packages/store-relay/src/range-mirrors.ts
+++ b/packages/store-relay/src/range-mirrors.ts
@@ -1,4 +1,9 @@
-import type {KeyRange, RangeResult, WatchEvent} from '@hollowstack/store';
+import {
+  isInRange,
+  type KeyRange,
+  type RangeResult,
+  type WatchEvent,
+} from '@hollowstack/store';
 import {RangeMirror} from './range-mirror.ts';
 
 /** The mirrors of all ranges that an instance follows, by their first keys. */
@@ -52,8 +57,3 @@
     return Math.min(...revisions);
   }
 }
-
-function isInRange(key: string, range: KeyRange): boolean {
-  if (range.end === undefined) return key === range.start;
-  return key >= range.start && key < range.end;
-}
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -4,6 +4,7 @@
   StoreError,
   createPrefixRange,
   createSingleKeyRange,
+  isInRange,
   type Comparison,
   type KeyRange,
   type KeyValue,
--- a/packages/store/src/key-value-store.ts
+++ b/packages/store/src/key-value-store.ts
@@ -151,3 +151,9 @@
 export function createSingleKeyRange(key: string): KeyRange {
   return {start: key};
 }
+
+/** Returns whether a key lies in a range. */
+export function isInRange(key: string, range: KeyRange): boolean {
+  if (range.end === undefined) return key === range.start;
+  return key >= range.start && key < range.end;
+}
--- a/packages/store/src/watch-hub.ts
+++ b/packages/store/src/watch-hub.ts
@@ -1,5 +1,10 @@
 import {waitFor, type Clock} from '@hollowstack/clock';
-import type {KeyRange, KeyValueStore, WatchEvent} from './key-value-store.ts';
+import {
+  isInRange,
+  type KeyRange,
+  type KeyValueStore,
+  type WatchEvent,
+} from './key-value-store.ts';
 
 /** One reader of the shared watch. */
 export interface WatchSubscription {
@@ -112,8 +117,3 @@
     return minBackoffMs / 2 + this.random() * ceiling;
   }
 }
-
-function isInRange(key: string, range: KeyRange): boolean {
-  if (range.end === undefined) return key === range.start;
-  return key >= range.start && key < range.end;
-}
