--- a/packages/store-relay/src/relayed-store.ts
+++ b/packages/store-relay/src/relayed-store.ts
@@ -1,6 +1,6 @@
 import {waitFor, type Clock} from '@hollowstack/clock';
 import type {EventLogger} from '@hollowstack/logger';
-import type {PeerLink, PeerRecord} from '@hollowstack/peers';
+import type {PeerLink} from '@hollowstack/peers';
 import {
   KeyValueStore,
   type KeyRange,
@@ -13,7 +13,7 @@
 import {RangeMirrors} from './range-mirrors.ts';
 import {RelayClient} from './relay-client.ts';
 import type {RelayMembers} from './relay-members.ts';
-import {chooseStoreWatchers} from './store-watchers.ts';
+import {RelayRole} from './relay-role.ts';
 
 /** Dependencies of RelayedStore. */
 export interface RelayedStoreParts {
@@ -47,8 +47,6 @@
 const SETTLE_MS = 600;
 /** Milliseconds of watching the store where no peer passes changes on. */
 const FALLBACK_MS = 3000;
-/** Milliseconds between two looks whether this instance is still to watch. */
-const ROLE_CHECK_MS = 1000;
 /** Milliseconds before peers that cannot reach the store are asked again. */
 const AWAY_PAUSE_MS = 250;
 /**
@@ -66,6 +64,7 @@
 export class RelayedStore extends KeyValueStore {
   private readonly parts: RelayedStoreParts;
   private readonly mirrors = new RangeMirrors();
+  private readonly role: RelayRole;
   private readonly client: RelayClient;
   private readonly changeListeners = new Set<() => void>();
   private state: RelayState = 'following';
@@ -82,10 +81,11 @@
   constructor(parts: RelayedStoreParts) {
     super();
     this.parts = parts;
+    this.role = new RelayRole(parts);
     this.client = new RelayClient({
       ...parts,
       mirrors: this.mirrors,
-      listWatchers: () => this.listWatchers(),
+      listWatchers: () => this.role.listWatchers(),
     });
   }
 
@@ -117,7 +117,7 @@
 
   /** Returns how many instances watch the store, as far as this one knows. */
   countWatchers(): number {
-    return this.listWatchers().length;
+    return this.role.listWatchers().length;
   }
 
   /** Returns the content of a range, by its first key, where it is known. */
@@ -173,7 +173,7 @@
       if (!isFromPeers && this.isFirstStart) yield* this.waitForOthers(signal);
       this.isFirstStart = false;
       while (!signal.aborted) {
-        if (this.isWatcher()) yield* this.watchStore(signal, Infinity);
+        if (this.role.isWatcher()) yield* this.watchStore(signal);
         else yield* this.followPeers(signal);
       }
     } catch (error) {
@@ -185,12 +185,12 @@
   // Has the ranges from a peer, or finds out that the store answers.
   private async begin(): Promise<boolean> {
     const {store, memberRange, getMembers} = this.parts;
-    if (!this.isWatcher() && (await this.client.readAll())) return true;
+    if (!this.role.isWatcher() && (await this.client.readAll())) return true;
     const list = await store.readRange(memberRange);
     this.mirrors.applyReading(memberRange.start, list);
     await getMembers().refresh();
     this.startRevision = list.storeRevision;
-    if (!this.isWatcher() && (await this.client.readAll())) return true;
+    if (!this.role.isWatcher() && (await this.client.readAll())) return true;
     this.setFeed('store');
     this.state = 'watching';
     this.beganAfterOutage = this.breaks > 1;
@@ -210,12 +210,12 @@
 
   private async *watchStore(
     signal: AbortSignal,
-    untilMs: number,
+    untilMs?: number,
   ): AsyncIterable<readonly WatchEvent[]> {
     const {store} = this.parts;
     const ending = new AbortController();
     const either = AbortSignal.any([signal, ending.signal]);
-    const endRoleCheck = this.beginRoleCheck(untilMs, () => ending.abort());
+    const endCheck = this.role.beginCheck(untilMs, () => ending.abort());
     this.setFeed('store');
     this.state = 'watching';
     try {
@@ -230,7 +230,7 @@
     } catch (error) {
       if (!ending.signal.aborted || signal.aborted) throw error;
     } finally {
-      endRoleCheck();
+      endCheck();
     }
   }
 
@@ -241,7 +241,7 @@
     let heardAtMs = clock.getNow();
     this.setFeed('peers');
     this.state = 'following';
-    while (!signal.aborted && !this.isWatcher()) {
+    while (!signal.aborted && !this.role.isWatcher()) {
       const source = this.client.chooseSource();
       if (source) {
         const news = await this.client.askForChanges(source);
@@ -290,36 +290,6 @@
     this.mirrors.applyReading(start, {...reading, storeRevision});
   }
 
-  private isWatcher(): boolean {
-    const {id} = this.parts.getMembers().getSelf();
-    return this.listWatchers().some(watcher => watcher.id === id);
-  }
-
-  private listWatchers(): PeerRecord[] {
-    const members = this.parts.getMembers();
-    return members.getCached('store-watchers', () =>
-      chooseStoreWatchers([members.getSelf(), ...members.listReachablePeers()]),
-    );
-  }
-
-  // A change of the list that is gone at the next look moves nobody.
-  private beginRoleCheck(untilMs: number, end: () => void): () => void {
-    const {clock} = this.parts;
-    let wasNeeded = true;
-    const check = () => {
-      const isNeeded =
-        untilMs === Infinity ? this.isWatcher() : clock.getNow() < untilMs;
-      if (!isNeeded && !wasNeeded) {
-        end();
-        return;
-      }
-      wasNeeded = isNeeded;
-      timer = clock.schedule(ROLE_CHECK_MS, check);
-    };
-    let timer = clock.schedule(ROLE_CHECK_MS, check);
-    return () => timer.cancel();
-  }
-
   private recordBreak(): void {
     this.breaks += 1;
     this.state = 'away';
@@ -331,7 +301,8 @@
     this.feed = feed;
     this.parts.logger.logEvent('relay.feed', {
       feed,
-      watchers: this.listWatchers()
+      watchers: this.role
+        .listWatchers()
         .map(({id}) => id)
         .join(','),
     });
