--- a/packages/gateway/src/caller-ages.ts
+++ b/packages/gateway/src/caller-ages.ts
@@ -24,8 +24,8 @@
  * Tells how long ago a caller first asked. One that asks again gives the time
  * that it still has, less than others of its route give at first; what is due
  * counts from its first attempt. So a request that can no longer be in time does
- * not hold up one that can: in the second after a loss of all instances most
- * requests are second attempts.
+ * not hold up one that can, as after a loss of all instances, when callers whose
+ * connections broke ask again.
  */
 export class CallerAges {
   private readonly samples = new Map<string, number[]>();
--- a/packages/peers/src/membership.ts
+++ b/packages/peers/src/membership.ts
@@ -87,8 +87,9 @@
 
   /**
    * Returns what was computed from the list under a name, computed anew once the
-   * list has changed. Several decisions a request ask who coordinates, and a list
-   * of 200 takes some 50 us to go through.
+   * list has changed. Several decisions a request ask who coordinates; going through
+   * a list of 30 was the largest share of an idle instance's own code (16 of 293 ms
+   * in a processor profile).
    */
   getCached<T>(name: string, compute: () => T): T {
     const nowMs = this.parts.clock.getNow();
--- a/packages/stages/src/peer-watch.ts
+++ b/packages/stages/src/peer-watch.ts
@@ -30,8 +30,9 @@
 const MIN_PING_EVERY_MS = 150;
 /**
  * Milliseconds between pings for each live instance: all of them together ask
- * one coordinator at most 670 times a second, a tenth of a core. A process that
- * is killed closes its streams; only freezes and cuts are noticed by pings.
+ * one coordinator at most 670 times a second, however many they are. The figure
+ * is a guess: 0.3 s at 200 instances. A process that is killed closes its
+ * streams; only freezes and cuts are noticed by pings.
  */
 const PING_EVERY_MS_PER_INSTANCE = 1.5;
 /**
--- a/packages/stages/src/stage-admission.ts
+++ b/packages/stages/src/stage-admission.ts
@@ -42,8 +42,9 @@
 /**
  * Share of the time left in which a late request must be predicted to begin its
  * answer: requests in time that are still to come go before it, and callers
- * leave a stream that is silent for half of their time. Without this bound late
- * requests were held to their end in overload.
+ * leave a silent stream before their time is over. A guess. Without any bound
+ * late requests were held to their end in overload: 0.543 of worth for 0.580 with
+ * it (mean of five played days, one score each).
  */
 const LATE_SHARE = 0.4;
 /** Predictions are taken at their word only beyond this. */
