--- /dev/null
+++ b/scripts/run-tests.ts
@@ -0,0 +1,38 @@
+// Runs the tests. With --pass-known-red it passes over those that KNOWN-RED.txt
+// names, and prints them: faults that are known and not mended yet.
+import {spawn} from 'node:child_process';
+import {existsSync, readFileSync} from 'node:fs';
+
+const KNOWN_RED_FILE = 'KNOWN-RED.txt';
+const TEST_FILES = [
+  'packages/*/src/**/*.test.ts',
+  'platform/src/**/*.test.ts',
+  'examples/**/*.test.ts',
+];
+
+/** Lists the names of tests that are known to fail; each line is "name | cause | issue". */
+function listKnownRed(): string[] {
+  if (!existsSync(KNOWN_RED_FILE)) return [];
+  const lines = readFileSync(KNOWN_RED_FILE, 'utf8').split('\n');
+  const known = lines.filter(line => line.trim() !== '');
+  for (const line of known) console.log(`known red, passed over: ${line}`);
+  return known.map(line => line.split(' | ')[0].trim());
+}
+
+function createSkipOption(name: string): string {
+  const escaped = name.replace(/[\\^$.*+?()[\]{}|/]/g, '\\$&');
+  return `--test-skip-pattern=/^${escaped}$/`;
+}
+
+function runTests(): Promise<number> {
+  const mayPass = process.argv.includes('--pass-known-red');
+  const skipped = mayPass ? listKnownRed().map(createSkipOption) : [];
+  const child = spawn(process.execPath, ['--test', ...skipped, ...TEST_FILES], {
+    stdio: 'inherit',
+  });
+  return new Promise(resolve =>
+    child.once('exit', exitCode => resolve(exitCode ?? 1)),
+  );
+}
+
+process.exitCode = await runTests();
