Trust no kept connection to an address after one of them failed

Cause: after a connection fell silent, each other kept one costs the next call its time-out as well. Two such calls in a row count as an outage of the store, which begins a grace that nobody needs. Change: a call that fails on a kept connection closes the idle ones to that address; the next call opens a new one.

--- a/packages/transport/src/node-http-client.ts
+++ b/packages/transport/src/node-http-client.ts
@@ -48,6 +48,7 @@
       });
       outgoing.once('error', error => {
         stopListening();
+        if (outgoing.reusedSocket) this.closeIdle(host, port);
         reject(new TransportError(error.message, progress, error));
       });
       outgoing.once('response', incoming => {
@@ -63,6 +64,14 @@
   close(): void {
     this.agent.destroy();
   }
+
+  // What made one kept connection fail or fall silent has most likely met the
+  // others to that address: each would cost its next call a time-out.
+  private closeIdle(host: string, port: number): void {
+    const name = this.agent.getName({host, port});
+    const idle = this.agent.freeSockets[name] ?? [];
+    for (const socket of [...idle]) socket.destroy();
+  }
 }
 
 function createResponse(incoming: IncomingMessage): HttpResponse {
