--- a/packages/cli/src/commands/gateway/index.ts
+++ b/packages/cli/src/commands/gateway/index.ts
@@ -70,17 +70,18 @@
     const {instance, log, store} = settings;
     const clock = new SystemClock();
     const client = new NodeHttpClient();
+    const logger = new BoundedEventLogger(
+      new TslogEventLogger(instance.id, log.level, log.format),
+      () => clock.getNow(),
+      DEFAULT_LOG_BOUND,
+      () => process.stdout.writableLength,
+    );
     const gateway = createGateway(settings, {
       clock,
-      logger: new BoundedEventLogger(
-        new TslogEventLogger(instance.id, log.level, log.format),
-        () => clock.getNow(),
-        DEFAULT_LOG_BOUND,
-        () => process.stdout.writableLength,
-      ),
+      logger,
       random: Math.random,
       peerNetwork: new TcpPeerNetwork(),
-      store: new PlatformStore(client, clock, store),
+      store: new PlatformStore(client, clock, logger, store),
       requestProtocol: new PlatformRequests(),
       stageProtocol: new PlatformStages(),
       engineProtocol: new PlatformEngines(),
--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -185,10 +185,12 @@
     directory.setUpstreams(upstreams);
   });
 
-  const watchPace = createWatchPace({
-    followWithinMs: settings.store.followWithinMs,
-    getWatcherCount: () => store.countWatchers(),
-  });
+  const createPace = (isHeartbeat: boolean) =>
+    createWatchPace({
+      followWithinMs: settings.store.followWithinMs,
+      getWatcherCount: () => store.countWatchers(),
+      isHeartbeat,
+    });
   const configurationFollower = new StoreFollower({
     store,
     clock,
@@ -196,7 +198,7 @@
     logger,
     range: {
       ...createSingleKeyRange(protocol.configurationKey),
-      watchPace,
+      watchPace: createPace(false),
     },
     handleReading: ({keyValues}) => {
       for (const {value} of keyValues) holder.offerText(value, 'store');
@@ -214,7 +216,7 @@
     logger,
     range: {
       ...createPrefixRange(protocol.upstreamPrefix),
-      watchPace,
+      watchPace: createPace(true),
     },
     handleReading: ({keyValues, storeRevision}) =>
       registry.replaceEntries(keyValues, storeRevision, 'store'),
--- a/packages/gateway/src/watch-pace.test.ts
+++ b/packages/gateway/src/watch-pace.test.ts
@@ -7,6 +7,7 @@
   const pace = createWatchPace({
     followWithinMs: 3000,
     getWatcherCount: () => watcherCount,
+    isHeartbeat: false,
   });
   assert.equal(pace.gatherMs, 108);
   watcherCount = 50;
@@ -14,3 +15,12 @@
   watcherCount = 300;
   assert.equal(pace.gatherMs, 1000);
 });
+
+test('a heartbeat and its margin fit in the time in which changes must be in force', () => {
+  const pace = createWatchPace({
+    followWithinMs: 2000,
+    getWatcherCount: () => 9,
+    isHeartbeat: true,
+  });
+  assert.equal(pace.waitMs + pace.marginMs, 1400);
+});
--- a/packages/gateway/src/watch-pace.ts
+++ b/packages/gateway/src/watch-pace.ts
@@ -5,6 +5,17 @@
  * price. Below the 30 s that stores allow.
  */
 const WAIT_MS = 12_000;
+/**
+ * Part of the time in which a change must be in force that a call of a watch may
+ * wait where its answer is a heartbeat. With the margin a silent connection is
+ * noticed after 0.7 of that time, which leaves 0.3 for the next connection.
+ */
+const HEARTBEAT_SHARE = 0.5;
+/**
+ * Part of it by which an answer may be late: 0.4 s of 2 s, where a slow store
+ * takes 0.24 s.
+ */
+const MARGIN_SHARE = 0.2;
 /** Part of the time in which a change must be in force that gathering may take. */
 const GATHER_SHARE = 1 / 3;
 /**
@@ -18,6 +29,11 @@
   /** Milliseconds in which a change must be in force here. */
   readonly followWithinMs: number;
   readonly getWatcherCount: () => number;
+  /**
+   * Whether the answers without a change are the heartbeat by which the watch
+   * of all ranges proves that its connections live. Each costs a call.
+   */
+  readonly isHeartbeat: boolean;
 }
 
 /**
@@ -25,11 +41,13 @@
  * each of them a call, so that more of them gather changes for longer.
  */
 export function createWatchPace(input: WatchPaceInput): WatchPace {
+  const {followWithinMs, isHeartbeat} = input;
   return {
-    waitMs: WAIT_MS,
+    waitMs: isHeartbeat ? followWithinMs * HEARTBEAT_SHARE : WAIT_MS,
+    marginMs: followWithinMs * MARGIN_SHARE,
     get gatherMs() {
       return Math.min(
-        input.followWithinMs * GATHER_SHARE,
+        followWithinMs * GATHER_SHARE,
         input.getWatcherCount() * GATHER_MS_PER_WATCHER,
       );
     },
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -119,6 +119,11 @@
     level: 'info',
     text: 'the watch of the store stands again; what it follows is read anew',
   },
+  'store.watch-unanswered': {
+    number: 404,
+    level: 'warn',
+    text: 'a call of the watch brought no answer; it is made again on another connection',
+  },
   'peer.refused': {
     number: 500,
     level: 'warn',
--- a/packages/peers/src/membership.ts
+++ b/packages/peers/src/membership.ts
@@ -13,7 +13,11 @@
 export const PEER_PREFIX = 'hollowstack/instances/';
 
 /** Peers tell of each other as well, so the list itself may lag a little. */
-const WATCH_PACE: WatchPace = {waitMs: 28_000, gatherMs: 1000};
+const WATCH_PACE: WatchPace = {
+  waitMs: 28_000,
+  gatherMs: 1000,
+  marginMs: 1000,
+};
 
 /** Milliseconds of a registration where the wiring sets none. */
 const DEFAULT_LEASE_MS = 30_000;
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -2,6 +2,7 @@
 export {
   KeyValueStore,
   StoreError,
+  StoreRefusalError,
   createPrefixRange,
   createSingleKeyRange,
   isInRange,
@@ -19,6 +20,12 @@
 } from './key-value-store.ts';
 export {GatewayStore, type GatewayStoreOptions} from './gateway-store.ts';
 export {BudgetedStore, type CallBudgetOptions} from './budgeted-store.ts';
+export {
+  PolledWatch,
+  type PolledWatchParts,
+  type WatchCall,
+  type WatchCallAnswer,
+} from './polled-watch.ts';
 export {
   WatchHub,
   type WatchBackoff,
--- a/packages/store/src/key-value-store.ts
+++ b/packages/store/src/key-value-store.ts
@@ -24,6 +24,8 @@
   readonly waitMs: number;
   /** Milliseconds after a change before the next call, so that it brings several. */
   readonly gatherMs: number;
+  /** Milliseconds beyond the wait after which a call counts as unanswered, at least. */
+  readonly marginMs: number;
 }
 
 /** What a read found. */
@@ -98,6 +100,14 @@
   }
 }
 
+/** The service answered, with something else than success. */
+export class StoreRefusalError extends StoreError {
+  constructor(message: string, effect: StoreEffect, cause?: unknown) {
+    super(message, effect, cause);
+    this.name = 'StoreRefusalError';
+  }
+}
+
 /** The platform's key-value service. Every method throws StoreError when it does not answer. */
 export abstract class KeyValueStore {
   /** Reads a range; `minModRevision` leaves out what has not changed since. */
--- /dev/null
+++ b/packages/store/src/polled-watch.test.ts
@@ -0,0 +1,168 @@
+import assert from 'node:assert/strict';
+import {test, type TestContext} from 'node:test';
+import {ManualClock, waitFor} from '@hollowstack/clock';
+import {SilentEventLogger} from '@hollowstack/logger';
+import {
+  StoreError,
+  StoreRefusalError,
+  createPrefixRange,
+  type KeyRange,
+  type WatchEvent,
+} from './key-value-store.ts';
+import {PolledWatch, type WatchCall} from './polled-watch.ts';
+
+const MARGIN_MS = 400;
+const LATENCY_MS = 4;
+const HEARTBEAT: KeyRange = {
+  ...createPrefixRange('fast/'),
+  watchPace: {waitMs: 1000, gatherMs: 0, marginMs: MARGIN_MS},
+};
+const SLOW: KeyRange = {
+  ...createPrefixRange('slow/'),
+  watchPace: {waitMs: 12_000, gatherMs: 0, marginMs: MARGIN_MS},
+};
+
+/** A store whose calls can hang on connections that have fallen silent. */
+class CallStore {
+  latencyMs = LATENCY_MS;
+  isAway = false;
+  refusal: StoreRefusalError | undefined;
+  callCount = 0;
+  private readonly clock: ManualClock;
+  private readonly events: WatchEvent[] = [];
+  private readonly waiting = new Set<() => void>();
+  private silentBelow = 0;
+
+  constructor(clock: ManualClock) {
+    this.clock = clock;
+  }
+
+  put(key: string): void {
+    const modRevision = this.events.length + 1;
+    this.events.push({type: 'put', key, value: '', modRevision});
+    for (const wake of this.waiting) wake();
+  }
+
+  /** Silences the calls that wait now. */
+  silenceCalls(): void {
+    this.silentBelow = this.callCount;
+  }
+
+  async answerCall(call: WatchCall) {
+    const number = this.callCount++;
+    const endMs = this.clock.getNow() + call.waitMs;
+    for (;;) {
+      const isSilent = this.isAway || number < this.silentBelow;
+      if (isSilent) await waitFor(this.clock, Infinity, call.signal);
+      if (this.refusal) throw this.refusal;
+      const events = this.events.filter(
+        ({key, modRevision}) =>
+          key.startsWith(call.range.start) && modRevision > call.sinceRevision,
+      );
+      if (events.length > 0 || this.clock.getNow() >= endMs) {
+        const storeRevision = this.events.length;
+        await waitFor(this.clock, this.latencyMs, call.signal);
+        return {events, storeRevision};
+      }
+      await this.waitForChange(endMs, call.signal);
+    }
+  }
+
+  private async waitForChange(
+    endMs: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const waking = new AbortController();
+    const wake = () => waking.abort();
+    this.waiting.add(wake);
+    const leftMs = endMs - this.clock.getNow();
+    await waitFor(
+      this.clock,
+      leftMs,
+      AbortSignal.any([signal, waking.signal]),
+    ).catch(() => signal.throwIfAborted());
+    this.waiting.delete(wake);
+  }
+}
+
+function startWatch(t: TestContext, ranges: readonly KeyRange[]) {
+  const clock = new ManualClock();
+  const store = new CallStore(clock);
+  const watch = new PolledWatch({
+    clock,
+    logger: new SilentEventLogger(),
+    callStore: call => store.answerCall(call),
+  });
+  const ending = new AbortController();
+  t.after(() => ending.abort(new Error('done')));
+  const keys: string[] = [];
+  const read = async () => {
+    const changes = watch.watchRanges(ranges, 0, ending.signal);
+    for await (const events of changes) {
+      keys.push(...events.map(({key}) => key));
+    }
+  };
+  const failed = read().catch((error: unknown) => error);
+  return {clock, store, keys, failed, ending};
+}
+
+test('a call whose connection fell silent is made again, and no change is missed', async t => {
+  const {clock, store, keys} = startWatch(t, [HEARTBEAT]);
+  await clock.advance(100);
+  store.silenceCalls();
+  store.put('fast/a');
+  store.put('fast/b');
+  await clock.advance(1000 + MARGIN_MS + LATENCY_MS);
+  assert.deepEqual(keys, ['fast/a', 'fast/b']);
+});
+
+test('the heartbeat of one range finds the silent connections of the others', async t => {
+  const {clock, store, keys} = startWatch(t, [HEARTBEAT, SLOW]);
+  await clock.advance(100);
+  store.silenceCalls();
+  store.put('slow/a');
+  await clock.advance(1000 + MARGIN_MS + LATENCY_MS);
+  assert.deepEqual(keys, ['slow/a']);
+});
+
+test('a store that answers no second call in a row fails the watch', async t => {
+  const {clock, store, failed} = startWatch(t, [HEARTBEAT]);
+  await clock.advance(100);
+  store.isAway = true;
+  await clock.advance(4000);
+  assert.ok((await failed) instanceof Error);
+  assert.equal(store.callCount, 2);
+});
+
+test('a store that has lost its history fails the watch at once', async t => {
+  const {clock, store, failed} = startWatch(t, [HEARTBEAT]);
+  await clock.advance(100);
+  store.refusal = new StoreRefusalError('answered 410', 'none');
+  store.put('fast/a');
+  await clock.advance(1);
+  assert.ok((await failed) instanceof StoreError);
+  assert.equal(store.callCount, 1);
+});
+
+test('a store that turns slow is not taken for one that is away', async t => {
+  const {clock, store, keys, failed} = startWatch(t, [HEARTBEAT]);
+  let hasFailed = false;
+  void failed.then(() => (hasFailed = true));
+  for (const latencyMs of [200, 600, 900, 4]) {
+    store.latencyMs = latencyMs;
+    await clock.advance(8000);
+    store.put(`fast/${latencyMs}`);
+    await clock.advance(3000);
+  }
+  assert.equal(hasFailed, false);
+  assert.deepEqual(keys, ['fast/200', 'fast/600', 'fast/900', 'fast/4']);
+});
+
+test('a watch that is given up ends', async t => {
+  const {clock, failed, ending} = startWatch(t, [HEARTBEAT, SLOW]);
+  await clock.advance(100);
+  const reason = new Error('given up');
+  ending.abort(reason);
+  await clock.advance(1);
+  assert.equal(await failed, reason);
+});
