Close streams to peers that have fallen silent

Cause: a request that ran out of its time left its stream open, and the next one used it again. A round of the exchange over a silent stream cost 1.4 s, each time, until a ping happened to close it. Change: a stream on which requests run out of time, and nothing else was heard for 0.6 s, is closed (event 502); the next request opens another. What waits on a stream moves from PeerLink to PeerStream. Idle streams are probed by the kernel, so that whoever accepted one from an instance without power does not keep it for good. Figures: of the two new tests the first failed before (the second request ran out of its time too) and passes now; a peer that is only slow keeps its stream.

--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -134,6 +134,11 @@
     level: 'warn',
     text: 'a peer does not answer; what waits there goes elsewhere',
   },
+  'peer.stream-silent': {
+    number: 502,
+    level: 'warn',
+    text: 'a stream to a peer has fallen silent; it is closed, and the next request opens another',
+  },
   'relay.feed': {
     number: 510,
     level: 'info',
--- a/packages/peers/src/peer-link.test.ts
+++ b/packages/peers/src/peer-link.test.ts
@@ -12,12 +12,36 @@
   TcpPeerNetwork,
   encodeFrame,
   type PeerKey,
+  type PeerSocket,
 } from './index.ts';
 
 const KEY: PeerKey = {id: 'k1', secret: 'first-secret-of-the-test'};
 const NEXT_KEY: PeerKey = {id: 'k2', secret: 'second-secret-of-the-test'};
 const TIMEOUT_MS = 2000;
 
+/** Streams over TCP whose open ones can fall silent while new ones work. */
+class SilentPeerNetwork extends TcpPeerNetwork {
+  connectCount = 0;
+  private silentBelow = 0;
+
+  silenceOpenStreams(): void {
+    this.silentBelow = this.connectCount;
+  }
+
+  override async connect(address: string): Promise<PeerSocket> {
+    const number = this.connectCount++;
+    const socket = await super.connect(address);
+    return {
+      send: bytes => {
+        if (number >= this.silentBelow) socket.send(bytes);
+      },
+      setDataHandler: handleData => socket.setDataHandler(handleData),
+      setCloseHandler: handleClose => socket.setCloseHandler(handleClose),
+      close: () => socket.close(),
+    };
+  }
+}
+
 interface StartedLink {
   readonly link: PeerLink;
   readonly address: string;
@@ -29,12 +53,13 @@
   t: TestContext,
   id: string,
   keys: readonly PeerKey[],
+  network = new TcpPeerNetwork(),
 ): Promise<StartedLink> {
   const ring = new KeyRing(keys);
   const metrics = new MetricsRegistry();
   const link = new PeerLink({
     identity: {id, failureDomain: 'a'},
-    network: new TcpPeerNetwork(),
+    network,
     keys: ring,
     clock: new SystemClock(),
     logger: new SilentEventLogger(),
@@ -123,3 +148,36 @@
   const decoder = new FrameDecoder(16);
   assert.throws(() => decoder.addBytes(Buffer.from([0, 0, 0, 17])), FrameError);
 });
+
+test('a stream that fell silent is closed, and the next request opens another', async t => {
+  const network = new SilentPeerNetwork();
+  const left = await startLink(t, 'left', [KEY], network);
+  const right = await startLink(t, 'right', [KEY]);
+  const askWithin = (timeoutMs: number) =>
+    left.link.sendRequest(right.address, {type: 'members'}, timeoutMs);
+  await askWithin(TIMEOUT_MS);
+  network.silenceOpenStreams();
+  const held = askWithin(TIMEOUT_MS);
+  held.catch(() => {});
+  await assert.rejects(askWithin(650), {message: /no answer/});
+  await assert.rejects(held, {message: /has closed/});
+  await askWithin(650);
+  assert.equal(network.connectCount, 2);
+});
+
+test('a peer that answers other requests is not given up for a slow one', async t => {
+  const network = new SilentPeerNetwork();
+  const left = await startLink(t, 'left', [KEY], network);
+  const right = await startLink(t, 'right', [KEY]);
+  right.link.setRequestHandler(async request => {
+    if (request.type === 'ping') return {type: 'done'};
+    return new Promise(() => {});
+  });
+  const askWithin = (type: 'members' | 'ping', timeoutMs: number) =>
+    left.link.sendRequest(right.address, {type}, timeoutMs);
+  for (let round = 0; round < 6; round++) {
+    await assert.rejects(askWithin('members', 200));
+    await askWithin('ping', 200);
+  }
+  assert.equal(network.connectCount, 1);
+});
--- a/packages/peers/src/peer-link.ts
+++ b/packages/peers/src/peer-link.ts
@@ -1,10 +1,11 @@
-import type {Clock, Timer} from '@hollowstack/clock';
+import type {Clock} from '@hollowstack/clock';
 import {HollowstackError} from '@hollowstack/errors';
 import type {EventLogger} from '@hollowstack/logger';
 import type {MetricsRegistry} from '@hollowstack/metrics';
 import type {KeyRing} from './key-ring.ts';
 import type {Envelope, PeerReply, PeerRequest} from './messages.ts';
 import type {PeerNetwork, PeerSocket} from './peer-network.ts';
+import {PeerStream} from './peer-stream.ts';
 import {Session} from './session.ts';
 
 /** Who this instance is to its peers. */
@@ -24,17 +25,6 @@
   readonly metrics: MetricsRegistry;
 }
 
-interface PendingRequest {
-  readonly resolve: (reply: PeerReply) => void;
-  readonly reject: (error: Error) => void;
-  readonly timer: Timer;
-}
-
-interface OpenPeer {
-  readonly session: Session;
-  readonly pending: Map<number, PendingRequest>;
-}
-
 // Streams that were opened to ask a rare question are closed again, so that a
 // large fleet does not end as a full mesh.
 const MAX_OPEN_PEERS = 32;
@@ -49,7 +39,7 @@
 /** Asks peers and answers them over authenticated streams. */
 export class PeerLink {
   private readonly parts: PeerLinkParts;
-  private readonly opened = new Map<string, Promise<OpenPeer>>();
+  private readonly opened = new Map<string, Promise<PeerStream>>();
   private readonly sessions = new Set<Session>();
   private handleRequest: PeerRequestHandler;
   private nextRequestId = 1;
@@ -85,24 +75,27 @@
     request: PeerRequest,
     timeoutMs: number,
   ): Promise<PeerReply> {
+    const {clock, metrics} = this.parts;
     const id = this.nextRequestId++;
     return new Promise((resolve, reject) => {
       let isOver = false;
-      let peer: OpenPeer | undefined;
-      const timer = this.parts.clock.schedule(timeoutMs, () => {
+      let stream: PeerStream | undefined;
+      const sentAtMs = clock.getNow();
+      const timer = clock.schedule(timeoutMs, () => {
         isOver = true;
-        peer?.pending.delete(id);
+        if (stream?.recordTimeout(id, sentAtMs)) {
+          this.closeSilent(address, stream);
+        }
         reject(createLinkError(`no answer from ${address}`));
       });
       this.openPeer(address).then(
         opened => {
           if (isOver) return;
-          peer = opened;
-          peer.pending.set(id, {resolve, reject, timer});
-          this.parts.metrics.addToCounter('hollowstack_peer_requests_total', {
+          stream = opened;
+          metrics.addToCounter('hollowstack_peer_requests_total', {
             type: request.type,
           });
-          peer.session.sendEnvelope({kind: 'request', id, request});
+          stream.sendRequest(id, request, {resolve, reject, timer});
         },
         error => {
           timer.cancel();
@@ -128,7 +121,13 @@
     for (const session of this.sessions) session.close();
   }
 
-  private openPeer(address: string): Promise<OpenPeer> {
+  // A silent stream would cost each request that follows its whole time.
+  private closeSilent(address: string, {session}: PeerStream): void {
+    this.parts.logger.logEvent('peer.stream-silent', {address});
+    session.close();
+  }
+
+  private openPeer(address: string): Promise<PeerStream> {
     const known = this.opened.get(address);
     if (known) {
       // Taken out and put in again, so that the one unused longest comes first.
@@ -136,7 +135,7 @@
       this.opened.set(address, known);
       return known;
     }
-    const opening: Promise<OpenPeer> = this.connectPeer(address, () =>
+    const opening: Promise<PeerStream> = this.connectPeer(address, () =>
       this.removePeer(address, opening),
     );
     this.opened.set(address, opening);
@@ -148,35 +147,35 @@
   private async connectPeer(
     address: string,
     handleClosed: () => void,
-  ): Promise<OpenPeer> {
+  ): Promise<PeerStream> {
+    const {clock} = this.parts;
     const socket = await this.parts.network.connect(address).catch(error => {
       throw createLinkError(`cannot reach ${address}`, error);
     });
     return new Promise((resolve, reject) => {
-      const pending = new Map<number, PendingRequest>();
-      const timer = this.parts.clock.schedule(HANDSHAKE_TIMEOUT_MS, () =>
-        socket.close(),
-      );
+      const timer = clock.schedule(HANDSHAKE_TIMEOUT_MS, () => socket.close());
       const session = this.createSession(socket, 'dialer', {
         handleOpen: () => {
           timer.cancel();
-          resolve({session, pending});
+          resolve(stream);
+        },
+        handleEnvelope: envelope => {
+          stream.recordHeard();
+          this.handleEnvelope(envelope, session, address, stream);
         },
-        handleEnvelope: envelope =>
-          this.handleEnvelope(envelope, session, pending, address),
         handleClose: refusal => {
           timer.cancel();
           const error = createLinkError(refusal ?? `${address} has closed`);
           reject(error);
-          this.failPending(pending, error);
+          stream.failPending(error);
           handleClosed();
         },
       });
+      const stream = new PeerStream(session, clock);
     });
   }
 
   private acceptPeer(socket: PeerSocket): void {
-    const pending = new Map<number, PendingRequest>();
     const timer = this.parts.clock.schedule(HANDSHAKE_TIMEOUT_MS, () =>
       socket.close(),
     );
@@ -187,7 +186,7 @@
         peerId = peer;
       },
       handleEnvelope: envelope =>
-        this.handleEnvelope(envelope, session, pending, peerId),
+        this.handleEnvelope(envelope, session, peerId),
       handleClose: () => timer.cancel(),
     });
   }
@@ -213,17 +212,14 @@
   private handleEnvelope(
     envelope: Envelope,
     session: Session,
-    pending: Map<number, PendingRequest>,
     peer: string,
+    stream?: PeerStream,
   ): void {
     if (envelope.kind === 'request') {
       void this.answerRequest(envelope.id, envelope.request, session, peer);
       return;
     }
-    const waiting = pending.get(envelope.id);
-    pending.delete(envelope.id);
-    waiting?.timer.cancel();
-    waiting?.resolve(envelope.reply);
+    stream?.handleReply(envelope.id, envelope.reply);
   }
 
   private async answerRequest(
@@ -241,23 +237,12 @@
     session.sendEnvelope({kind: 'reply', id, reply});
   }
 
-  private failPending(
-    pending: Map<number, PendingRequest>,
-    error: Error,
-  ): void {
-    for (const {reject, timer} of pending.values()) {
-      timer.cancel();
-      reject(error);
-    }
-    pending.clear();
-  }
-
   private recordRefusal(reason: string): void {
     this.parts.metrics.addToCounter('hollowstack_peer_refusals_total');
     this.parts.logger.logEvent('peer.refused', {reason});
   }
 
-  private removePeer(address: string, opening: Promise<OpenPeer>): void {
+  private removePeer(address: string, opening: Promise<PeerStream>): void {
     if (this.opened.get(address) === opening) this.opened.delete(address);
   }
 
--- a/packages/peers/src/tcp-peer-network.ts
+++ b/packages/peers/src/tcp-peer-network.ts
@@ -8,7 +8,19 @@
 } from 'node:net';
 import {PeerNetwork, type PeerSocket} from './peer-network.ts';
 
+/** Milliseconds for a stream to stand; some hundred round trips. */
 const CONNECT_TIMEOUT_MS = 1000;
+/**
+ * Probes of idle streams. Who accepted a stream sends nothing on it unasked, and
+ * would keep it for good once the other side lost its power; after 25 s the
+ * kernel closes it. Requests notice a silent stream much sooner.
+ */
+const KEEP_ALIVE = {
+  enable: true,
+  initialDelay: 10_000,
+  interval: 5000,
+  count: 3,
+};
 
 /** Streams over TCP. */
 export class TcpPeerNetwork extends PeerNetwork {
@@ -58,6 +70,7 @@
 
   constructor(socket: Socket) {
     this.socket = socket;
+    socket.setKeepAlive(KEEP_ALIVE);
     // An error is followed by the close, which is what the link acts on.
     socket.on('error', () => {});
   }
