Let peers end a grace that only this instance's own outage began

Cause: an instance whose watch failed twice takes the store for gone and keeps upstreams that are missing for 2.2 s, in case their registrations only lapsed. Where it alone was cut off, they are gone for good, and got work for longer than the 2 s that changes may take. A second cause was in the same exchange: a round that met a silent stream lasted 1.4 s, and whoever was asked learnt nothing from the asker. Ruled out: a shorter grace (registrations that lapsed need up to 2 s to come back); no grace for deletions that the watch tells of (leases run out just after an outage too). Change: questions and answers of the exchange say whether their sender is in a grace. A peer that is not, and knows the same upstreams without the missing ones, ends the grace; it is asked as soon as one is missing. A second peer is asked where the first has not answered after 0.15 of the time that changes have, revisions are learnt from askers too, and the patience for the store's watch follows that time. The choice of whom to ask moves to ExchangePartners.

--- a/packages/gateway/src/copy-exchange.ts
+++ b/packages/gateway/src/copy-exchange.ts
@@ -12,7 +12,7 @@
   type PeerReply,
   type PeerRequest,
 } from '@hollowstack/peers';
-import {chooseSubset} from '@hollowstack/routing';
+import {ExchangePartners} from './exchange-partners.ts';
 import {PeerNews} from './peer-news.ts';
 import type {RouteHolder} from './route-holder.ts';
 import type {UpstreamRegistry} from './upstream-registry.ts';
@@ -25,6 +25,12 @@
   readonly refresh: () => void;
 }
 
+/** How far a peer is, as far as it tells. */
+type PeerRevisions = Pick<
+  Extract<PeerReply, {type: 'copy'}>,
+  'configurationRevision' | 'storeRevision' | 'isDigestOther' | 'isProvisional'
+>;
+
 /** What the exchange works with. */
 export interface CopyExchangeParts {
   readonly link: PeerLink;
@@ -51,28 +57,26 @@
 /** A whole copy takes its time on a thin link. */
 const COPY_TIMEOUT_MS = 2000;
 /**
- * Every so many rounds a seed is asked too, which joins groups that know
- * nothing of each other. A guess.
+ * Part of the time in which changes must be in force after which a second peer
+ * is asked where the first has not answered: its stream may have fallen silent.
+ */
+const STANDBY_SHARE = 0.15;
+/**
+ * Part of it for which the store's watch is given its time before a peer sends a
+ * copy. Two rounds at the most, the standby and this patience leave a tenth for
+ * the copy itself.
  */
-const SEEDS_EVERY_ROUNDS = 8;
-/** Milliseconds that the store's watch is given before a peer sends a copy. */
-const STORE_PATIENCE_MS = 600;
+const PATIENCE_SHARE = 0.2;
 /**
- * Milliseconds after the news was due by which the watch must have brought it.
- * A watch may gather changes for a third of the time in which they must be in
- * force, so it is taken for dead only then.
+ * Part of it after which the watch must have brought what a peer knew. A watch
+ * may gather changes for a third, so it is taken for dead only then.
  */
-const WATCH_PATIENCE_MS = 700;
+const WATCH_PATIENCE_SHARE = 0.35;
 const NO_WISHES: CopyWishes = {
   configuration: false,
   upstreams: false,
   members: false,
 };
-/** Peers that an instance of a large fleet keeps connections to. */
-const NEIGHBOUR_COUNT = 8;
-/** Every so many rounds a peer beyond the neighbours is asked. */
-const FAR_EVERY_ROUNDS = 5;
-
 /**
  * Compares with one peer at a time what each knows of configuration and
  * upstreams, so that an instance which the store turns away, or which starts in
@@ -81,15 +85,20 @@
 export class CopyExchange {
   private readonly parts: CopyExchangeParts;
   private readonly task: RepeatingTask;
-  private readonly configurationNews = new PeerNews(STORE_PATIENCE_MS);
-  private readonly upstreamNews = new PeerNews(STORE_PATIENCE_MS);
+  private readonly partners: ExchangePartners;
+  private readonly configurationNews: PeerNews;
+  private readonly upstreamNews: PeerNews;
   private readonly roundMs: number;
-  private round = 0;
+  private readonly patienceMs: number;
   private newsTimer: Timer | undefined;
 
   constructor(parts: CopyExchangeParts) {
     this.parts = parts;
+    this.partners = new ExchangePartners(parts);
     this.roundMs = parts.followWithinMs * ROUND_SHARE;
+    this.patienceMs = parts.followWithinMs * PATIENCE_SHARE;
+    this.configurationNews = new PeerNews(this.patienceMs);
+    this.upstreamNews = new PeerNews(this.patienceMs);
     this.task = new RepeatingTask(parts.clock, parts.random, async () => {
       await this.runRound();
       return this.roundMs;
@@ -107,10 +116,12 @@
 
   /** Asks one peer, or the seeds while no peer is known. */
   async runRound(): Promise<void> {
-    const addresses = this.chooseAddresses();
+    const {addresses, standby} = this.partners.chooseRound();
     const wishes = this.listWishes();
     const asked = addresses.map((address, index) =>
-      this.askPeer(address, index === 0 ? wishes : NO_WISHES),
+      index === 0
+        ? this.askWithStandby(address, standby, wishes)
+        : this.askPeer(address, NO_WISHES),
     );
     // A peer that is gone must not hold up the next round.
     await Promise.race([
@@ -123,10 +134,15 @@
   answerCopy(asked: Extract<PeerRequest, {type: 'copy'}>): PeerReply {
     const {holder, registry, membership} = this.parts;
     const {wishes} = asked;
-    this.recordPeer(asked);
     const isConfigurationNews =
       holder.getRevision() > asked.configurationRevision;
     const isDigestOther = registry.getDigest() !== asked.digest;
+    this.recordPeer(asked);
+    // Whoever asks may know more than the one that is asked.
+    if (!asked.isLeaving) {
+      this.recordNews({...asked, isDigestOther});
+      this.scheduleNewsCheck(asked.self.address);
+    }
     const areUpstreamsNews =
       registry.getStoreRevision() > asked.storeRevision && isDigestOther;
     return {
@@ -136,6 +152,7 @@
       configurationRevision: holder.getRevision(),
       storeRevision: registry.getStoreRevision(),
       isDigestOther,
+      isProvisional: registry.isInGrace(),
       configurationText:
         wishes.configuration && isConfigurationNews
           ? holder.getText()
@@ -160,31 +177,26 @@
     };
   }
 
-  private chooseAddresses(): string[] {
-    const {membership, seeds, random} = this.parts;
-    const peers = membership.listReachablePeers();
-    const own = membership.getSelf().address;
-    const others = seeds.filter(address => address !== own);
-    this.round += 1;
-    if (peers.length === 0) return others;
-    const isFar = this.round % FAR_EVERY_ROUNDS === 0;
-    const near = isFar ? peers : this.listNeighbours(peers);
-    const peer = near[Math.floor(random() * near.length)];
-    const chosen = [peer.address];
-    if (this.round % SEEDS_EVERY_ROUNDS === 0 && others.length > 0) {
-      chosen.push(others[Math.floor(random() * others.length)]);
+  private async askWithStandby(
+    address: string,
+    standby: string | undefined,
+    wishes: CopyWishes,
+  ): Promise<void> {
+    const {clock, followWithinMs} = this.parts;
+    const asked = this.askPeer(address, wishes);
+    if (standby === undefined) {
+      await asked;
+      return;
     }
-    return [...new Set(chosen)];
-  }
-
-  // Connections have a price at both ends, so most rounds go to the same few.
-  private listNeighbours(peers: readonly PeerRecord[]): readonly PeerRecord[] {
-    if (peers.length <= NEIGHBOUR_COUNT) return peers;
-    const own = this.parts.membership.getSelf().id;
-    return chooseSubset(own, peers, NEIGHBOUR_COUNT);
+    const isAnswered = await Promise.race([
+      asked,
+      waitFor(clock, followWithinMs * STANDBY_SHARE).then(() => false),
+    ]);
+    if (!isAnswered) await this.askPeer(standby, wishes);
   }
 
-  private async askPeer(address: string, wishes: CopyWishes): Promise<void> {
+  // Resolves to whether the peer has answered.
+  private async askPeer(address: string, wishes: CopyWishes): Promise<boolean> {
     const {link, membership, holder, registry} = this.parts;
     const reply = await link
       .sendRequest(
@@ -196,6 +208,7 @@
           configurationRevision: holder.getRevision(),
           storeRevision: registry.getStoreRevision(),
           digest: registry.getDigest(),
+          isProvisional: registry.isInGrace(),
           wishes,
         },
         wishes.configuration || wishes.upstreams ? COPY_TIMEOUT_MS : TIMEOUT_MS,
@@ -203,20 +216,25 @@
       .catch((): undefined => undefined);
     if (reply?.type !== 'copy') {
       this.recordUnreachable(address);
-      return;
+      return false;
     }
     const source = `peer ${address}`;
     this.recordPeer(reply);
-    this.recordRevisions(reply, wishes);
+    this.recordNews(reply);
+    if (wishes.upstreams && !reply.isDigestOther) {
+      this.upstreamNews.removeNews();
+    }
     this.scheduleNewsCheck(address);
     if (reply.configurationText !== undefined) {
       holder.offerText(reply.configurationText, source);
     }
-    if (reply.upstreams) {
-      const {entries, storeRevision} = reply.upstreams;
-      registry.replaceEntries(entries, storeRevision, source);
+    if (reply.upstreams) registry.applyCopy(reply.upstreams, source);
+    // Its upstreams are the same without those that are missing here.
+    if (!reply.isProvisional && !reply.isDigestOther) {
+      registry.endGraceOfMissing(source);
     }
     for (const member of reply.members ?? []) membership.addPeer(member);
+    return true;
   }
 
   // What one peer has and the watch has not brought in its time is asked for at
@@ -224,7 +242,7 @@
   private scheduleNewsCheck(address: string): void {
     if (this.newsTimer || !this.hasNews()) return;
     const {clock} = this.parts;
-    this.newsTimer = clock.schedule(STORE_PATIENCE_MS, () => {
+    this.newsTimer = clock.schedule(this.patienceMs, () => {
       this.newsTimer = undefined;
       if (this.hasNews()) void this.askForNews(address);
     });
@@ -239,11 +257,13 @@
   }
 
   private async askForNews(address: string): Promise<void> {
-    const {clock, holder} = this.parts;
+    const {clock, holder, followWithinMs} = this.parts;
     const revision = holder.getRevision();
     if (this.configurationNews.isNewerThan(revision)) {
-      const heardAtMs = clock.getNow() - STORE_PATIENCE_MS;
-      clock.schedule(WATCH_PATIENCE_MS, () => this.checkWatch(heardAtMs));
+      const heardAtMs = clock.getNow() - this.patienceMs;
+      clock.schedule(followWithinMs * WATCH_PATIENCE_SHARE, () =>
+        this.checkWatch(heardAtMs),
+      );
     }
     await this.askPeer(address, this.listWishes());
   }
@@ -255,26 +275,21 @@
     if (watch.getLastChangeMs() < heardAtMs) watch.refresh();
   }
 
-  private recordRevisions(
-    reply: Extract<PeerReply, {type: 'copy'}>,
-    wishes: CopyWishes,
-  ): void {
+  private recordNews(peer: PeerRevisions): void {
     const {holder, registry, clock} = this.parts;
     const nowMs = clock.getNow();
     this.configurationNews.recordRevision(
-      reply.configurationRevision,
+      peer.configurationRevision,
       holder.getRevision(),
       nowMs,
     );
-    if (reply.isDigestOther) {
-      this.upstreamNews.recordRevision(
-        reply.storeRevision,
-        registry.getStoreRevision(),
-        nowMs,
-      );
-    } else if (wishes.upstreams) {
-      this.upstreamNews.removeNews();
-    }
+    // One in its grace sends no copy of its upstreams.
+    if (!peer.isDigestOther || peer.isProvisional) return;
+    this.upstreamNews.recordRevision(
+      peer.storeRevision,
+      registry.getStoreRevision(),
+      nowMs,
+    );
   }
 
   // One that stops still answers, but nothing new must go to it.
--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -248,6 +248,7 @@
       refresh: () => watchHub.refresh(),
     },
   });
+  registry.addMissingListener(() => void exchange.runRound());
   const coordinatorSearch = new CoordinatorSearch({
     link,
     membership,
--- /dev/null
+++ b/packages/gateway/src/exchange-partners.ts
@@ -0,0 +1,73 @@
+import type {Membership, PeerRecord} from '@hollowstack/peers';
+import {chooseSubset} from '@hollowstack/routing';
+
+/** Dependencies of ExchangePartners. */
+export interface ExchangePartnersParts {
+  readonly membership: Membership;
+  /** Addresses to ask where no peer is known yet. */
+  readonly seeds: readonly string[];
+  /** Returns numbers from 0 to below 1. */
+  readonly random: () => number;
+}
+
+/** Whom one round of the exchange asks. */
+export interface ExchangeRound {
+  /** Asked at once; the first of them is also asked for copies. */
+  readonly addresses: readonly string[];
+  /** Asked in its place where the first does not answer soon. */
+  readonly standby: string | undefined;
+}
+
+/**
+ * Every so many rounds a seed is asked too, which joins groups that know
+ * nothing of each other. A guess.
+ */
+const SEEDS_EVERY_ROUNDS = 8;
+/** Peers that an instance of a large fleet keeps connections to. */
+const NEIGHBOUR_COUNT = 8;
+/** Every so many rounds a peer beyond the neighbours is asked. */
+const FAR_EVERY_ROUNDS = 5;
+
+/** Chooses whom an instance compares its copies with. */
+export class ExchangePartners {
+  private readonly parts: ExchangePartnersParts;
+  private roundCount = 0;
+
+  constructor(parts: ExchangePartnersParts) {
+    this.parts = parts;
+  }
+
+  /** Chooses one peer, or the seeds while no peer is known. */
+  chooseRound(): ExchangeRound {
+    const {membership, random} = this.parts;
+    const peers = membership.listReachablePeers();
+    const seeds = this.listSeeds();
+    this.roundCount += 1;
+    if (peers.length === 0) return {addresses: seeds, standby: undefined};
+    const isFar = this.roundCount % FAR_EVERY_ROUNDS === 0;
+    const near = isFar ? peers : this.listNeighbours(peers);
+    const index = Math.floor(random() * near.length);
+    const addresses = [near[index].address];
+    if (this.roundCount % SEEDS_EVERY_ROUNDS === 0 && seeds.length > 0) {
+      addresses.push(seeds[Math.floor(random() * seeds.length)]);
+    }
+    const standby = near[(index + 1) % near.length].address;
+    return {
+      addresses: [...new Set(addresses)],
+      standby: addresses.includes(standby) ? undefined : standby,
+    };
+  }
+
+  private listSeeds(): string[] {
+    const {membership, seeds} = this.parts;
+    const own = membership.getSelf().address;
+    return seeds.filter(address => address !== own);
+  }
+
+  // Connections have a price at both ends, so most rounds go to the same few.
+  private listNeighbours(peers: readonly PeerRecord[]): readonly PeerRecord[] {
+    if (peers.length <= NEIGHBOUR_COUNT) return peers;
+    const own = this.parts.membership.getSelf().id;
+    return chooseSubset(own, peers, NEIGHBOUR_COUNT);
+  }
+}
--- a/packages/gateway/src/upstream-registry.test.ts
+++ b/packages/gateway/src/upstream-registry.test.ts
@@ -63,3 +63,33 @@
   await clock.advance(5000);
   assert.equal(logger.names.length, countBefore);
 });
+
+test('an entry that a peer no longer knows is gone, whatever is left of the grace', () => {
+  const {registry} = createRegistry();
+  let askedCount = 0;
+  registry.addMissingListener(() => (askedCount += 1));
+  registry.beginGrace();
+  registry.endGraceOfMissing('peer 10.0.0.2:1');
+  assert.equal(registry.isInGrace(), true);
+  registry.replaceEntries([], 2, 'store');
+  assert.equal(askedCount, 1);
+  registry.endGraceOfMissing('peer 10.0.0.2:1');
+  assert.deepEqual(registry.listUpstreams(), []);
+  assert.equal(registry.isInGrace(), false);
+});
+
+test('the copy of a peer ends the grace, an older one changes nothing', () => {
+  const {registry} = createRegistry();
+  registry.beginGrace();
+  registry.replaceEntries([{key: 'b', value: 'leaving'}], 5, 'store');
+  registry.applyCopy({storeRevision: 4, entries: []}, 'peer 10.0.0.2:1');
+  assert.equal(registry.listUpstreams().length, 2);
+  registry.applyCopy(
+    {storeRevision: 6, entries: [{key: 'b', value: 'leaving'}]},
+    'peer 10.0.0.2:1',
+  );
+  assert.deepEqual(
+    registry.listUpstreams().map(({id}) => id),
+    ['b'],
+  );
+});
--- a/packages/gateway/src/upstream-registry.ts
+++ b/packages/gateway/src/upstream-registry.ts
@@ -42,6 +42,7 @@
   /** Entries that were not there after an outage, while they may come back. */
   private readonly missing = new Set<string>();
   private grace: Timer | undefined;
+  private readonly missingListeners: Array<() => void> = [];
   private storeRevision = 0;
   private heardAtMs = 0;
   private heardFrom = '';
@@ -85,13 +86,37 @@
   /** Notes that the store is back after an outage, in which entries may have run out. */
   beginGrace(): void {
     this.grace?.cancel();
-    this.grace = this.clock.schedule(LAPSE_GRACE_MS, () => this.endGrace());
+    this.grace = this.clock.schedule(LAPSE_GRACE_MS, () =>
+      this.endGrace('grace'),
+    );
     this.logger.logEvent('upstream.grace', {
       forMs: LAPSE_GRACE_MS,
       storeRevision: this.storeRevision,
     });
   }
 
+  /** Adds a function that is called when entries are missing after an outage. */
+  addMissingListener(listener: () => void): void {
+    this.missingListeners.push(listener);
+  }
+
+  /** Returns whether entries that are missing may still come back. */
+  isInGrace(): boolean {
+    return this.grace !== undefined;
+  }
+
+  /**
+   * Ends the grace of entries that are missing: a peer which never lost the store,
+   * or is past its own grace, no longer knows them. An instance that alone was
+   * cut off from the store would else send work to an upstream that is gone for
+   * longer than changes may take.
+   */
+  endGraceOfMissing(source: string): void {
+    if (this.missing.size === 0) return;
+    this.grace?.cancel();
+    this.endGrace(source);
+  }
+
   /** Ends the grace, so that nothing is left to keep a process that stops. */
   stop(): void {
     this.grace?.cancel();
@@ -115,6 +140,13 @@
     this.callListeners();
   }
 
+  /** Takes the copy of a peer, which sends none while it is in its own grace. */
+  applyCopy({entries, storeRevision}: StoreCopy, source: string): void {
+    if (storeRevision < this.storeRevision) return;
+    this.replaceEntries(entries, storeRevision, source);
+    this.endGraceOfMissing(source);
+  }
+
   /** Takes the changes that the watch tells of. */
   applyEvents(events: readonly WatchEvent[]): void {
     this.recordHeard('watch');
@@ -133,7 +165,7 @@
    * some that are not there may come back.
    */
   createCopy(): StoreCopy | undefined {
-    if (this.grace) return undefined;
+    if (this.isInGrace()) return undefined;
     const entries = [...this.entries].map(([key, {text}]) => ({
       key,
       value: text,
@@ -196,12 +228,12 @@
     });
   }
 
-  private endGrace(): void {
+  private endGrace(source: string): void {
     this.grace = undefined;
     this.digest = undefined;
     const lapsed = [...this.missing];
     this.missing.clear();
-    for (const key of lapsed) this.removeEntry(key, 'grace');
+    for (const key of lapsed) this.removeEntry(key, source);
     if (lapsed.length > 0) this.callListeners();
   }
 
@@ -220,5 +252,7 @@
   private callListeners(): void {
     const upstreams = this.listUpstreams();
     for (const listener of this.listeners) listener(upstreams);
+    if (this.missing.size === 0) return;
+    for (const listener of this.missingListeners) listener();
   }
 }
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -98,6 +98,11 @@
     storeRevision: z.number(),
     /** Compares the upstreams that both sides know. */
     digest: z.string(),
+    /**
+     * Whether the sender has just seen the store come back, and still works with
+     * upstreams whose registrations may have run out meanwhile.
+     */
+    isProvisional: z.boolean().default(true),
     /** What the answer should carry beside the revisions, where it is newer. */
     wishes: copyWishesSchema,
   }),
@@ -180,6 +185,8 @@
     storeRevision: z.number(),
     /** Whether both sides know other upstreams. */
     isDigestOther: z.boolean(),
+    /** As in the question. */
+    isProvisional: z.boolean().default(true),
     /** The stored text of a configuration newer than the asker's. */
     configurationText: z.string().optional(),
     /** What is known of the upstreams, where it is newer than the asker's. */
