Ask again, before the first byte, whether an upstream still takes work

Cause: nothing looked again between the choice of an upstream and the send. A connection may take 0.4 s to stand, a fifth of the time that changes have. And a request that may go to no further upstream went back to the one it had been sent to, also when that one had said meanwhile that it leaves. Ruled out: a second look before the connection is opened (the wait lies behind it). Change: SingleCall asks once its connection stands, and withdraws the call without a byte sent, so that 'not run' stays true; requests and calls of stages ask whether the upstream is registered and has not said that it leaves. A request whose only upstream leaves is refused at once.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -26,6 +26,8 @@
   readonly protocol: RequestProtocol;
   readonly request: RoutedRequest;
   readonly upstream: RegisteredUpstream;
+  /** Returns whether the upstream has not said meanwhile that it leaves. */
+  readonly mayStillSend: () => boolean;
   /** Stage results that the upstream reads; undefined for a request without stages. */
   readonly inputs: AttemptInputs | undefined;
   /** Whether the inputs are released at the first event of a stream. */
@@ -92,7 +94,7 @@
   }
 
   async run(): Promise<AttemptOutcome> {
-    const {request, upstream, clock} = this.parts;
+    const {request, upstream, clock, mayStillSend} = this.parts;
     const ranBefore = request.getRan();
     const call = new SingleCall(
       {
@@ -102,6 +104,9 @@
         headers: this.createHeaders(),
         body: request.body,
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
+        // A connection may take 0.4 s to stand, a fifth of the time in which an
+        // upstream that leaves must get no more work.
+        mayStillSend,
       },
       clock,
     );
--- a/packages/gateway/src/request-runner.ts
+++ b/packages/gateway/src/request-runner.ts
@@ -232,7 +232,7 @@
     for (;;) {
       request.signal.throwIfAborted();
       const upstream =
-        this.findPinned(request) ??
+        this.findOnlyUpstream(request) ??
         (await chooser.choose(request, {
           parts,
           inputBytes,
@@ -269,10 +269,16 @@
 
   // A request that may go to no further upstream goes to the same one again,
   // once its lost inputs are made.
-  private findPinned(request: RoutedRequest): {id: string} | undefined {
+  private findOnlyUpstream(request: RoutedRequest): {id: string} | undefined {
+    const {pool} = this.parts;
     const {route} = request.facts;
     if (request.sentTo.length < route.maxAttempts) return undefined;
-    return this.parts.pool.getRecord(request.sentTo[0]);
+    const upstream = pool.getRecord(request.sentTo[0]);
+    if (!upstream || pool.isTakingWork(upstream.id)) return upstream;
+    throw createUnavailable(
+      request,
+      'the only upstream that may still get it is leaving',
+    );
   }
 
   private async attemptOnce(
@@ -289,6 +295,7 @@
       protocol,
       request,
       upstream,
+      mayStillSend: () => pool.isTakingWork(upstreamId),
       inputs,
       releasesAtFirst: policy.earlyRelease || !request.facts.route.isResumable,
       handleFirst: firstMs => {
--- a/packages/gateway/src/upstream-pool.ts
+++ b/packages/gateway/src/upstream-pool.ts
@@ -68,6 +68,11 @@
     return this.upstreams.get(id)?.record;
   }
 
+  /** Returns whether an upstream is registered and has not said that it leaves. */
+  isTakingWork(id: string): boolean {
+    return this.upstreams.get(id)?.record.isLeaving === false;
+  }
+
   /** Lists the upstreams of a service that new work may go to. */
   listCandidates(
     service: string,
--- a/packages/stages/src/stage-caller.ts
+++ b/packages/stages/src/stage-caller.ts
@@ -57,6 +57,7 @@
   /**
    * Asks an upstream for pieces.
    *
+   * @param mayStillSend Asked before the first byte leaves.
    * @param timeoutMs Milliseconds for the whole answer.
    * @throws StageCallError where no readable answer came.
    */
@@ -64,11 +65,17 @@
     target: StageTarget,
     pieces: readonly StagePiece[],
     timeoutMs: number,
+    mayStillSend: () => boolean,
   ): Promise<RunAnswer> {
     const {id, address} = target;
     const request = this.protocol.createRunRequest(id, address, pieces);
     try {
-      const {head, body} = await this.call(address, request, timeoutMs);
+      const {head, body} = await this.call(
+        address,
+        request,
+        timeoutMs,
+        mayStillSend,
+      );
       const answer = {
         status: head.statusCode ?? 0,
         headers: head.headers,
@@ -99,9 +106,15 @@
     address: string,
     request: EncodedRequest,
     timeoutMs: number,
+    mayStillSend?: () => boolean,
   ): Promise<WholeAnswer> {
     return callForWholeAnswer(
-      {...request, address, connectTimeoutMs: CONNECT_TIMEOUT_MS},
+      {
+        ...request,
+        address,
+        connectTimeoutMs: CONNECT_TIMEOUT_MS,
+        mayStillSend,
+      },
       this.clock,
       {
         timeoutMs,
--- a/packages/stages/src/stage-coordinator.ts
+++ b/packages/stages/src/stage-coordinator.ts
@@ -233,6 +233,7 @@
           CALL_TIMEOUT_FACTOR *
           Math.max(1, upstream.getSlowness(nowMs)) +
           CALL_TIMEOUT_MARGIN_MS,
+        () => this.fleet.isTakingWork(id),
       );
       this.handleAnswer(upstream, taken, answer, {
         startedAtMs: nowMs,
--- a/packages/stages/src/stage-fleet.ts
+++ b/packages/stages/src/stage-fleet.ts
@@ -48,6 +48,11 @@
     return this.upstreams.get(id);
   }
 
+  /** Returns whether an upstream is registered and has not said that it leaves. */
+  isTakingWork(id: string): boolean {
+    return this.upstreams.get(id)?.record.isLeaving === false;
+  }
+
   /** Lists the upstreams of a service that take calls or are at work on one. */
   listUsed(service: string): StageUpstream[] {
     const nowMs = this.clock.getNow();
--- /dev/null
+++ b/packages/transport/src/single-call.test.ts
@@ -0,0 +1,56 @@
+import assert from 'node:assert/strict';
+import {createServer, type AddressInfo} from 'node:net';
+import {test, type TestContext} from 'node:test';
+import {setTimeout as waitMs} from 'node:timers/promises';
+import {SystemClock} from '@hollowstack/clock';
+import {SingleCall} from './single-call.ts';
+
+/** A server that notes what it gets and answers each request with 200. */
+async function startServer(t: TestContext) {
+  let received = '';
+  const server = createServer(socket => {
+    socket.on('error', () => {});
+    socket.on('data', bytes => {
+      received += bytes.toString();
+      socket.end('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n');
+    });
+  });
+  await new Promise<void>(resolve =>
+    server.listen(0, '127.0.0.1', () => resolve()),
+  );
+  t.after(() => server.close());
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  return {address, getReceived: () => received};
+}
+
+function createCall(address: string, mayStillSend: () => boolean): SingleCall {
+  return new SingleCall(
+    {
+      address,
+      method: 'POST',
+      path: '/x',
+      headers: ['Host', 'a.example'],
+      body: Buffer.from('body'),
+      connectTimeoutMs: 400,
+      mayStillSend,
+    },
+    new SystemClock(),
+  );
+}
+
+test('a call that may still be sent goes out once its connection stands', async t => {
+  const {address, getReceived} = await startServer(t);
+  const call = createCall(address, () => true);
+  const head = await call.response;
+  assert.equal(head.statusCode, 200);
+  assert.match(getReceived(), /^POST \/x[^]*body$/);
+});
+
+test('no byte leaves of a call that may no longer be sent when its connection stands', async t => {
+  const {address, getReceived} = await startServer(t);
+  const call = createCall(address, () => false);
+  await assert.rejects(call.response, {progress: 'none'});
+  assert.equal(call.mayHaveLeft(), false);
+  await waitMs(50);
+  assert.equal(getReceived(), '');
+});
--- a/packages/transport/src/single-call.ts
+++ b/packages/transport/src/single-call.ts
@@ -18,6 +18,11 @@
   readonly body: Buffer | undefined;
   /** Milliseconds within which the connection must stand. */
   readonly connectTimeoutMs: number;
+  /**
+   * Asked once the connection stands, before the first byte leaves: whoever the
+   * call was meant for may have said meanwhile that it takes no more.
+   */
+  readonly mayStillSend?: () => boolean;
 }
 
 /**
@@ -48,9 +53,14 @@
     });
     this.outgoing.once('socket', socket => {
       socket.setNoDelay(true);
+      // Registered before Node's own listener, which writes what is waiting.
       socket.once('connect', () => {
-        this.progress = 'some';
         timer.cancel();
+        if (request.mayStillSend?.() === false) {
+          this.cancel('withdrawn before it was sent');
+          return;
+        }
+        this.progress = 'some';
       });
     });
     this.response = new Promise((resolve, reject) => {
