Suspect idle streams to peers once two have fallen silent

Cause: after all connections fell silent, a follower found its sources out one after the other, each at the cost of its time-out; the streams that it turned to next were silent as well. Ruled out: to suspect all at the first silent stream (a peer that is frozen would make the whole fleet open its streams anew). Change: when the streams to two peers fall silent within 2 s, the idle ones are closed; the next request opens them again.

--- a/packages/peers/src/peer-link.ts
+++ b/packages/peers/src/peer-link.ts
@@ -30,6 +30,12 @@
 const MAX_OPEN_PEERS = 32;
 const HANDSHAKE_TIMEOUT_MS = 2000;
 
+/**
+ * Milliseconds within which the streams to two peers must fall silent for the
+ * network to be suspected rather than a peer.
+ */
+const SUSPICION_MS = 2000;
+
 /** Answers a peer's request. */
 export type PeerRequestHandler = (
   request: PeerRequest,
@@ -43,6 +49,8 @@
   private readonly sessions = new Set<Session>();
   private handleRequest: PeerRequestHandler;
   private nextRequestId = 1;
+  /** The peer whose stream fell silent last, and when. */
+  private lastSilent = {address: '', atMs: -Infinity};
 
   constructor(parts: PeerLinkParts) {
     this.parts = parts;
@@ -121,10 +129,30 @@
     for (const session of this.sessions) session.close();
   }
 
-  // A silent stream would cost each request that follows its whole time.
+  // A silent stream would cost each request that follows its whole time. Where a
+  // second one follows, whatever silenced them has most likely met the idle ones.
   private closeSilent(address: string, {session}: PeerStream): void {
-    this.parts.logger.logEvent('peer.stream-silent', {address});
+    const {clock, logger} = this.parts;
+    logger.logEvent('peer.stream-silent', {address});
     session.close();
+    const nowMs = clock.getNow();
+    const {lastSilent} = this;
+    this.lastSilent = {address, atMs: nowMs};
+    const isSecond =
+      lastSilent.address !== address && nowMs - lastSilent.atMs < SUSPICION_MS;
+    if (isSecond) this.closeIdle();
+  }
+
+  private closeIdle(): void {
+    for (const opening of this.opened.values()) {
+      opening.then(
+        stream => {
+          if (stream.isIdle()) stream.session.close();
+        },
+        // One that cannot be opened leaves the list by itself.
+        () => {},
+      );
+    }
   }
 
   private openPeer(address: string): Promise<PeerStream> {
--- a/packages/peers/src/peer-stream.ts
+++ b/packages/peers/src/peer-stream.ts
@@ -51,6 +51,11 @@
     waiting?.resolve(reply);
   }
 
+  /** Returns whether nothing waits on it. */
+  isIdle(): boolean {
+    return this.pending.size === 0;
+  }
+
   /** Notes that the peer was heard just now. */
   recordHeard(): void {
     this.unansweredSinceMs = undefined;
