Let every watched range prove its connection, and play harms by seeds

Cause: found by the new property test. The configuration's call had no heartbeat of its own; with half of all connections silent it was late by up to 1.6 s. And the first call of a new watch waited its full time on a kept connection that was silent too. Ruled out: to leave the configuration to peers and to the heartbeat of the other range (it takes a connection that alone is silent for sound). Change: both ranges wait half of the time that changes have; a call that has to prove its connection, the first one and the one after a call without an answer, waits 50 ms.

--- /dev/null
+++ b/packages/gateway/src/store-view.test.ts
@@ -0,0 +1,91 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {ManualClock} from '@hollowstack/clock';
+import {createSeededRandom} from '@hollowstack/local-system';
+import {ViewFleet} from './view-fleet.ts';
+
+/** Milliseconds in which a change must be in force. */
+const FOLLOW_WITHIN_MS = 2000;
+/** Milliseconds after which a fleet has its watchers and streams. */
+const START_MS = 8000;
+/** Milliseconds after a harm within which changes are made. */
+const CHANGE_WITHIN_MS = 4000;
+const SEED_COUNT = 40;
+
+/** What is harmed in one play, drawn by its seed. */
+const HARMS = [
+  'store-connections-of-one',
+  'store-connections-of-all',
+  'streams',
+  'half-of-everything',
+  'everything',
+  'store-refuses-one',
+] as const;
+type Harm = (typeof HARMS)[number];
+
+function applyHarm(fleet: ViewFleet, harm: Harm, random: () => number): void {
+  const {instances} = fleet;
+  const one = instances[Math.floor(random() * instances.length)];
+  const share = harm === 'half-of-everything' ? 0.5 : 1;
+  const isStruck = () => random() < share;
+  if (harm === 'store-connections-of-one') {
+    one.client.silenceConnections(isStruck);
+    return;
+  }
+  if (harm === 'store-refuses-one') {
+    one.client.isRefused = true;
+    return;
+  }
+  for (const {client, network} of instances) {
+    if (harm !== 'streams') client.silenceConnections(isStruck);
+    if (harm !== 'store-connections-of-all') {
+      network.silenceConnections(isStruck);
+    }
+  }
+}
+
+/** Plays one seed and returns what did not hold. */
+async function runSeed(seed: number): Promise<string[]> {
+  const random = createSeededRandom(seed);
+  const clock = new ManualClock();
+  // Nine instances all watch the store; of 24 in three domains 15 follow others.
+  const count = random() < 0.5 ? 9 : 24;
+  const fleet = new ViewFleet({
+    clock,
+    random,
+    count,
+    domainCount: 3,
+    followWithinMs: FOLLOW_WITHIN_MS,
+  });
+  const {store} = fleet;
+  for (const id of ['a', 'b', 'c']) store.putUpstream(id, 'ready');
+  store.putConfiguration(1);
+  try {
+    await fleet.start();
+    await clock.advance(START_MS + random() * CHANGE_WITHIN_MS);
+    const harm = HARMS[Math.floor(random() * HARMS.length)];
+    applyHarm(fleet, harm, random);
+    await clock.advance(random() * CHANGE_WITHIN_MS);
+    const isAnnounced = random() < 0.5;
+    if (isAnnounced) store.putUpstream('b', 'leaving');
+    else store.removeUpstream('b');
+    store.putConfiguration(2);
+    await clock.advance(FOLLOW_WITHIN_MS);
+    const late = [
+      ...fleet.listSending('b').map(({id}) => `${id} still sends`),
+      ...fleet.listBehind(2).map(({id}) => `${id} has no configuration`),
+    ];
+    return late.map(each => `seed ${seed}, ${count}, ${harm}: ${each}`);
+  } finally {
+    fleet.stop();
+    await clock.advance(1);
+  }
+}
+
+test('a change is in force at all instances in its time, whatever falls silent', async () => {
+  const late: string[] = [];
+  for (let seed = 1; seed <= SEED_COUNT; seed++) {
+    late.push(...(await runSeed(seed)));
+  }
+  assert.deepEqual(late, []);
+});
--- a/packages/gateway/src/watch-pace.ts
+++ b/packages/gateway/src/watch-pace.ts
@@ -1,14 +1,10 @@
 import type {WatchPace} from '@hollowstack/store';
 
 /**
- * Milliseconds that a watch waits for a change; each watch that ends has a
- * price. Below the 30 s that stores allow.
- */
-const WAIT_MS = 12_000;
-/**
- * Part of the time in which a change must be in force that a call of a watch may
- * wait where its answer is a heartbeat. With the margin a silent connection is
- * noticed after 0.7 of that time, which leaves 0.3 for the next connection.
+ * Part of the time in which a change must be in force that a call of a watch waits.
+ * Its answer without a change is the heartbeat which proves that the connection
+ * lives; with the margin a silent one is noticed after 0.7 of that time, which
+ * leaves 0.3 for the next connection. Each heartbeat costs a call.
  */
 const HEARTBEAT_SHARE = 0.5;
 /**
@@ -29,11 +25,6 @@
   /** Milliseconds in which a change must be in force here. */
   readonly followWithinMs: number;
   readonly getWatcherCount: () => number;
-  /**
-   * Whether the answers without a change are the heartbeat by which the watch
-   * of all ranges proves that its connections live. Each costs a call.
-   */
-  readonly isHeartbeat: boolean;
 }
 
 /**
@@ -41,9 +32,9 @@
  * each of them a call, so that more of them gather changes for longer.
  */
 export function createWatchPace(input: WatchPaceInput): WatchPace {
-  const {followWithinMs, isHeartbeat} = input;
+  const {followWithinMs} = input;
   return {
-    waitMs: isHeartbeat ? followWithinMs * HEARTBEAT_SHARE : WAIT_MS,
+    waitMs: followWithinMs * HEARTBEAT_SHARE,
     marginMs: followWithinMs * MARGIN_SHARE,
     get gatherMs() {
       return Math.min(
--- a/packages/store/src/polled-watch.ts
+++ b/packages/store/src/polled-watch.ts
@@ -50,6 +50,12 @@
 const MARGIN_GROWTH = 2;
 /** Milliseconds that the margin grows to, at most; the time-out of other calls. */
 const MAX_MARGIN_MS = 1000;
+/**
+ * Milliseconds that a call waits which only has to prove that its connection
+ * lives: the first one of a watch, which may go over a kept connection, and the
+ * one after a call without an answer.
+ */
+const PROBE_WAIT_MS = 50;
 /** Calls in a row without an answer after which the watch fails. */
 const MAX_UNANSWERED = 2;
 
@@ -111,14 +117,16 @@
     const pace = range.watchPace ?? DEFAULT_PACE;
     let sinceRevision = startRevision;
     let unansweredCount = 0;
+    let isProved = false;
     for (;;) {
       signal.throwIfAborted();
       const {marginMs} = pace;
-      // After a call without an answer a short one tells whether the store lives.
-      const waitMs =
-        unansweredCount > 0 ? Math.min(marginMs, pace.waitMs) : pace.waitMs;
+      const waitMs = isProved
+        ? pace.waitMs
+        : Math.min(PROBE_WAIT_MS, pace.waitMs);
       const call = {range, sinceRevision, waitMs, signal};
       const answer = await this.attemptCall(call, marginMs).catch(error => {
+        isProved = false;
         if (error instanceof SuspicionError) return undefined;
         unansweredCount += 1;
         const mayRepeat = !(error instanceof StoreRefusalError);
@@ -127,6 +135,7 @@
       });
       if (!answer) continue;
       unansweredCount = 0;
+      isProved = true;
       sinceRevision = Math.max(sinceRevision, answer.storeRevision);
       if (answer.events.length === 0) continue;
       queue.push(answer.events);
