--- a/packages/gateway/src/create-store-view.ts
+++ b/packages/gateway/src/create-store-view.ts
@@ -61,6 +61,7 @@
   const {settings, environment, link, holder, registry} = parts;
   const {clock, logger, random} = environment;
   const {id, failureDomain, cpuShare, cpuSpeed} = settings.instance;
+  const {peerAddress, advertisedPeerAddress} = settings.listen;
   const followWithinMs = Math.min(
     settings.store.followWithinMs,
     settings.store.configureWithinMs,
@@ -78,7 +79,7 @@
     self: {
       id,
       failureDomain,
-      address: settings.listen.peerAddress,
+      address: advertisedPeerAddress ?? peerAddress,
       cores: cpuShare * cpuSpeed,
     },
     store,
--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -48,8 +48,10 @@
     address: addressSchema,
     /** Where the balancer asks whether the instance is ready. */
     probeAddress: addressSchema,
-    /** Where peers come; they are told this address. */
+    /** Where peers come. */
     peerAddress: addressSchema,
+    /** Address that peers are told, where it is another one (a mapped port). */
+    advertisedPeerAddress: addressSchema.optional(),
     /** Where counters and histograms are read. */
     metricsAddress: addressSchema.optional(),
   }),
--- a/packages/gateway/src/view-fleet.ts
+++ b/packages/gateway/src/view-fleet.ts
@@ -307,7 +307,7 @@
   }
 
   send(bytes: Uint8Array): void {
-    this.pass(other => other.handleData(bytes));
+    this.deliver(other => other.handleData(bytes));
   }
 
   setDataHandler(handleData: (bytes: Uint8Array) => void): void {
@@ -321,14 +321,14 @@
   close(): void {
     if (this.isClosed) return;
     this.isClosed = true;
-    this.pass(other => other.close());
+    this.deliver(other => other.close());
     this.handleClose();
   }
 
-  private pass(deliver: (other: ViewPeerSocket) => void): void {
+  private deliver(passOn: (other: ViewPeerSocket) => void): void {
     if (this.connection.isSilent) return;
     this.clock.schedule(LATENCY_MS, () => {
-      if (!this.connection.isSilent && this.other) deliver(this.other);
+      if (!this.connection.isSilent && this.other) passOn(this.other);
     });
   }
 }
