Leave the silent watch to its heartbeat, and drop the check by peers' news

Cause: where a peer had a configuration that the watch had not brought, the whole watch was begun anew after 1.1 s, with all ranges read again. The heartbeat now finds the silent call after 1.4 s and makes only that call again.

--- a/packages/gateway/src/copy-exchange.ts
+++ b/packages/gateway/src/copy-exchange.ts
@@ -17,14 +17,6 @@
 import type {RouteHolder} from './route-holder.ts';
 import type {UpstreamRegistry} from './upstream-registry.ts';
 
-/** The store's watch on the configuration, as the exchange sees it. */
-export interface ConfigurationWatch {
-  /** Returns when it last brought something, on the clock of the exchange. */
-  readonly getLastChangeMs: () => number;
-  /** Opens it anew, on a connection of its own. */
-  readonly refresh: () => void;
-}
-
 /** How far a peer is, as far as it tells. */
 type PeerRevisions = Pick<
   Extract<PeerReply, {type: 'copy'}>,
@@ -43,8 +35,6 @@
   readonly registry: UpstreamRegistry;
   /** Milliseconds in which a change must be in force here. */
   readonly followWithinMs: number;
-  /** The store's watch, as far as it concerns the configuration. */
-  readonly watch: ConfigurationWatch;
 }
 
 /**
@@ -67,11 +57,6 @@
  * the copy itself.
  */
 const PATIENCE_SHARE = 0.2;
-/**
- * Part of it after which the watch must have brought what a peer knew. A watch
- * may gather changes for a third, so it is taken for dead only then.
- */
-const WATCH_PATIENCE_SHARE = 0.35;
 const NO_WISHES: CopyWishes = {
   configuration: false,
   upstreams: false,
@@ -244,7 +229,7 @@
     const {clock} = this.parts;
     this.newsTimer = clock.schedule(this.patienceMs, () => {
       this.newsTimer = undefined;
-      if (this.hasNews()) void this.askForNews(address);
+      if (this.hasNews()) void this.askPeer(address, this.listWishes());
     });
   }
 
@@ -256,25 +241,6 @@
     );
   }
 
-  private async askForNews(address: string): Promise<void> {
-    const {clock, holder, followWithinMs} = this.parts;
-    const revision = holder.getRevision();
-    if (this.configurationNews.isNewerThan(revision)) {
-      const heardAtMs = clock.getNow() - this.patienceMs;
-      clock.schedule(followWithinMs * WATCH_PATIENCE_SHARE, () =>
-        this.checkWatch(heardAtMs),
-      );
-    }
-    await this.askPeer(address, this.listWishes());
-  }
-
-  // A watch whose connection was silenced says nothing until it times out, long
-  // after the store is well again.
-  private checkWatch(heardAtMs: number): void {
-    const {watch} = this.parts;
-    if (watch.getLastChangeMs() < heardAtMs) watch.refresh();
-  }
-
   private recordNews(peer: PeerRevisions): void {
     const {holder, registry, clock} = this.parts;
     const nowMs = clock.getNow();
--- a/packages/gateway/src/create-store-view.ts
+++ b/packages/gateway/src/create-store-view.ts
@@ -124,10 +124,6 @@
     holder,
     registry,
     followWithinMs,
-    watch: {
-      getLastChangeMs: () => configurationFollower.getLastChangeMs(),
-      refresh: () => watchHub.refresh(),
-    },
   });
   registry.addMissingListener(() => void exchange.runRound());
   const relay = new RelayServer({clock, store});
--- a/packages/gateway/src/store-follower.ts
+++ b/packages/gateway/src/store-follower.ts
@@ -37,20 +37,13 @@
   private reading: Promise<void> | undefined;
   private isReadDue = false;
   private isDown = false;
-  private lastChangeMs = 0;
 
   constructor(parts: StoreFollowerParts) {
     this.parts = parts;
     this.range = parts.range;
   }
 
-  /** Returns when the watch last brought a change. */
-  getLastChangeMs(): number {
-    return this.lastChangeMs;
-  }
-
   handleEvents(events: readonly WatchEvent[]): void {
-    this.lastChangeMs = this.parts.clock.getNow();
     this.parts.handleChanges(events);
   }
 
