--- /dev/null
+++ b/packages/gateway/src/copy-exchange.test.ts
@@ -0,0 +1,87 @@
+import assert from 'node:assert/strict';
+import {test, type TestContext} from 'node:test';
+import {ManualClock} from '@hollowstack/clock';
+import {SilentEventLogger} from '@hollowstack/logger';
+import type {Membership, PeerLink, PeerReply} from '@hollowstack/peers';
+import type {RegisteredUpstream} from '@hollowstack/routes';
+import {CopyExchange} from './copy-exchange.ts';
+import type {RequestProtocol} from './request-protocol.ts';
+import {RouteHolder} from './route-holder.ts';
+import {UpstreamRegistry} from './upstream-registry.ts';
+
+const SELF = {id: 'self', address: 'self', failureDomain: 'a'};
+const PEER = {id: 'peer', address: 'peer', failureDomain: 'a'};
+type CopyReply = Extract<PeerReply, {type: 'copy'}>;
+
+const protocol = {
+  parseUpstream: (key: string): RegisteredUpstream => ({
+    id: key,
+    service: 'plain',
+    address: '10.0.0.1:1',
+    failureDomain: 'a',
+    capacity: 1,
+    isLeaving: false,
+  }),
+} as unknown as RequestProtocol;
+
+/** An exchange with one peer, in a grace in which upstream `b` is missing. */
+function startInGrace(t: TestContext, answer: Partial<CopyReply>) {
+  const clock = new ManualClock();
+  const logger = new SilentEventLogger();
+  const registry = new UpstreamRegistry(protocol, logger, clock);
+  const reply: CopyReply = {
+    type: 'copy',
+    self: PEER,
+    isLeaving: false,
+    configurationRevision: 0,
+    storeRevision: 1,
+    isDigestOther: false,
+    isProvisional: false,
+    ...answer,
+  };
+  const exchange = new CopyExchange({
+    link: {sendRequest: async () => reply} as unknown as PeerLink,
+    membership: {
+      getSelf: () => SELF,
+      isLeaving: () => false,
+      listPeers: () => [PEER],
+      listReachablePeers: () => [PEER],
+      recordHeard: () => {},
+    } as unknown as Membership,
+    clock,
+    random: Math.random,
+    seeds: [],
+    holder: new RouteHolder(protocol, logger),
+    registry,
+    followWithinMs: 2000,
+  });
+  t.after(() => {
+    exchange.stop();
+    registry.stop();
+  });
+  const [a, b] = ['a', 'b'].map(key => ({key, value: 'ready'}));
+  registry.replaceEntries([a, b], 1, 'store');
+  registry.beginGrace();
+  registry.replaceEntries([a], 2, 'store');
+  const listIds = () => registry.listUpstreams().map(({id}) => id);
+  return {clock, exchange, listIds};
+}
+
+test('a peer that never lost the store ends the grace of what it no longer knows', async t => {
+  const {exchange, listIds} = startInGrace(t, {});
+  assert.deepEqual(listIds(), ['a', 'b']);
+  await exchange.runRound();
+  assert.deepEqual(listIds(), ['a']);
+});
+
+test('a peer in a grace of its own ends no grace', async t => {
+  const {exchange, listIds} = startInGrace(t, {isProvisional: true});
+  await exchange.runRound();
+  assert.deepEqual(listIds(), ['a', 'b']);
+});
+
+test('a peer that knows other upstreams ends no grace', async t => {
+  const {exchange, listIds} = startInGrace(t, {isDigestOther: true});
+  await exchange.runRound();
+  assert.deepEqual(listIds(), ['a', 'b']);
+});
