--- a/packages/gateway/src/gateway-front.ts
+++ b/packages/gateway/src/gateway-front.ts
@@ -4,7 +4,6 @@
 import type {MetricsRegistry} from '@hollowstack/metrics';
 import {
   chooseTarget,
-  type CallerLimits,
   type KeyedWorkspace,
   type Route,
   type RouteTable,
@@ -14,6 +13,7 @@
 import {writeError} from './answer-writer.ts';
 import {CallerAges} from './caller-ages.ts';
 import type {GatewayLifecycle} from './gateway-lifecycle.ts';
+import {readRequestBody} from './request-body.ts';
 import type {RequestProtocol} from './request-protocol.ts';
 import type {RequestRunner} from './request-runner.ts';
 import type {RouteHolder} from './route-holder.ts';
@@ -260,36 +260,6 @@
   }
 }
 
-async function readRequestBody(
-  incoming: IncomingMessage,
-  limits: CallerLimits,
-): Promise<Buffer | undefined> {
-  const {headers} = incoming;
-  const hasBody =
-    headers['transfer-encoding'] !== undefined ||
-    headers['content-length'] !== undefined;
-  if (!hasBody) return undefined;
-  const chunks: Buffer[] = [];
-  let size = 0;
-  try {
-    for await (const chunk of incoming) {
-      chunks.push(chunk);
-      size += chunk.length;
-      if (size > limits.bodyBytes) break;
-    }
-  } catch (error) {
-    throw new HollowstackError('caller-gone', 'the body broke off', {
-      ran: 'no',
-      cause: error,
-    });
-  }
-  if (size <= limits.bodyBytes) return Buffer.concat(chunks, size);
-  throw new HollowstackError(
-    'payload-too-large',
-    `the body has more than ${limits.bodyBytes} bytes`,
-  );
-}
-
 // A later step that did not run says nothing of an attempt before it that may
 // have: what the request knows goes first.
 function createTrueError(
--- a/packages/gateway/src/store-view.test.ts
+++ b/packages/gateway/src/store-view.test.ts
@@ -2,7 +2,7 @@
 import {test} from 'node:test';
 import {ManualClock} from '@hollowstack/clock';
 import {createSeededRandom} from '@hollowstack/local-system';
-import {ViewFleet} from './view-fleet.ts';
+import {ViewFleet} from './test-utils/view-fleet.ts';
 
 /** Milliseconds in which a change must be in force. */
 const FOLLOW_WITHIN_MS = 2000;
--- /dev/null
+++ b/packages/gateway/src/test-utils/view-fleet.ts
@@ -0,0 +1,168 @@
+import type {ManualClock} from '@hollowstack/clock';
+import {SilentEventLogger} from '@hollowstack/logger';
+import {MetricsRegistry} from '@hollowstack/metrics';
+import {
+  KeyRing,
+  PeerLink,
+  type PeerReply,
+  type PeerRequest,
+  type PeerSocket,
+} from '@hollowstack/peers';
+import type {
+  RegisteredUpstream,
+  RoutedConfiguration,
+} from '@hollowstack/routes';
+import {createStoreView, type StoreView} from '../create-store-view.ts';
+import type {RequestProtocol} from '../request-protocol.ts';
+import {RouteHolder} from '../route-holder.ts';
+import {UpstreamRegistry} from '../upstream-registry.ts';
+import {ViewPeerNetwork} from './view-peer-network.ts';
+import {STORE_TIMEOUT_MS, ViewStoreClient} from './view-store-client.ts';
+import {CONFIGURATION_KEY, UPSTREAM_PREFIX, ViewStore} from './view-store.ts';
+
+const protocol = {
+  configurationKey: CONFIGURATION_KEY,
+  upstreamPrefix: UPSTREAM_PREFIX,
+  parseUpstream: (key: string, text: string): RegisteredUpstream => ({
+    id: key.slice(UPSTREAM_PREFIX.length),
+    service: 'plain',
+    address: '10.0.0.1:1',
+    failureDomain: 'a',
+    capacity: 1,
+    isLeaving: text === 'leaving',
+  }),
+  parseConfiguration: (text: string): RoutedConfiguration => ({
+    revision: Number(text),
+    routes: [],
+    services: [],
+    workspaces: undefined,
+    limits: {
+      headerBytes: 1,
+      bodyBytes: 1,
+      headerTimeoutMs: 1,
+      idleTimeoutMs: 1,
+    },
+  }),
+} as unknown as RequestProtocol;
+
+/** One instance of a fleet, as far as it follows the store. */
+export interface ViewInstance {
+  readonly id: string;
+  readonly client: ViewStoreClient;
+  readonly network: ViewPeerNetwork;
+  readonly registry: UpstreamRegistry;
+  readonly holder: RouteHolder;
+}
+
+/** How a fleet is started. */
+export interface ViewFleetOptions {
+  readonly clock: ManualClock;
+  readonly random: () => number;
+  readonly count: number;
+  readonly domainCount: number;
+  readonly followWithinMs: number;
+}
+
+/** Instances that follow one store, in memory and on a manual clock. */
+export class ViewFleet {
+  readonly store = new ViewStore();
+  readonly instances: ViewInstance[] = [];
+  private readonly options: ViewFleetOptions;
+  private readonly listeners = new Map<string, (socket: PeerSocket) => void>();
+  private readonly ends: Array<() => void> = [];
+
+  constructor(options: ViewFleetOptions) {
+    this.options = options;
+  }
+
+  async start(): Promise<void> {
+    for (let index = 0; index < this.options.count; index++) {
+      await this.startInstance(index);
+    }
+  }
+
+  stop(): void {
+    for (const end of this.ends) end();
+  }
+
+  /** Lists the instances that would still send work to an upstream. */
+  listSending(upstreamId: string): ViewInstance[] {
+    return this.instances.filter(({registry}) =>
+      registry
+        .listUpstreams()
+        .some(({id, isLeaving}) => id === upstreamId && !isLeaving),
+    );
+  }
+
+  /** Lists the instances that a configuration has not reached. */
+  listBehind(revision: number): ViewInstance[] {
+    return this.instances.filter(({holder}) => holder.getRevision() < revision);
+  }
+
+  private async startInstance(index: number): Promise<void> {
+    const {clock, random, domainCount, followWithinMs} = this.options;
+    const id = `instance-${index}`;
+    const logger = new SilentEventLogger();
+    const identity = {id, failureDomain: `domain-${index % domainCount}`};
+    const client = new ViewStoreClient(clock, this.store);
+    const network = new ViewPeerNetwork(clock, this.listeners);
+    const keys = [{id: 'k', secret: 'secret-of-this-test-fleet'}];
+    const link = new PeerLink({
+      identity,
+      network,
+      keys: new KeyRing(keys),
+      clock,
+      logger,
+      metrics: new MetricsRegistry(),
+    });
+    const holder = new RouteHolder(protocol, logger);
+    const registry = new UpstreamRegistry(protocol, logger, clock);
+    const view = createStoreView({
+      settings: {
+        instance: {...identity, cpuShare: 1, cpuSpeed: 1},
+        listen: {address: id, probeAddress: id, peerAddress: id},
+        store: {
+          address: 'store',
+          timeoutMs: STORE_TIMEOUT_MS,
+          followWithinMs,
+          configureWithinMs: followWithinMs,
+        },
+        peers: {seeds: ['instance-0', 'instance-1', 'instance-2'], keys},
+      },
+      environment: {
+        clock,
+        logger,
+        random,
+        store: client,
+        requestProtocol: protocol,
+      },
+      link,
+      holder,
+      registry,
+    });
+    link.setRequestHandler(request => answerPeer(request, view));
+    await link.listen(id);
+    void view.watchHub.start();
+    void view.membership.start();
+    void view.exchange.start();
+    this.instances.push({id, client, network, registry, holder});
+    this.ends.push(() => {
+      view.watchHub.stop();
+      void view.membership.stop();
+      view.exchange.stop();
+      registry.stop();
+      for (const follower of view.followers) follower.stop();
+      link.close();
+    });
+  }
+}
+
+async function answerPeer(
+  request: PeerRequest,
+  {exchange, relay}: StoreView,
+): Promise<PeerReply> {
+  if (request.type === 'copy') return exchange.answerCopy(request);
+  if (request.type === 'relay-watch') return relay.answerWatch(request);
+  if (request.type === 'relay-read') return relay.answerRead(request);
+  return {type: 'done'};
+}
--- /dev/null
+++ b/packages/gateway/src/test-utils/view-store-client.ts
@@ -0,0 +1,133 @@
+import {waitFor, type ManualClock} from '@hollowstack/clock';
+import {SilentEventLogger} from '@hollowstack/logger';
+import {
+  KeyValueStore,
+  PolledWatch,
+  StoreError,
+  type KeyRange,
+  type Lease,
+  type RangeResult,
+  type Transaction,
+  type TransactionResult,
+  type WatchCall,
+  type WatchCallAnswer,
+  type WatchEvent,
+} from '@hollowstack/store';
+import {LATENCY_MS, type Connection} from './connection.ts';
+import type {ViewStore} from './view-store.ts';
+
+/** Milliseconds for one answer of the store, as the settings' default. */
+export const STORE_TIMEOUT_MS = 1000;
+
+/** One instance's way to the store, over connections that are kept. */
+export class ViewStoreClient extends KeyValueStore {
+  /** Whether the store refuses every call of this instance. */
+  isRefused = false;
+  private readonly clock: ManualClock;
+  private readonly store: ViewStore;
+  private readonly watch: PolledWatch;
+  private readonly open = new Set<Connection>();
+  private idle: Connection[] = [];
+
+  constructor(clock: ManualClock, store: ViewStore) {
+    super();
+    this.clock = clock;
+    this.store = store;
+    this.watch = new PolledWatch({
+      clock,
+      logger: new SilentEventLogger(),
+      callStore: call => this.callWatch(call),
+    });
+  }
+
+  silenceConnections(isStruck: () => boolean): void {
+    for (const connection of this.open) {
+      if (isStruck()) connection.isSilent = true;
+    }
+  }
+
+  async readRange(range: KeyRange): Promise<RangeResult> {
+    return this.call(async () => this.store.read(range));
+  }
+
+  async runTransaction({onSuccess}: Transaction): Promise<TransactionResult> {
+    return this.call(async () => {
+      for (const step of onSuccess) {
+        if (step.type === 'put') this.store.put(step.key, step.value);
+      }
+      return {succeeded: true, storeId: 's', storeRevision: 0, reads: []};
+    });
+  }
+
+  async grantLease(ttlMs: number): Promise<Lease> {
+    return this.call(async () => ({id: '1', ttlMs}));
+  }
+
+  async renewLease(): Promise<boolean> {
+    return this.call(async () => true);
+  }
+
+  async revokeLease(): Promise<void> {}
+
+  async *watchRanges(
+    ranges: readonly KeyRange[],
+    fromRevision: number,
+    signal: AbortSignal,
+  ): AsyncIterable<readonly WatchEvent[]> {
+    yield [];
+    yield* this.watch.watchRanges(ranges, fromRevision, signal);
+  }
+
+  private async callWatch(call: WatchCall): Promise<WatchCallAnswer> {
+    return this.send(async () => {
+      const waiting = AbortSignal.any([call.signal, this.createEnd(call)]);
+      for (;;) {
+        const answer = this.store.listChanges(call);
+        if (answer.events.length > 0 || waiting.aborted) return answer;
+        await this.store.waitForChange(waiting);
+      }
+    }, call.signal);
+  }
+
+  private createEnd({waitMs}: WatchCall): AbortSignal {
+    const controller = new AbortController();
+    this.clock.schedule(waitMs, () => controller.abort());
+    return controller.signal;
+  }
+
+  private async call<Answer>(run: () => Promise<Answer>): Promise<Answer> {
+    const controller = new AbortController();
+    const timer = this.clock.schedule(STORE_TIMEOUT_MS, () =>
+      controller.abort(new Error('no answer in time')),
+    );
+    try {
+      return await this.send(run, controller.signal);
+    } finally {
+      timer.cancel();
+    }
+  }
+
+  // As the client over HTTP does: idle connections are used again, and after a
+  // failure on one of them the others are closed too.
+  private async send<Answer>(
+    run: () => Promise<Answer>,
+    signal: AbortSignal,
+  ): Promise<Answer> {
+    const kept = this.idle.pop();
+    const connection = kept ?? {isSilent: false};
+    this.open.add(connection);
+    try {
+      await waitFor(this.clock, LATENCY_MS, signal);
+      if (this.isRefused) throw new StoreError('refused', 'none');
+      const answer = connection.isSilent ? undefined : await run();
+      if (connection.isSilent) await waitFor(this.clock, Infinity, signal);
+      signal.throwIfAborted();
+      this.idle.push(connection);
+      return answer!;
+    } catch (error) {
+      this.open.delete(connection);
+      if (kept) this.idle = [];
+      throw error;
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/test-utils/view-store.ts
@@ -0,0 +1,80 @@
+import type {
+  KeyRange,
+  KeyValue,
+  RangeResult,
+  WatchCall,
+  WatchCallAnswer,
+  WatchEvent,
+} from '@hollowstack/store';
+
+/** Prefix of the upstreams' registrations. */
+export const UPSTREAM_PREFIX = 'upstreams/';
+/** Key of the configuration. */
+export const CONFIGURATION_KEY = 'configuration';
+
+/** The content of a store and its history, shared by the instances of a fleet. */
+export class ViewStore {
+  private revision = 1;
+  private readonly keyValues = new Map<string, KeyValue>();
+  private readonly events: WatchEvent[] = [];
+  private readonly waiting = new Set<() => void>();
+
+  putUpstream(id: string, value: 'ready' | 'leaving'): void {
+    this.put(UPSTREAM_PREFIX + id, value);
+  }
+
+  removeUpstream(id: string): void {
+    const key = UPSTREAM_PREFIX + id;
+    this.keyValues.delete(key);
+    this.addEvent({type: 'delete', key, value: ''});
+  }
+
+  putConfiguration(revision: number): void {
+    this.put(CONFIGURATION_KEY, String(revision));
+  }
+
+  put(key: string, value: string): void {
+    const modRevision = this.addEvent({type: 'put', key, value});
+    this.keyValues.set(key, {
+      key,
+      value,
+      modRevision,
+      createRevision: modRevision,
+    });
+  }
+
+  read(range: KeyRange): RangeResult {
+    const keyValues = [...this.keyValues.values()].filter(({key}) =>
+      key.startsWith(range.start),
+    );
+    return {storeId: 's', storeRevision: this.revision, keyValues};
+  }
+
+  listChanges({range, sinceRevision}: WatchCall): WatchCallAnswer {
+    const events = this.events.filter(
+      ({key, modRevision}) =>
+        modRevision > sinceRevision && key.startsWith(range.start),
+    );
+    return {events, storeRevision: this.revision};
+  }
+
+  /** Resolves at the next change, or when the signal aborts. */
+  waitForChange(signal: AbortSignal): Promise<void> {
+    return new Promise(resolve => {
+      const wake = () => {
+        this.waiting.delete(wake);
+        signal.removeEventListener('abort', wake);
+        resolve();
+      };
+      this.waiting.add(wake);
+      signal.addEventListener('abort', wake, {once: true});
+    });
+  }
+
+  private addEvent(event: Omit<WatchEvent, 'modRevision'>): number {
+    this.revision += 1;
+    this.events.push({...event, modRevision: this.revision});
+    for (const wake of [...this.waiting]) wake();
+    return this.revision;
+  }
+}
