--- a/packages/admission/src/adaptive-limit.ts
+++ b/packages/admission/src/adaptive-limit.ts
@@ -18,6 +18,7 @@
 // A short queue keeps an upstream busy between two requests; what waits beyond
 // it waits where this instance can neither order nor refuse it any more.
 const LONG_QUEUE = 0.15;
+/** Factor of the limit after a sign of overload; a guess. */
 const DECREASE = 0.8;
 
 /**
--- a/packages/admission/src/deadline.ts
+++ b/packages/admission/src/deadline.ts
@@ -20,6 +20,10 @@
   readonly retryAfterMs: number;
 }
 
+/**
+ * Milliseconds that a refused caller stays away, at least; sooner would only
+ * repeat the refusal. A guess.
+ */
 const MIN_RETRY_MS = 100;
 
 /** Judges whether a request can still be answered in its deadline. */
--- a/packages/admission/src/duration-estimator.ts
+++ b/packages/admission/src/duration-estimator.ts
@@ -6,6 +6,10 @@
   recordedAtMs: number;
 }
 
+/**
+ * Samples after which the newest one weighs no less: a change of the load is
+ * followed within some 30 requests. A guess.
+ */
 const MAX_SAMPLES = 30;
 /** Milliseconds after which a mean without new samples counts half. */
 const HALF_LIFE_MS = 4000;
--- a/packages/claims/src/claim-store.ts
+++ b/packages/claims/src/claim-store.ts
@@ -29,8 +29,20 @@
   | {readonly type: 'granted'; readonly claim: HeldClaim}
   | {readonly type: 'taken'; readonly claim: HeldClaim};
 
+/**
+ * Milliseconds for which claims are kept: the 24 h in which callers may
+ * resend, and an hour to renew in.
+ */
 const RETENTION_MS = 25 * 60 * 60 * 1000;
+/**
+ * Milliseconds between two leases for claims, so that a lease holds an hour of
+ * claims.
+ */
 const RENEW_RETENTION_MS = 60 * 60 * 1000;
+/**
+ * Milliseconds before a failed call to the store is tried again; some forty
+ * answers of a healthy one.
+ */
 const RETRY_MS = 150;
 
 /**
--- a/packages/claims/src/claimed-calls.ts
+++ b/packages/claims/src/claimed-calls.ts
@@ -28,12 +28,26 @@
   endedAtMs: number | undefined;
 }
 
+/**
+ * Milliseconds before an outcome that could not be recorded is recorded again.
+ * A guess.
+ */
 const RECORD_RETRY_MS = 500;
+/**
+ * Milliseconds for which outcomes are at hand without the store; longer than
+ * any deadline.
+ */
 const KEPT_OUTCOME_MS = 60_000;
-/** Milliseconds before its deadline at which a call whose claim is not there is refused. */
+/**
+ * Milliseconds before its deadline at which a call whose claim is not there is
+ * refused.
+ */
 const CLAIM_MARGIN_MS = 50;
 
-/** Runs calls under a claim: each at most once, resends get the first one's answer. */
+/**
+ * Runs calls under a claim: each at most once, resends get the first one's
+ * answer.
+ */
 export class ClaimedCalls {
   private readonly parts: ClaimedCallsParts;
   private readonly local = new Map<string, LocalCall>();
--- a/packages/cli/src/commands/demo/expected-text.ts
+++ b/packages/cli/src/commands/demo/expected-text.ts
@@ -1,7 +1,9 @@
 import {computeChatAnswer, computeCompletion} from '@hollowstack/stand-ins';
 
 const MODEL = 'assistant';
+/** Tokens of the demo's chat answer, as its stand-in makes them. */
 const CHAT_TOKENS = 24;
+/** Tokens of the demo's summary, as its stand-in makes them. */
 const SUMMARY_TOKENS = 120;
 
 /** Computes what the sample's chat pipeline must answer. */
--- a/packages/cli/src/operator-command.ts
+++ b/packages/cli/src/operator-command.ts
@@ -15,7 +15,12 @@
 
 const DEFAULT_ADDRESS = '127.0.0.1:8080';
 const KEY_VARIABLE = 'HOLLOWSTACK_OPERATOR_KEY';
+/**
+ * Milliseconds for an instance's answer to an operator; a publish may meet a
+ * slow store.
+ */
 const TIMEOUT_MS = 30_000;
+/** HTTP status. */
 const OK = 200;
 
 /** A command that asks a running instance. */
--- a/packages/config-log/src/follower.ts
+++ b/packages/config-log/src/follower.ts
@@ -13,10 +13,14 @@
 import {HEAD_KEY} from './keys.ts';
 import {readChangedSnapshot, readHead, readStoredSnapshot} from './reading.ts';
 
+/** Milliseconds between readings of the head where the watch brings nothing. */
 const DEFAULT_POLL_MS = 5000;
+/** Readings of one revision, each of which may meet a publish in progress. */
 const MAX_READ_ATTEMPTS = 5;
 
-/** Brings each newer configuration from the platform's service to the holder. */
+/**
+ * Brings each newer configuration from the platform's service to the holder.
+ */
 export class ConfigurationFollower implements WatchSubscription {
   readonly range: KeyRange = createSingleKeyRange(HEAD_KEY);
   private readonly store: KeyValueStore;
--- a/packages/config-log/src/keys.ts
+++ b/packages/config-log/src/keys.ts
@@ -9,6 +9,7 @@
 /** Prefix of the index from change id to revision. */
 export const CHANGE_ID_PREFIX = 'hollowstack/config/change-ids/';
 
+/** Digits of a revision in a key, so that keys sort by revision. */
 const REVISION_DIGITS = 12;
 
 /** Returns the key of an object. */
--- a/packages/config-log/src/publisher.ts
+++ b/packages/config-log/src/publisher.ts
@@ -33,10 +33,15 @@
 // Records older than this many revisions are deleted with each change, so that
 // the store does not grow with the project's age. A day brings 680 changes.
 const KEPT_CHANGES = 1000;
+/** Attempts to publish beside others who change other objects. */
 const MAX_ATTEMPTS = 8;
+/** Milliseconds before a publish that met another one is tried again. */
 const RETRY_MS = 100;
 
-/** Applies publish plans to the platform's service; a lost answer never doubles a change. */
+/**
+ * Applies publish plans to the platform's service; a lost answer never doubles
+ * a change.
+ */
 export class ConfigurationPublisher {
   private readonly store: KeyValueStore;
   private readonly clock: Clock;
--- a/packages/entry/src/create-daemon.ts
+++ b/packages/entry/src/create-daemon.ts
@@ -47,6 +47,10 @@
 import {StatusReader} from './status-reader.ts';
 import {WhyReader} from './why-reader.ts';
 
+/**
+ * Seconds of the budget of store calls that may be spent at once; a start
+ * reads all ranges.
+ */
 const CALL_BURST_SECONDS = 2;
 
 /** Wires all parts of a daemon; the only place where they are constructed. */
@@ -271,6 +275,10 @@
 }
 
 const MICROSECONDS = 1e6;
+/**
+ * Milliseconds beyond a peer's own wait in which its answer must be there;
+ * some hundred round trips.
+ */
 const LINK_MARGIN_MS = 200;
 
 async function askOutcome(
--- a/packages/entry/src/daemon.ts
+++ b/packages/entry/src/daemon.ts
@@ -58,6 +58,7 @@
   readonly front: Front;
 }
 
+/** Milliseconds between two looks whether a start is complete. */
 const START_POLL_MS = 50;
 
 /** One instance of the system. */
--- a/packages/entry/src/pause-guard.ts
+++ b/packages/entry/src/pause-guard.ts
@@ -1,8 +1,14 @@
 import {waitFor, type Clock, type Timer} from '@hollowstack/clock';
 
+/**
+ * Milliseconds between two ticks by which a pause of the process is noticed.
+ */
 const TICK_MS = 500;
-/** Milliseconds without a tick after which the process must have stood still. */
+/**
+ * Milliseconds without a tick after which the process must have stood still.
+ */
 const PAUSE_MS = 2000;
+/** Milliseconds that requests wait for what is read again after a pause. */
 const REFRESH_LIMIT_MS = 500;
 
 /**
--- a/packages/entry/src/pipeline-endpoint.ts
+++ b/packages/entry/src/pipeline-endpoint.ts
@@ -47,6 +47,7 @@
 });
 type PipelineBody = z.infer<typeof bodySchema>;
 
+/** Segments of `/v1/workspaces/W/pipelines/P`. */
 const PIPELINE_SEGMENTS = 5;
 
 /** Serves `POST /v1/workspaces/{workspace}/pipelines/{pipeline}`. */
--- a/packages/entry/src/service-endpoint.ts
+++ b/packages/entry/src/service-endpoint.ts
@@ -38,9 +38,15 @@
   readonly metrics: MetricsRegistry;
 }
 
+/** Segments of `/v1/workspaces/W/services/S` before the path of the service. */
 const FIXED_SEGMENTS = 5;
 const KEY_HEADER = 'idempotency-key';
+/**
+ * Bytes of an answer that is recorded for resends; values of the store hold a
+ * megabyte.
+ */
 const MAX_KEPT_BYTES = 256 * 1024;
+/** Priority of calls to plain services, which have none of their own. */
 const SERVICE_PRIORITY = 1;
 
 /** Serves `/v1/workspaces/{workspace}/services/{service}/...`. */
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -4,6 +4,7 @@
 import {parseTomlFile} from '@hollowstack/toml-file';
 import {z} from 'zod';
 
+/** Characters of a secret, at least; 16 of them cannot be guessed. */
 const MIN_SECRET_LENGTH = 16;
 const secretSchema = z
   .string()
--- a/packages/entry/src/why-reader.ts
+++ b/packages/entry/src/why-reader.ts
@@ -3,9 +3,13 @@
 import type {Membership, PeerLink} from '@hollowstack/peers';
 import {getInstanceOfRequest} from './request-ids.ts';
 
+/** Milliseconds for a peer's answer to an operator's question. */
 const TIMEOUT_MS = 2000;
 
-/** Finds the decisions about a request, on this instance or the one its id names. */
+/**
+ * Finds the decisions about a request, on this instance or the one its id
+ * names.
+ */
 export class WhyReader {
   private readonly decisionLog: DecisionLog;
   private readonly membership: Membership;
--- a/packages/gateway/src/event-splitter.ts
+++ b/packages/gateway/src/event-splitter.ts
@@ -1,4 +1,6 @@
+/** Byte of a line feed. */
 const LINE_FEED = 10;
+/** Byte of a carriage return. */
 const CARRIAGE_RETURN = 13;
 
 /** Whole events of a stream, and the id of the last one. */
--- a/packages/peers/src/frames.ts
+++ b/packages/peers/src/frames.ts
@@ -1,5 +1,6 @@
 /** Largest frame that an authenticated peer may send, in bytes. */
 export const MAX_FRAME_BYTES = 8 * 1024 * 1024;
+/** Bytes of the length in front of each frame. */
 const LENGTH_BYTES = 4;
 
 /** A frame that cannot be taken. */
@@ -10,7 +11,10 @@
   }
 }
 
-/** Encodes a frame: its length in four bytes, the highest first, then the payload. */
+/**
+ * Encodes a frame: its length in four bytes, the highest first, then the
+ * payload.
+ */
 export function encodeFrame(payload: Uint8Array): Buffer {
   const frame = Buffer.allocUnsafe(LENGTH_BYTES + payload.length);
   frame.writeUInt32BE(payload.length, 0);
--- a/packages/peers/src/peer-link.ts
+++ b/packages/peers/src/peer-link.ts
@@ -28,6 +28,7 @@
 // Streams that were opened to ask a rare question are closed again, so that a
 // large fleet does not end as a full mesh.
 const MAX_OPEN_PEERS = 32;
+/** Milliseconds for both sides of a stream to prove that they hold the key. */
 const HANDSHAKE_TIMEOUT_MS = 2000;
 
 /**
--- a/packages/peers/src/revision-exchange.ts
+++ b/packages/peers/src/revision-exchange.ts
@@ -22,12 +22,20 @@
   ) => void;
 }
 
+/** Milliseconds between two rounds. A guess. */
 const ROUND_MS = 1000;
-/** Peers asked in a round: the cost of an instance does not grow with the fleet. */
+/**
+ * Peers asked in a round: the cost of an instance does not grow with the
+ * fleet.
+ */
 const FAN_OUT = 3;
+/** Milliseconds for a peer's answer, a snapshot on a thin link included. */
 const TIMEOUT_MS = 1500;
 
-/** Tells a few peers a second which revision is in force, and learns of newer ones. */
+/**
+ * Tells a few peers a second which revision is in force, and learns of newer
+ * ones.
+ */
 export class RevisionExchange {
   private readonly parts: RevisionExchangeParts;
   private readonly task: RepeatingTask;
--- a/packages/peers/src/session.ts
+++ b/packages/peers/src/session.ts
@@ -21,8 +21,11 @@
 } from './messages.ts';
 import type {PeerSocket} from './peer-network.ts';
 
+/** Bytes of a handshake message, at most: nobody has proved anything yet. */
 const MAX_HANDSHAKE_BYTES = 1024;
+/** Bytes of the tag of a frame: half of a SHA-256, as HMAC allows. */
 const TAG_BYTES = 16;
+/** Random bytes of a side; no two sessions share them. */
 const NONCE_BYTES = 16;
 
 /** Which side of a stream this instance is. */
--- a/packages/pipeline/src/attempt.ts
+++ b/packages/pipeline/src/attempt.ts
@@ -15,14 +15,18 @@
   readonly body: Uint8Array;
 }
 
-/** Header that carries the attempt's id; an upstream that echoes it is checked. */
+/**
+ * Header that carries the attempt's id; an upstream that echoes it is checked.
+ */
 export const ATTEMPT_ID_HEADER = 'x-attempt-id';
 /** Header that carries the request's id. */
 export const REQUEST_ID_HEADER = 'x-request-id';
 /** Header by which an upstream says that it did not run what it refuses. */
 const NOT_RUN_HEADER = 'x-not-run';
 
+/** HTTP status. */
 const TOO_MANY_REQUESTS = 429;
+/** HTTP status. */
 const SERVICE_UNAVAILABLE = 503;
 
 /** What an attempt needs to know of its upstream, and tells of it. */
@@ -35,7 +39,10 @@
   recordByte(): void;
 }
 
-/** One attempt: sends a call and passes its answer on, unless the upstream falls silent. */
+/**
+ * One attempt: sends a call and passes its answer on, unless the upstream
+ * falls silent.
+ */
 export class Attempt {
   private readonly client: HttpClient;
   private readonly clock: Clock;
--- a/packages/pipeline/src/group-runner.ts
+++ b/packages/pipeline/src/group-runner.ts
@@ -17,8 +17,12 @@
   type GroupWork,
 } from './group-work.ts';
 
-/** Multiple of the usual time to the first byte after which silence is a failure. */
+/**
+ * Multiple of the usual time to the first byte after which silence is a
+ * failure.
+ */
 const SILENCE_FACTOR = 4;
+/** Milliseconds of silence that no upstream is blamed for. A guess. */
 const MIN_SILENCE_MS = 250;
 
 /** Runs a piece of work at one upstream after the other until it is whole. */
--- a/packages/pipeline/src/group-work.ts
+++ b/packages/pipeline/src/group-work.ts
@@ -59,6 +59,10 @@
   cost: {maxAttempts: 2, confidence: 0.95},
 };
 
+/**
+ * Characters at the beginning of a prompt that name its home; enough to tell
+ * templates apart.
+ */
 const AFFINITY_CHARACTERS = 128;
 
 /** Returns the key of prompts that begin alike: they share cache blocks. */
--- a/packages/pipeline/src/load-poller.ts
+++ b/packages/pipeline/src/load-poller.ts
@@ -13,7 +13,12 @@
 import type {GroupDirectory} from './group-directory.ts';
 import type {UpstreamGroup} from './upstream-group.ts';
 
+/**
+ * Milliseconds for an upstream's report; an older one says nothing of its
+ * load.
+ */
 const TIMEOUT_MS = 800;
+/** HTTP status. */
 const OK = 200;
 
 const cacheEventsSchema = z.object({events: z.array(cacheEventSchema)});
--- a/packages/pipeline/src/place-queue.ts
+++ b/packages/pipeline/src/place-queue.ts
@@ -31,6 +31,7 @@
 
 // As long as reports take to tell of the last change.
 const SAMPLE_INTERVAL_MS = 1000;
+/** Requests that may wait for one group of upstreams; a bound on memory. */
 const MAX_WAITING = 2000;
 
 /** Gives out the places that this instance has in one pool. */
--- a/packages/pipeline/src/service-runner.ts
+++ b/packages/pipeline/src/service-runner.ts
@@ -27,6 +27,7 @@
   readonly upstream: string;
 }
 
+/** HTTP status: from here on the upstream has failed. */
 const FIRST_SERVER_ERROR = 500;
 
 /** Runs calls of plain services. */
--- a/packages/pipeline/src/stage-calls.ts
+++ b/packages/pipeline/src/stage-calls.ts
@@ -18,7 +18,12 @@
   documents?: readonly Document[];
 }
 
+/** HTTP status. */
 const OK = 200;
+/**
+ * Characters of input that cost as much as a call itself; a guess until
+ * durations are learnt.
+ */
 const CHARACTERS_PER_WORK = 2000;
 /** Tokens that the expected duration of a generate pool is given for. */
 export const TOKENS_PER_WORK = 64;
@@ -137,7 +142,9 @@
   }
 }
 
-/** Streams tokens to the sink; after a cut it goes on from the tokens it has. */
+/**
+ * Streams tokens to the sink; after a cut it goes on from the tokens it has.
+ */
 class GenerateCall extends StageCall {
   private readonly pipeline: WorkspacePipeline;
   private readonly prompt: string;
@@ -235,6 +242,7 @@
   return JSON.parse(body.toString('utf8'));
 }
 
+/** Characters of an upstream's failure that an error shows. */
 const SHOWN_CHARACTERS = 200;
 
 async function createStatusError(
--- a/packages/placement/src/holder-lease.ts
+++ b/packages/placement/src/holder-lease.ts
@@ -14,6 +14,7 @@
   readonly renewedAtMs: number;
 }
 
+/** Milliseconds of the placement lease: the longest time without a holder. */
 const LEASE_MS = 10_000;
 /** What clocks of the service and the holder may run apart in one lease. */
 const CLOCK_MARGIN_MS = 1000;
--- a/packages/placement/src/placement-keeper.ts
+++ b/packages/placement/src/placement-keeper.ts
@@ -44,8 +44,11 @@
   };
 }
 
+/** Milliseconds between two plans; loads of models take longer. */
 const ROUND_MS = 3000;
+/** Milliseconds for an order to be answered; the lease must outlast it. */
 const ORDER_TIMEOUT_MS = 1500;
+/** HTTP status: the engine has taken the order. */
 const APPLIED = 200;
 
 /**
--- a/packages/store/src/gateway-store.ts
+++ b/packages/store/src/gateway-store.ts
@@ -39,6 +39,7 @@
   readonly timeoutMs: number;
 }
 
+/** HTTP status. */
 const OK = 200;
 
 /** The adapter to the JSON gateway of the etcd v3 API. */
--- a/packages/store/src/instance-list.ts
+++ b/packages/store/src/instance-list.ts
@@ -17,9 +17,15 @@
   return `${INSTANCE_LIST_PREFIX}${group}/${id}`;
 }
 
+/**
+ * Milliseconds between readings of the list; the watch brings changes sooner.
+ */
 const DEFAULT_POLL_MS = 15_000;
 
-/** Follows the platform's lagging list of instances; keeps the last one through an outage. */
+/**
+ * Follows the platform's lagging list of instances; keeps the last one through
+ * an outage.
+ */
 export class InstanceList implements WatchSubscription {
   readonly range: KeyRange = createPrefixRange(INSTANCE_LIST_PREFIX);
   private readonly store: KeyValueStore;
--- a/packages/transport/src/event-stream.ts
+++ b/packages/transport/src/event-stream.ts
@@ -1,4 +1,5 @@
 const DATA_PREFIX = 'data:';
+/** Byte of a space. */
 const SPACE = 32;
 
 /**
--- a/packages/transport/src/node-http-server.ts
+++ b/packages/transport/src/node-http-server.ts
@@ -24,13 +24,16 @@
   readonly receiveMs: number;
 }
 
-/** Limits for callers that are known and trusted, such as stand-ins' clients. */
+/**
+ * Limits for callers that are known and trusted, such as stand-ins' clients.
+ */
 export const DEFAULT_SERVER_LIMITS: HttpServerLimits = {
   bodyBytes: 16 * 1024 * 1024,
   headerBytes: 16 * 1024,
   receiveMs: 30_000,
 };
 
+/** Milliseconds for which an idle connection of a caller is kept. */
 const KEEP_ALIVE_MS = 60_000;
 
 /** Serves a handler over Node's http. */
