Count the requests to peers that fail, by their type

Cause: eleven callers of a peer go on without an answer and without a line; an on-call engineer could not see that a coordinator was slow or streams silent. Ruled out: a log line for each (a frozen coordinator brings hundreds a second). Figures: the test of the silent stream counts its two failures.

--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -7,7 +7,8 @@
 } from './frames.ts';
 export {PeerNetwork, type PeerSocket} from './peer-network.ts';
 export {TcpPeerNetwork} from './tcp-peer-network.ts';
-export {PeerLink, type PeerIdentity, type PeerLinkParts} from './peer-link.ts';
+export type {PeerIdentity} from './peer-identity.ts';
+export {PeerLink, type PeerLinkParts} from './peer-link.ts';
 export {KeyRing, type PeerKey} from './key-ring.ts';
 export {
   peerRequestSchema,
--- a/packages/peers/src/peer-link.test.ts
+++ b/packages/peers/src/peer-link.test.ts
@@ -163,6 +163,10 @@
   await assert.rejects(held, {message: /has closed/});
   await askWithin(650);
   assert.equal(network.connectCount, 2);
+  const failures = left.metrics.getCounter('hollowstack_peer_failures_total', {
+    type: 'members',
+  });
+  assert.equal(failures, 2);
 });
 
 test('a peer that answers other requests is not given up for a slow one', async t => {
--- a/packages/peers/src/peer-link.ts
+++ b/packages/peers/src/peer-link.ts
@@ -5,16 +5,10 @@
 import type {KeyRing} from './key-ring.ts';
 import type {Envelope, PeerReply, PeerRequest} from './messages.ts';
 import type {PeerNetwork, PeerSocket} from './peer-network.ts';
+import type {PeerIdentity} from './peer-identity.ts';
 import {PeerStream} from './peer-stream.ts';
 import {Session} from './session.ts';
 
-/** Who this instance is to its peers. */
-export interface PeerIdentity {
-  readonly id: string;
-  /** Failure domain. */
-  readonly failureDomain: string;
-}
-
 /** What the link works with. */
 export interface PeerLinkParts {
   readonly identity: PeerIdentity;
@@ -90,12 +84,19 @@
       let isOver = false;
       let stream: PeerStream | undefined;
       const sentAtMs = clock.getNow();
+      // Many callers go on without an answer; the counter is where it shows.
+      const fail = (error: Error) => {
+        metrics.addToCounter('hollowstack_peer_failures_total', {
+          type: request.type,
+        });
+        reject(error);
+      };
       const timer = clock.schedule(timeoutMs, () => {
         isOver = true;
         if (stream?.recordTimeout(id, sentAtMs)) {
           this.closeSilent(address, stream);
         }
-        reject(createLinkError(`no answer from ${address}`));
+        fail(createLinkError(`no answer from ${address}`));
       });
       this.openPeer(address).then(
         opened => {
@@ -104,11 +105,15 @@
           metrics.addToCounter('hollowstack_peer_requests_total', {
             type: request.type,
           });
-          stream.sendRequest(id, request, {resolve, reject, timer});
+          stream.sendRequest(id, request, {
+            resolve,
+            reject: fail,
+            timer,
+          });
         },
         error => {
           timer.cancel();
-          reject(error);
+          if (!isOver) fail(error);
         },
       );
     });
@@ -118,10 +123,7 @@
   closePeer(address: string): void {
     const opening = this.opened.get(address);
     this.opened.delete(address);
-    opening?.then(
-      ({session}) => session.close(),
-      () => {},
-    );
+    if (opening) closeOnceOpen(opening);
   }
 
   /** Closes every stream and takes no more. */
@@ -146,13 +148,7 @@
 
   private closeIdle(): void {
     for (const opening of this.opened.values()) {
-      opening.then(
-        stream => {
-          if (stream.isIdle()) stream.session.close();
-        },
-        // One that cannot be opened leaves the list by itself.
-        () => {},
-      );
+      closeOnceOpen(opening, stream => stream.isIdle());
     }
   }
 
@@ -279,13 +275,23 @@
     if (this.opened.size <= MAX_OPEN_PEERS) return;
     const [address, opening] = this.opened.entries().next().value!;
     this.opened.delete(address);
-    opening.then(
-      ({session}) => session.close(),
-      () => {},
-    );
+    closeOnceOpen(opening);
   }
 }
 
+function closeOnceOpen(
+  opening: Promise<PeerStream>,
+  mayClose: (stream: PeerStream) => boolean = () => true,
+): void {
+  opening.then(
+    stream => {
+      if (mayClose(stream)) stream.session.close();
+    },
+    // One that cannot be opened has nothing to close, and leaves the list itself.
+    () => {},
+  );
+}
+
 function createLinkError(message: string, cause?: unknown): HollowstackError {
   return new HollowstackError('peer-refused', message, {cause});
 }
