Take all changes that one transaction made together

Cause: found by reading. A change counted as new only if its revision was above that of the change before it; changes of one transaction share a revision, so that the registry took the first and dropped the others, also an announced leaving. A registration that could not be read was passed over without a line. Ruled out: the relay's copy of a range (it compares with the revision before the batch). Change: changes are compared with the revision before the batch; an unreadable registration is logged as upstream.unreadable (615).

--- a/packages/gateway/src/upstream-registry.test.ts
+++ b/packages/gateway/src/upstream-registry.test.ts
@@ -15,14 +15,20 @@
 }
 
 const protocol = {
-  parseUpstream: (key: string, text: string): RegisteredUpstream => ({
-    id: key,
-    service: 'plain',
-    address: '10.0.0.1:1',
-    failureDomain: 'a',
-    capacity: 1,
-    isLeaving: text === 'leaving',
-  }),
+  parseUpstream: (
+    key: string,
+    text: string,
+  ): RegisteredUpstream | undefined => {
+    if (text === 'unreadable') return undefined;
+    return {
+      id: key,
+      service: 'plain',
+      address: '10.0.0.1:1',
+      failureDomain: 'a',
+      capacity: 1,
+      isLeaving: text === 'leaving',
+    };
+  },
 } as unknown as RequestProtocol;
 
 function createRegistry() {
@@ -93,3 +99,24 @@
     ['b'],
   );
 });
+
+test('changes that one transaction made together are all taken', () => {
+  const {registry} = createRegistry();
+  registry.applyEvents([
+    {type: 'put', key: 'a', value: 'leaving', modRevision: 2},
+    {type: 'delete', key: 'b', value: '', modRevision: 2},
+  ]);
+  assert.deepEqual(
+    registry.listUpstreams().map(({id, isLeaving}) => ({id, isLeaving})),
+    [{id: 'a', isLeaving: true}],
+  );
+});
+
+test('a registration that cannot be read is logged, and changes nothing', () => {
+  const {logger, registry} = createRegistry();
+  registry.applyEvents([
+    {type: 'put', key: 'a', value: 'unreadable', modRevision: 2},
+  ]);
+  assert.equal(logger.names.at(-1), 'upstream.unreadable');
+  assert.equal(registry.listUpstreams().length, 2);
+});
--- a/packages/gateway/src/upstream-registry.ts
+++ b/packages/gateway/src/upstream-registry.ts
@@ -150,10 +150,12 @@
   /** Takes the changes that the watch tells of. */
   applyEvents(events: readonly WatchEvent[]): void {
     this.recordHeard('watch');
+    const readRevision = this.storeRevision;
     for (const event of events) {
       // A watch that began before the last whole reading repeats older changes.
-      if (event.modRevision <= this.storeRevision) continue;
-      this.storeRevision = event.modRevision;
+      // Those of one transaction share a revision, and all of them count.
+      if (event.modRevision <= readRevision) continue;
+      this.storeRevision = Math.max(this.storeRevision, event.modRevision);
       if (event.type === 'delete') this.removeEntry(event.key, 'watch');
       else this.setEntry(event.key, event.value, 'watch');
     }
@@ -193,7 +195,10 @@
   private setEntry(key: string, text: string, source: string): void {
     this.digest = undefined;
     const parsed = this.protocol.parseUpstream(key, text);
-    if (!parsed) return;
+    if (!parsed) {
+      this.logger.logEvent('upstream.unreadable', {key, source});
+      return;
+    }
     this.missing.delete(key);
     // An upstream that was leaving never comes back under the same id.
     const isLeaving = parsed.isLeaving || this.leftIds.has(parsed.id);
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -189,6 +189,11 @@
     level: 'info',
     text: 'the store was away; upstreams whose registrations ran out may come back',
   },
+  'upstream.unreadable': {
+    number: 615,
+    level: 'warn',
+    text: 'the registration of an upstream cannot be read; what was known of it stays',
+  },
   'engine.kept': {
     number: 620,
     level: 'info',
