End a daemon that cannot listen at one of its addresses, with an error that says so

Cause: an entry instance or gateway whose second address was taken printed an internal error and went on, kept by the first one, neither serving nor ending. Ruled out: a longer time-out of the tests.

--- a/packages/cli/src/commands/entry/index.ts
+++ b/packages/cli/src/commands/entry/index.ts
@@ -12,6 +12,7 @@
 import {splitAddress} from '@hollowstack/types';
 import {Command, Option} from 'clipanion';
 import {stringify} from 'smol-toml';
+import {toListenError} from '../../listen-error.ts';
 import {readTextFile} from '../../read-text-file.ts';
 import {ReportingCommand} from '../../reporting-command.ts';
 
@@ -69,9 +70,17 @@
       request => daemon.handle(request),
       limits,
     );
-    await daemon.parts.link.listen(listen.peerAddress);
+    const {link} = daemon.parts;
     const {host, port} = splitAddress(listen.address);
-    await server.listen(host, port);
+    try {
+      await link.listen(listen.peerAddress);
+      await server.listen(host, port);
+    } catch (error) {
+      // What listens already would keep a process that serves nobody.
+      link.close();
+      client.close();
+      throw toListenError(error);
+    }
     const stopAsked = this.waitForStop(daemon);
     void daemon.start();
     await stopAsked;
--- a/packages/cli/src/commands/gateway/index.ts
+++ b/packages/cli/src/commands/gateway/index.ts
@@ -19,6 +19,7 @@
 import {NodeHttpClient} from '@hollowstack/transport';
 import {Command, Option} from 'clipanion';
 import {stringify} from 'smol-toml';
+import {toListenError} from '../../listen-error.ts';
 import {readTextFile} from '../../read-text-file.ts';
 import {ReportingCommand} from '../../reporting-command.ts';
 
@@ -94,7 +95,14 @@
     // Settings that may change while running: none. The signal must not end
     // the process, as it would by default.
     process.on('SIGHUP', () => {});
-    await gateway.start();
+    try {
+      await gateway.start();
+    } catch (error) {
+      // What listens already would keep a process that serves nobody.
+      gateway.stop();
+      client.close();
+      throw toListenError(error);
+    }
     await stopAsked;
     await gateway.drain();
     client.close();
--- a/packages/local-system/src/index.ts
+++ b/packages/local-system/src/index.ts
@@ -14,4 +14,5 @@
   type SampleUpstreams,
 } from './sample-configuration.ts';
 export {SystemCaller, type CallerAnswer} from './system-caller.ts';
+export {findFreeAddresses} from './free-addresses.ts';
 export {createSeededRandom} from './seeded-random.ts';
--- a/packages/local-system/src/loopback-network.ts
+++ b/packages/local-system/src/loopback-network.ts
@@ -1,4 +1,3 @@
-import {createServer} from 'node:net';
 import {SystemClock} from '@hollowstack/clock';
 import {TcpPeerNetwork} from '@hollowstack/peers';
 import {
@@ -6,6 +5,7 @@
   NodeHttpServer,
   type HttpHandler,
 } from '@hollowstack/transport';
+import {findFreeAddresses} from './free-addresses.ts';
 import {SystemNetwork, type NodeEnvironment} from './system-network.ts';
 
 const HOST = '127.0.0.1';
@@ -22,16 +22,9 @@
     return {clock: this.clock, client, peerNetwork: new TcpPeerNetwork()};
   }
 
-  reserveAddress(): Promise<string> {
-    return new Promise((resolve, reject) => {
-      const server = createServer();
-      server.once('error', reject);
-      server.listen(0, HOST, () => {
-        const bound = server.address();
-        const port = typeof bound === 'object' ? bound?.port : undefined;
-        server.close(() => resolve(`${HOST}:${port}`));
-      });
-    });
+  async reserveAddress(): Promise<string> {
+    const [address] = await findFreeAddresses(1);
+    return address;
   }
 
   async serve(
