Send nothing new to evacuated failure domains

Cause: no part of the system read the operators' evacuations. Ruled out: a range of its own for them (each watcher of the store would pay a third of its calls more), and marking their upstreams as leaving (those never come back under the same id).

Change: one range now follows all that operators write. EvacuatedDomains holds the newest state by the store's revision, from the watch, the relay, or a peer (every comparison of peers carries it). The registry tells each upstream's state to the pool, the stage fleet and the engine directory; the question right before a send covers it too. A service none of whose upstreams takes work is refused at once with its cause, also where it does a stage's work: before, such a request was held until its deadline.

--- a/packages/assignment/src/engine-directory.ts
+++ b/packages/assignment/src/engine-directory.ts
@@ -1,4 +1,8 @@
-import type {RegisteredUpstream, RouteTable} from '@hollowstack/routes';
+import {
+  isTakingWork,
+  type RegisteredUpstream,
+  type RouteTable,
+} from '@hollowstack/routes';
 import {
   DEFAULT_HEALTH_POLICY,
   Slowness,
@@ -217,7 +221,7 @@
     const usable = [...this.engines.values()].filter(
       ({record, health}) =>
         record.service === request.service &&
-        !record.isLeaving &&
+        isTakingWork(record) &&
         !excluded.has(record.id) &&
         isCandidate(health, nowMs),
     );
--- a/packages/gateway/src/copy-exchange.test.ts
+++ b/packages/gateway/src/copy-exchange.test.ts
@@ -5,6 +5,7 @@
 import type {Membership, PeerLink, PeerReply} from '@hollowstack/peers';
 import type {RegisteredUpstream} from '@hollowstack/routes';
 import {CopyExchange} from './copy-exchange.ts';
+import {EvacuatedDomains} from './evacuated-domains.ts';
 import type {RequestProtocol} from './request-protocol.ts';
 import {RouteHolder} from './route-holder.ts';
 import {UpstreamRegistry} from './upstream-registry.ts';
@@ -28,7 +29,12 @@
 function startInGrace(t: TestContext, answer: Partial<CopyReply>) {
   const clock = new ManualClock();
   const logger = new SilentEventLogger();
-  const registry = new UpstreamRegistry(protocol, logger, clock);
+  const registry = new UpstreamRegistry(
+    protocol,
+    logger,
+    clock,
+    new EvacuatedDomains({protocol, logger, clock}),
+  );
   const reply: CopyReply = {
     type: 'copy',
     self: PEER,
@@ -53,6 +59,7 @@
     seeds: [],
     holder: new RouteHolder(protocol, logger),
     registry,
+    evacuated: new EvacuatedDomains({protocol, logger, clock}),
     followWithinMs: 2000,
   });
   t.after(() => {
--- a/packages/gateway/src/copy-exchange.ts
+++ b/packages/gateway/src/copy-exchange.ts
@@ -6,12 +6,14 @@
 } from '@hollowstack/clock';
 import {
   type CopyWishes,
+  type EvacuationState,
   type Membership,
   type PeerLink,
   type PeerRecord,
   type PeerReply,
   type PeerRequest,
 } from '@hollowstack/peers';
+import type {EvacuatedDomains} from './evacuated-domains.ts';
 import {ExchangePartners} from './exchange-partners.ts';
 import {PeerNews} from './peer-news.ts';
 import type {RouteHolder} from './route-holder.ts';
@@ -33,6 +35,7 @@
   readonly seeds: readonly string[];
   readonly holder: RouteHolder;
   readonly registry: UpstreamRegistry;
+  readonly evacuated: EvacuatedDomains;
   /** Milliseconds in which a change must be in force here. */
   readonly followWithinMs: number;
 }
@@ -117,12 +120,13 @@
 
   /** Answers a peer's question. */
   answerCopy(asked: Extract<PeerRequest, {type: 'copy'}>): PeerReply {
-    const {holder, registry, membership} = this.parts;
+    const {holder, registry, evacuated, membership} = this.parts;
     const {wishes} = asked;
     const isConfigurationNews =
       holder.getRevision() > asked.configurationRevision;
     const isDigestOther = registry.getDigest() !== asked.digest;
     this.recordPeer(asked);
+    this.applyEvacuations(asked, asked.self.address);
     // Whoever asks may know more than the one that is asked.
     if (!asked.isLeaving) {
       this.recordNews({...asked, isDigestOther});
@@ -138,6 +142,7 @@
       storeRevision: registry.getStoreRevision(),
       isDigestOther,
       isProvisional: registry.isInGrace(),
+      evacuations: evacuated.getState(),
       configurationText:
         wishes.configuration && isConfigurationNews
           ? holder.getText()
@@ -182,7 +187,7 @@
 
   // Resolves to whether the peer has answered.
   private async askPeer(address: string, wishes: CopyWishes): Promise<boolean> {
-    const {link, membership, holder, registry} = this.parts;
+    const {link, membership, holder, registry, evacuated} = this.parts;
     const reply = await link
       .sendRequest(
         address,
@@ -194,6 +199,7 @@
           storeRevision: registry.getStoreRevision(),
           digest: registry.getDigest(),
           isProvisional: registry.isInGrace(),
+          evacuations: evacuated.getState(),
           wishes,
         },
         wishes.configuration || wishes.upstreams ? COPY_TIMEOUT_MS : TIMEOUT_MS,
@@ -205,6 +211,7 @@
     }
     const source = `peer ${address}`;
     this.recordPeer(reply);
+    this.applyEvacuations(reply, address);
     this.recordNews(reply);
     if (wishes.upstreams && !reply.isDigestOther) {
       this.upstreamNews.removeNews();
@@ -258,6 +265,14 @@
     );
   }
 
+  private applyEvacuations(
+    {evacuations}: {evacuations?: EvacuationState},
+    address: string,
+  ): void {
+    if (!evacuations) return;
+    this.parts.evacuated.replaceState(evacuations, `peer ${address}`);
+  }
+
   // One that stops still answers, but nothing new must go to it.
   private recordPeer(peer: {self: PeerRecord; isLeaving: boolean}): void {
     const {membership} = this.parts;
--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -15,6 +15,7 @@
 import {createStoreView} from './create-store-view.ts';
 import {EngineAssigner} from './engine-assigner.ts';
 import type {EngineProtocol} from './engine-protocol.ts';
+import {EvacuatedDomains} from './evacuated-domains.ts';
 import {GatewayFront} from './gateway-front.ts';
 import {GatewayLifecycle} from './gateway-lifecycle.ts';
 import {GatewayPeerRequests} from './gateway-peer-requests.ts';
@@ -58,7 +59,8 @@
   const metrics = new MetricsRegistry();
   const lifecycle = new GatewayLifecycle();
   const holder = new RouteHolder(protocol, logger);
-  const registry = new UpstreamRegistry(protocol, logger, clock);
+  const evacuated = new EvacuatedDomains({protocol, logger, clock});
+  const registry = new UpstreamRegistry(protocol, logger, clock, evacuated);
 
   const link = new PeerLink({
     identity: {id, failureDomain},
@@ -74,6 +76,7 @@
     link,
     holder,
     registry,
+    evacuated,
   });
   const coordinator = new StageCoordinator({
     clock,
@@ -139,6 +142,7 @@
     directory.setConfiguration(table);
     server.setLimits(table.configuration.limits);
   });
+  evacuated.addListener(change => registry.applyEvacuations(change));
   registry.addListener(upstreams => {
     pool.setUpstreams(upstreams);
     coordinator.setUpstreams(upstreams);
--- a/packages/gateway/src/create-store-view.ts
+++ b/packages/gateway/src/create-store-view.ts
@@ -1,14 +1,11 @@
 import {Membership, PEER_PREFIX, type PeerLink} from '@hollowstack/peers';
-import {
-  WatchHub,
-  createPrefixRange,
-  createSingleKeyRange,
-  type WatchPace,
-} from '@hollowstack/store';
+import {WatchHub, createPrefixRange, type WatchPace} from '@hollowstack/store';
 import {RelayServer, RelayedStore} from '@hollowstack/store-relay';
 import {CopyExchange} from './copy-exchange.ts';
+import type {EvacuatedDomains} from './evacuated-domains.ts';
 import type {GatewayEnvironment} from './create-gateway.ts';
 import type {GatewaySettings} from './gateway-settings.ts';
+import type {RequestProtocol} from './request-protocol.ts';
 import type {RouteHolder} from './route-holder.ts';
 import {StoreFollower} from './store-follower.ts';
 import type {UpstreamRegistry} from './upstream-registry.ts';
@@ -40,6 +37,8 @@
   readonly holder: RouteHolder;
   /** Takes registrations of upstreams. */
   readonly registry: UpstreamRegistry;
+  /** Takes evacuations of failure domains. */
+  readonly evacuated: EvacuatedDomains;
 }
 
 /**
@@ -58,13 +57,14 @@
 
 /** Wires what follows the store: the watch, its relay, and the exchange with peers. */
 export function createStoreView(parts: StoreViewParts): StoreView {
-  const {settings, environment, link, holder, registry} = parts;
+  const {settings, environment, link, holder, registry, evacuated} = parts;
   const {clock, logger, random} = environment;
   const {id, failureDomain, cpuShare, cpuSpeed} = settings.instance;
   const {peerAddress, advertisedPeerAddress} = settings.listen;
   const followWithinMs = Math.min(
     settings.store.followWithinMs,
     settings.store.configureWithinMs,
+    settings.store.evacuateWithinMs,
   );
   const store = new RelayedStore({
     store: environment.store,
@@ -92,11 +92,11 @@
     getWatcherCount: () => store.countWatchers(),
   });
   const followerParts = {store, clock, random, logger};
-  const configurationFollower = createConfigurationFollower(
+  const operatorFollower = createOperatorFollower(
     followerParts,
-    environment.requestProtocol.configurationKey,
+    environment.requestProtocol,
     watchPace,
-    holder,
+    {holder, evacuated},
   );
   const registryFollower = createRegistryFollower(
     followerParts,
@@ -111,7 +111,7 @@
     random,
     backoff: WATCH_BACKOFF,
   });
-  const followers = [configurationFollower, registryFollower];
+  const followers = [operatorFollower, registryFollower];
   for (const follower of followers) watchHub.addSubscription(follower);
   watchHub.addSubscription(membership);
 
@@ -123,6 +123,7 @@
     seeds: settings.peers.seeds,
     holder,
     registry,
+    evacuated,
     followWithinMs,
   });
   registry.addMissingListener(() => void exchange.runRound());
@@ -135,21 +136,28 @@
   'store' | 'clock' | 'random' | 'logger'
 >;
 
-function createConfigurationFollower(
+// One range for all that operators write: a range of its own for evacuations would
+// cost each watcher of the store a third of its calls more.
+function createOperatorFollower(
   parts: FollowerParts,
-  key: string,
+  {operatorPrefix, configurationKey}: RequestProtocol,
   watchPace: WatchPace,
-  holder: RouteHolder,
+  {holder, evacuated}: Pick<StoreViewParts, 'holder' | 'evacuated'>,
 ): StoreFollower {
   return new StoreFollower({
     ...parts,
-    range: {...createSingleKeyRange(key), watchPace},
-    handleReading: ({keyValues}) => {
-      for (const {value} of keyValues) holder.offerText(value, 'store');
+    range: {...createPrefixRange(operatorPrefix), watchPace},
+    handleReading: ({keyValues, storeRevision}) => {
+      evacuated.applyReading(keyValues, storeRevision);
+      for (const {key, value} of keyValues) {
+        if (key === configurationKey) holder.offerText(value, 'store');
+      }
     },
     handleChanges: events => {
-      for (const {type, value} of events) {
-        if (type === 'put') holder.offerText(value, 'watch');
+      evacuated.applyEvents(events);
+      for (const {type, key, value} of events) {
+        if (type !== 'put' || key !== configurationKey) continue;
+        holder.offerText(value, 'watch');
       }
     },
   });
--- /dev/null
+++ b/packages/gateway/src/evacuated-domains.ts
@@ -0,0 +1,111 @@
+import type {Clock} from '@hollowstack/clock';
+import type {EventLogger} from '@hollowstack/logger';
+import type {EvacuationState} from '@hollowstack/peers';
+import type {KeyValue, WatchEvent} from '@hollowstack/store';
+import type {RequestProtocol} from './request-protocol.ts';
+
+/** How the evacuated failure domains changed. */
+export interface EvacuationChange {
+  readonly begun: readonly string[];
+  readonly ended: readonly string[];
+  /** Who told of it: `watch`, `store` or a peer. */
+  readonly source: string;
+  readonly storeRevision: number;
+}
+
+/** Dependencies of EvacuatedDomains. */
+export interface EvacuatedDomainsParts {
+  readonly protocol: Pick<RequestProtocol, 'evacuationPrefix'>;
+  readonly logger: EventLogger;
+  readonly clock: Clock;
+}
+
+/**
+ * The failure domains that operators have evacuated: their upstreams get nothing
+ * new, and what runs there ends in peace. The newest state that is known, by the
+ * store's revision, is in force, whether the store or a peer told of it.
+ */
+export class EvacuatedDomains {
+  private readonly parts: EvacuatedDomainsParts;
+  private readonly listeners: Array<(change: EvacuationChange) => void> = [];
+  private readonly endedAtMs = new Map<string, number>();
+  private failureDomains: ReadonlySet<string> = new Set();
+  private storeRevision = 0;
+
+  constructor(parts: EvacuatedDomainsParts) {
+    this.parts = parts;
+  }
+
+  isEvacuated(failureDomain: string): boolean {
+    return this.failureDomains.has(failureDomain);
+  }
+
+  /** Returns when the last evacuation of a domain was seen to end, if one was. */
+  getEndedAtMs(failureDomain: string): number | undefined {
+    return this.endedAtMs.get(failureDomain);
+  }
+
+  /** Returns what peers are told. */
+  getState(): EvacuationState {
+    return {
+      storeRevision: this.storeRevision,
+      failureDomains: [...this.failureDomains].sort(),
+    };
+  }
+
+  addListener(listener: (change: EvacuationChange) => void): void {
+    this.listeners.push(listener);
+  }
+
+  /** Takes a whole reading of the operators' keys. */
+  applyReading(
+    keyValues: readonly Pick<KeyValue, 'key'>[],
+    storeRevision: number,
+  ): void {
+    const failureDomains = keyValues.flatMap(({key}) => this.parseKey(key));
+    this.replaceState({storeRevision, failureDomains}, 'store');
+  }
+
+  /** Takes the changes of the operators' keys that the watch tells of. */
+  applyEvents(events: readonly WatchEvent[]): void {
+    const failureDomains = new Set(this.failureDomains);
+    let {storeRevision} = this;
+    for (const {type, key, modRevision} of events) {
+      // A watch that began before the last reading repeats older changes.
+      if (modRevision <= this.storeRevision) continue;
+      storeRevision = Math.max(storeRevision, modRevision);
+      for (const failureDomain of this.parseKey(key)) {
+        if (type === 'put') failureDomains.add(failureDomain);
+        else failureDomains.delete(failureDomain);
+      }
+    }
+    const state = {storeRevision, failureDomains: [...failureDomains]};
+    this.replaceState(state, 'watch');
+  }
+
+  /** Puts a state in force if it is newer than the one in force. */
+  replaceState(state: EvacuationState, source: string): void {
+    if (state.storeRevision <= this.storeRevision) return;
+    const before = this.failureDomains;
+    const after = new Set(state.failureDomains);
+    this.storeRevision = state.storeRevision;
+    this.failureDomains = after;
+    const begun = [...after].filter(each => !before.has(each));
+    const ended = [...before].filter(each => !after.has(each));
+    if (begun.length + ended.length === 0) return;
+    const nowMs = this.parts.clock.getNow();
+    for (const each of ended) this.endedAtMs.set(each, nowMs);
+    const {storeRevision} = state;
+    const change = {begun, ended, source, storeRevision};
+    for (const listener of this.listeners) listener(change);
+  }
+
+  private parseKey(key: string): string[] {
+    const {protocol, logger} = this.parts;
+    if (!key.startsWith(protocol.evacuationPrefix)) return [];
+    const failureDomain = key.slice(protocol.evacuationPrefix.length);
+    if (failureDomain !== '') return [failureDomain];
+    logger.logEvent('domain.unreadable', {key});
+    return [];
+  }
+}
--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -69,6 +69,11 @@
      * By default the 20 s that operators are promised.
      */
     configureWithinMs: z.number().positive().default(20_000),
+    /**
+     * Milliseconds in which the evacuation of a failure domain must be; the
+     * shortest of the three binds all. The default binds nothing.
+     */
+    evacuateWithinMs: z.number().positive().default(20_000),
   }),
   peers: z.object({
     /** Addresses to ask while the store is down. */
--- a/packages/gateway/src/request-protocol.ts
+++ b/packages/gateway/src/request-protocol.ts
@@ -43,6 +43,10 @@
   abstract readonly systemHeaders: ReadonlySet<string>;
   /** Path at which the balancer asks whether this instance is ready. */
   abstract readonly probePath: string;
+  /** Store prefix of everything that operators write. */
+  abstract readonly operatorPrefix: string;
+  /** Below it, a key named after a failure domain evacuates that domain. */
+  abstract readonly evacuationPrefix: string;
   /** Store key of the newest routed configuration. */
   abstract readonly configurationKey: string;
   /** Store prefix under which upstreams register themselves. */
--- a/packages/gateway/src/request-runner.ts
+++ b/packages/gateway/src/request-runner.ts
@@ -45,6 +45,11 @@
  * trial of an upstream that was out. A guess.
  */
 const RETRY_AFTER_MS = 300;
+/**
+ * Milliseconds after which to come back where no upstream of a service is
+ * registered for work: about the time of a restart. A guess.
+ */
+const SHORTAGE_RETRY_MS = 1000;
 /** Milliseconds without an event after which the engine of a stream counts as silent. */
 const STREAM_SILENCE_MS = 1500;
 /**
@@ -111,6 +116,7 @@
     const parts = request.listPromptParts(protocol);
     const counts = request.getHeader(protocol.headers.stageCounts);
     retryBudget.recordRequest(request.facts.service);
+    this.checkShortage(request);
     if (request.facts.route.stages.length === 0 || counts === undefined) {
       await this.runAttempts(request, {
         parts,
@@ -137,6 +143,16 @@
     }
   }
 
+  // Nothing is made for a request that no upstream could take in the end.
+  private checkShortage(request: RoutedRequest): void {
+    const shortage = this.parts.pool.findShortage(request.facts.service);
+    if (shortage === undefined) return;
+    throw new HollowstackError('upstream-unavailable', shortage, {
+      ran: 'no',
+      retryAfterMs: SHORTAGE_RETRY_MS,
+    });
+  }
+
   private async runWithStages(
     request: RoutedRequest,
     stages: RequestStages,
--- a/packages/gateway/src/store-view.test.ts
+++ b/packages/gateway/src/store-view.test.ts
@@ -44,8 +44,41 @@
   }
 }
 
+/** What operators and upstreams change after a harm, drawn by its seed. */
+const CHANGES = ['leave', 'evacuate', 'evacuate-and-return'] as const;
+type Change = (typeof CHANGES)[number];
+
+interface Play {
+  readonly fleet: ViewFleet;
+  readonly clock: ManualClock;
+  readonly random: () => number;
+}
+
+/** Makes upstream `b` leave, or evacuates its domain; returns what is late. */
+async function runChange(
+  {fleet, clock, random}: Play,
+  change: Change,
+): Promise<string[]> {
+  const {store} = fleet;
+  if (change !== 'leave') store.putEvacuation('b');
+  else if (random() < 0.5) store.putUpstream('b', 'leaving');
+  else store.removeUpstream('b');
+  store.putConfiguration(2);
+  await clock.advance(FOLLOW_WITHIN_MS);
+  const late = [
+    ...fleet.listSending('b').map(({id}) => `${id} still sends`),
+    ...fleet.listBehind(2).map(({id}) => `${id} has no configuration`),
+  ];
+  if (change !== 'evacuate-and-return') return late;
+  store.removeEvacuation('b');
+  await clock.advance(FOLLOW_WITHIN_MS);
+  const sending = new Set(fleet.listSending('b'));
+  const idle = fleet.instances.filter(instance => !sending.has(instance));
+  return [...late, ...idle.map(({id}) => `${id} does not send again`)];
+}
+
 /** Plays one seed and returns what did not hold. */
-async function runSeed(seed: number): Promise<string[]> {
+async function runSeed(seed: number, change: Change): Promise<string[]> {
   const random = createSeededRandom(seed);
   const clock = new ManualClock();
   // Nine instances all watch the store; of 24 in three domains 15 follow others.
@@ -66,26 +99,22 @@
     const harm = HARMS[Math.floor(random() * HARMS.length)];
     applyHarm(fleet, harm, random);
     await clock.advance(random() * CHANGE_WITHIN_MS);
-    const isAnnounced = random() < 0.5;
-    if (isAnnounced) store.putUpstream('b', 'leaving');
-    else store.removeUpstream('b');
-    store.putConfiguration(2);
-    await clock.advance(FOLLOW_WITHIN_MS);
-    const late = [
-      ...fleet.listSending('b').map(({id}) => `${id} still sends`),
-      ...fleet.listBehind(2).map(({id}) => `${id} has no configuration`),
-    ];
-    return late.map(each => `seed ${seed}, ${count}, ${harm}: ${each}`);
+    const late = await runChange({fleet, clock, random}, change);
+    return late.map(
+      each => `seed ${seed}, ${count}, ${harm}, ${change}: ${each}`,
+    );
   } finally {
     fleet.stop();
     await clock.advance(1);
   }
 }
 
-test('a change is in force at all instances in its time, whatever falls silent', async () => {
-  const late: string[] = [];
-  for (let seed = 1; seed <= SEED_COUNT; seed++) {
-    late.push(...(await runSeed(seed)));
-  }
-  assert.deepEqual(late, []);
-});
+for (const change of CHANGES) {
+  test(`a change (${change}) is in force at all instances in its time, whatever falls silent`, async () => {
+    const late: string[] = [];
+    for (let seed = 1; seed <= SEED_COUNT; seed++) {
+      late.push(...(await runSeed(seed, change)));
+    }
+    assert.deepEqual(late, []);
+  });
+}
--- a/packages/gateway/src/test-utils/view-fleet.ts
+++ b/packages/gateway/src/test-utils/view-fleet.ts
@@ -8,26 +8,36 @@
   type PeerRequest,
   type PeerSocket,
 } from '@hollowstack/peers';
-import type {
-  RegisteredUpstream,
-  RoutedConfiguration,
+import {
+  isTakingWork,
+  type RegisteredUpstream,
+  type RoutedConfiguration,
 } from '@hollowstack/routes';
 import {createStoreView, type StoreView} from '../create-store-view.ts';
+import {EvacuatedDomains} from '../evacuated-domains.ts';
 import type {RequestProtocol} from '../request-protocol.ts';
 import {RouteHolder} from '../route-holder.ts';
 import {UpstreamRegistry} from '../upstream-registry.ts';
 import {ViewPeerNetwork} from './view-peer-network.ts';
 import {STORE_TIMEOUT_MS, ViewStoreClient} from './view-store-client.ts';
-import {CONFIGURATION_KEY, UPSTREAM_PREFIX, ViewStore} from './view-store.ts';
+import {
+  CONFIGURATION_KEY,
+  EVACUATION_PREFIX,
+  OPERATOR_PREFIX,
+  UPSTREAM_PREFIX,
+  ViewStore,
+} from './view-store.ts';
 
 const protocol = {
+  operatorPrefix: OPERATOR_PREFIX,
+  evacuationPrefix: EVACUATION_PREFIX,
   configurationKey: CONFIGURATION_KEY,
   upstreamPrefix: UPSTREAM_PREFIX,
   parseUpstream: (key: string, text: string): RegisteredUpstream => ({
     id: key.slice(UPSTREAM_PREFIX.length),
     service: 'plain',
     address: '10.0.0.1:1',
-    failureDomain: 'a',
+    failureDomain: key.slice(UPSTREAM_PREFIX.length),
     capacity: 1,
     isLeaving: text === 'leaving',
   }),
@@ -90,7 +100,7 @@
     return this.instances.filter(({registry}) =>
       registry
         .listUpstreams()
-        .some(({id, isLeaving}) => id === upstreamId && !isLeaving),
+        .some(upstream => upstream.id === upstreamId && isTakingWork(upstream)),
     );
   }
 
@@ -116,7 +126,9 @@
       metrics: new MetricsRegistry(),
     });
     const holder = new RouteHolder(protocol, logger);
-    const registry = new UpstreamRegistry(protocol, logger, clock);
+    const evacuated = new EvacuatedDomains({protocol, logger, clock});
+    const registry = new UpstreamRegistry(protocol, logger, clock, evacuated);
+    evacuated.addListener(change => registry.applyEvacuations(change));
     const view = createStoreView({
       settings: {
         instance: {...identity, cpuShare: 1, cpuSpeed: 1},
@@ -126,6 +138,7 @@
           timeoutMs: STORE_TIMEOUT_MS,
           followWithinMs,
           configureWithinMs: followWithinMs,
+          evacuateWithinMs: followWithinMs,
         },
         peers: {seeds: ['instance-0', 'instance-1', 'instance-2'], keys},
       },
@@ -139,6 +152,7 @@
       link,
       holder,
       registry,
+      evacuated,
     });
     link.setRequestHandler(request => answerPeer(request, view));
     await link.listen(id);
--- a/packages/gateway/src/test-utils/view-store.ts
+++ b/packages/gateway/src/test-utils/view-store.ts
@@ -9,8 +9,12 @@
 
 /** Prefix of the upstreams' registrations. */
 export const UPSTREAM_PREFIX = 'upstreams/';
+/** Prefix of what operators write. */
+export const OPERATOR_PREFIX = 'operators/';
 /** Key of the configuration. */
-export const CONFIGURATION_KEY = 'configuration';
+export const CONFIGURATION_KEY = 'operators/configuration';
+/** Prefix of evacuations. */
+export const EVACUATION_PREFIX = 'operators/evacuated/';
 
 /** The content of a store and its history, shared by the instances of a fleet. */
 export class ViewStore {
@@ -24,11 +28,22 @@
   }
 
   removeUpstream(id: string): void {
-    const key = UPSTREAM_PREFIX + id;
+    this.remove(UPSTREAM_PREFIX + id);
+  }
+
+  remove(key: string): void {
     this.keyValues.delete(key);
     this.addEvent({type: 'delete', key, value: ''});
   }
 
+  putEvacuation(failureDomain: string): void {
+    this.put(EVACUATION_PREFIX + failureDomain, '{}');
+  }
+
+  removeEvacuation(failureDomain: string): void {
+    this.remove(EVACUATION_PREFIX + failureDomain);
+  }
+
   putConfiguration(revision: number): void {
     this.put(CONFIGURATION_KEY, String(revision));
   }
--- a/packages/gateway/src/upstream-pool.ts
+++ b/packages/gateway/src/upstream-pool.ts
@@ -1,4 +1,8 @@
-import type {RegisteredUpstream} from '@hollowstack/routes';
+import {
+  formatShortage,
+  isTakingWork,
+  type RegisteredUpstream,
+} from '@hollowstack/routes';
 import {
   DEFAULT_HEALTH_POLICY,
   Slowness,
@@ -68,9 +72,22 @@
     return this.upstreams.get(id)?.record;
   }
 
-  /** Returns whether an upstream is registered and has not said that it leaves. */
+  /** Returns whether an upstream is registered, not leaving and not evacuated. */
   isTakingWork(id: string): boolean {
-    return this.upstreams.get(id)?.record.isLeaving === false;
+    const upstream = this.upstreams.get(id);
+    return upstream !== undefined && isTakingWork(upstream.record);
+  }
+
+  /**
+   * Returns why no upstream of a service can take work, as registrations say;
+   * undefined where one can.
+   */
+  findShortage(service: string): string | undefined {
+    const records = [...this.upstreams.values()]
+      .map(({record}) => record)
+      .filter(record => record.service === service);
+    if (records.some(isTakingWork)) return undefined;
+    return formatShortage(service, records);
   }
 
   /** Lists the upstreams of a service that new work may go to. */
@@ -81,7 +98,7 @@
     const nowMs = this.getNow();
     const candidates: RequestCandidate[] = [];
     for (const {record, health, load, slowness} of this.upstreams.values()) {
-      if (record.service !== service || record.isLeaving) continue;
+      if (record.service !== service || !isTakingWork(record)) continue;
       if (excluded.has(record.id) || !isCandidate(health, nowMs)) continue;
       candidates.push({
         id: record.id,
--- a/packages/gateway/src/upstream-registry.test.ts
+++ b/packages/gateway/src/upstream-registry.test.ts
@@ -3,6 +3,7 @@
 import type {RegisteredUpstream} from '@hollowstack/routes';
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {EvacuatedDomains} from './evacuated-domains.ts';
 import type {RequestProtocol} from './request-protocol.ts';
 import {UpstreamRegistry} from './upstream-registry.ts';
 
@@ -34,7 +35,12 @@
 function createRegistry() {
   const clock = new ManualClock();
   const logger = new ListingLogger();
-  const registry = new UpstreamRegistry(protocol, logger, clock);
+  const registry = new UpstreamRegistry(
+    protocol,
+    logger,
+    clock,
+    new EvacuatedDomains({protocol, logger, clock}),
+  );
   registry.replaceEntries(
     [
       {key: 'a', value: 'ready'},
--- a/packages/gateway/src/upstream-registry.ts
+++ b/packages/gateway/src/upstream-registry.ts
@@ -1,9 +1,10 @@
 import {createHash} from 'node:crypto';
 import type {Clock, Timer} from '@hollowstack/clock';
-import type {EventLogger} from '@hollowstack/logger';
+import type {EventLogger, EventName} from '@hollowstack/logger';
 import type {RegisteredUpstream} from '@hollowstack/routes';
 import type {KeyValue, WatchEvent} from '@hollowstack/store';
 import type {StoreCopy} from '@hollowstack/types';
+import type {EvacuatedDomains, EvacuationChange} from './evacuated-domains.ts';
 import type {RequestProtocol} from './request-protocol.ts';
 
 /** What an instance goes by when it chooses an upstream, for the log. */
@@ -18,6 +19,7 @@
 
 interface Entry {
   readonly text: string;
+  /** As it registered itself, without what its failure domain adds. */
   readonly upstream: RegisteredUpstream;
 }
 
@@ -39,6 +41,10 @@
     (upstreams: readonly RegisteredUpstream[]) => void
   > = [];
   private readonly clock: Clock;
+  private readonly evacuated: Pick<
+    EvacuatedDomains,
+    'isEvacuated' | 'getEndedAtMs'
+  >;
   /** Entries that were not there after an outage, while they may come back. */
   private readonly missing = new Set<string>();
   private grace: Timer | undefined;
@@ -49,10 +55,16 @@
   /** The digest of the entries; undefined once they have changed. */
   private digest: string | undefined;
 
-  constructor(protocol: RequestProtocol, logger: EventLogger, clock: Clock) {
+  constructor(
+    protocol: RequestProtocol,
+    logger: EventLogger,
+    clock: Clock,
+    evacuated: Pick<EvacuatedDomains, 'isEvacuated' | 'getEndedAtMs'>,
+  ) {
     this.protocol = protocol;
     this.logger = logger;
     this.clock = clock;
+    this.evacuated = evacuated;
   }
 
   getStoreRevision(): number {
@@ -74,7 +86,12 @@
   }
 
   listUpstreams(): RegisteredUpstream[] {
-    return [...this.entries.values()].map(({upstream}) => upstream);
+    const {evacuated} = this;
+    return [...this.entries.values()].map(({upstream}) => ({
+      ...upstream,
+      isEvacuated: evacuated.isEvacuated(upstream.failureDomain),
+      returnedAtMs: evacuated.getEndedAtMs(upstream.failureDomain),
+    }));
   }
 
   addListener(
@@ -83,6 +100,19 @@
     this.listeners.push(listener);
   }
 
+  /** Tells the listeners that failure domains were evacuated or taken back. */
+  applyEvacuations(change: EvacuationChange): void {
+    const {source, storeRevision} = change;
+    const logDomain = (name: EventName, failureDomain: string) => {
+      const upstreams = this.countInDomain(failureDomain);
+      const fields = {failureDomain, upstreams, source, storeRevision};
+      this.logger.logEvent(name, fields);
+    };
+    for (const each of change.begun) logDomain('domain.evacuated', each);
+    for (const each of change.ended) logDomain('domain.returned', each);
+    this.callListeners();
+  }
+
   /** Notes that the store is back after an outage, in which entries may have run out. */
   beginGrace(): void {
     this.grace?.cancel();
@@ -202,8 +232,16 @@
     this.missing.delete(key);
     // An upstream that was leaving never comes back under the same id.
     const isLeaving = parsed.isLeaving || this.leftIds.has(parsed.id);
-    const before = this.entries.get(key)?.upstream;
-    this.entries.set(key, {text, upstream: {...parsed, isLeaving}});
+    const known = this.entries.get(key);
+    const before = known?.upstream;
+    // A reading that repeats an entry says nothing new of its warm-up; the age of
+    // one that is heard of for the first time is not known, so it counts from now.
+    const coldUntilMs =
+      known?.text === text
+        ? before?.coldUntilMs
+        : this.clock.getNow() + (parsed.coldMs ?? 0);
+    const upstream = {...parsed, isLeaving, coldUntilMs};
+    this.entries.set(key, {text, upstream});
     if (isLeaving) this.recordLeft(parsed.id);
     if (before && before.isLeaving === isLeaving) return;
     this.logger.logEvent(isLeaving ? 'upstream.leaving' : 'upstream.listed', {
@@ -242,6 +280,13 @@
     if (lapsed.length > 0) this.callListeners();
   }
 
+  private countInDomain(failureDomain: string): number {
+    const upstreams = [...this.entries.values()];
+    return upstreams.filter(
+      ({upstream}) => upstream.failureDomain === failureDomain,
+    ).length;
+  }
+
   private recordHeard(source: string): void {
     this.heardAtMs = this.clock.getNow();
     this.heardFrom = source;
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -194,6 +194,21 @@
     level: 'warn',
     text: 'the registration of an upstream cannot be read; what was known of it stays',
   },
+  'domain.evacuated': {
+    number: 616,
+    level: 'info',
+    text: 'operators have evacuated a failure domain; its upstreams get no new work',
+  },
+  'domain.returned': {
+    number: 617,
+    level: 'info',
+    text: 'an evacuated failure domain is taken back; its upstreams get work again, as cold ones first',
+  },
+  'domain.unreadable': {
+    number: 618,
+    level: 'warn',
+    text: 'an evacuation names no failure domain; nothing is changed',
+  },
   'engine.kept': {
     number: 620,
     level: 'info',
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -14,6 +14,7 @@
   peerRequestSchema,
   peerReplySchema,
   type CopyWishes,
+  type EvacuationState,
   type PeerRecord,
   type PeerReply,
   type PeerRequest,
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -24,6 +24,14 @@
 export type PeerRecord = z.infer<typeof peerRecordSchema>;
 export {peerRecordSchema};
 
+const evacuationStateSchema = z.object({
+  /** Store revision up to which this is all. */
+  storeRevision: z.number(),
+  failureDomains: z.array(z.string()),
+});
+/** The failure domains that operators have evacuated, at a store revision. */
+export type EvacuationState = z.infer<typeof evacuationStateSchema>;
+
 const storeEventSchema = z.object({
   type: z.enum(['put', 'delete']),
   key: z.string(),
@@ -103,6 +111,8 @@
      * upstreams whose registrations may have run out meanwhile.
      */
     isProvisional: z.boolean().default(true),
+    /** Small enough to go with every question. */
+    evacuations: evacuationStateSchema.optional(),
     /** What the answer should carry beside the revisions, where it is newer. */
     wishes: copyWishesSchema,
   }),
@@ -174,6 +184,7 @@
     isAdmitted: z.boolean(),
     predictedMs: z.number(),
     retryAfterMs: z.number(),
+    reason: z.string().optional(),
   }),
   z.object({type: z.literal('stage-outcome'), outcome: stageOutcomeSchema}),
   z.object({
@@ -187,6 +198,7 @@
     isDigestOther: z.boolean(),
     /** As in the question. */
     isProvisional: z.boolean().default(true),
+    evacuations: evacuationStateSchema.optional(),
     /** The stored text of a configuration newer than the asker's. */
     configurationText: z.string().optional(),
     /** What is known of the upstreams, where it is newer than the asker's. */
--- a/packages/routes/src/index.ts
+++ b/packages/routes/src/index.ts
@@ -9,6 +9,7 @@
   routeStageSchema,
   routeTargetSchema,
   stageCapacitySchema,
+  warmUpSchema,
   REPEATABILITIES,
   type CallerLimits,
   type KeyedWorkspace,
@@ -19,6 +20,12 @@
   type RouteStage,
   type RouteTarget,
   type StageCapacity,
+  type WarmUp,
 } from './routed-configuration.ts';
 export {RouteTable, chooseTarget, isRepeatable} from './route-table.ts';
+export {
+  formatShortage,
+  getColdUntilMs,
+  isTakingWork,
+} from './upstream-state.ts';
 export {computeRequestPriority} from './request-priority.ts';
--- a/packages/routes/src/routed-configuration.ts
+++ b/packages/routes/src/routed-configuration.ts
@@ -70,6 +70,16 @@
 /** How an upstream of a stage service works on pieces. */
 export type StageCapacity = z.infer<typeof stageCapacitySchema>;
 
+/** What an upstream bears while it is cold. */
+export const warmUpSchema = z.object({
+  /** Milliseconds that warming up takes. */
+  durationMs: z.number().nonnegative(),
+  /** Requests that a cold upstream bears in a second, from all instances. */
+  requestsPerSecond: z.number().positive(),
+});
+/** What an upstream bears while it is cold. */
+export type WarmUp = z.infer<typeof warmUpSchema>;
+
 /** A service with like upstreams. */
 export const routedServiceSchema = z.object({
   name: z.string(),
@@ -77,6 +87,8 @@
   /** Connections that one upstream takes from all callers together. */
   maxConnections: z.number().int().positive(),
   stage: stageCapacitySchema.optional(),
+  /** Present where an upstream that has just started bears less than usual. */
+  warmUp: warmUpSchema.optional(),
   /** Present where the upstreams are model engines. */
   engine: z
     .object({
@@ -131,6 +143,14 @@
   /** Requests that it works on at a time. */
   capacity: z.number().positive(),
   isLeaving: z.boolean(),
+  /** Milliseconds for which it was still cold when it wrote its registration. */
+  coldMs: z.number().nonnegative().optional(),
+  /** Whether operators have evacuated its failure domain. */
+  isEvacuated: z.boolean().optional(),
+  /** Until when it is cold by its registration; milliseconds of the steady clock. */
+  coldUntilMs: z.number().optional(),
+  /** When the last evacuation of its failure domain ended; of the steady clock. */
+  returnedAtMs: z.number().optional(),
 });
 /** An upstream as it registers itself in the store. */
 export type RegisteredUpstream = z.infer<typeof registeredUpstreamSchema>;
--- a/packages/stages/src/request-stages.ts
+++ b/packages/stages/src/request-stages.ts
@@ -116,7 +116,13 @@
       mayComeBack: input.mayComeBack,
     });
     if (decision.isAdmitted) return decision.predictedMs;
-    const {predictedMs, retryAfterMs} = decision;
+    const {predictedMs, retryAfterMs, reason} = decision;
+    if (reason !== undefined) {
+      throw new HollowstackError('upstream-unavailable', reason, {
+        ran: 'no',
+        retryAfterMs,
+      });
+    }
     throw new HollowstackError(
       'overloaded',
       `predicted ${Math.round(predictedMs)} ms, objective in ${Math.round(input.dueInMs)} ms`,
--- a/packages/stages/src/stage-admission.test.ts
+++ b/packages/stages/src/stage-admission.test.ts
@@ -48,6 +48,7 @@
     clock,
     fleet: {
       getCapacity: () => CAPACITY,
+      findShortage: (): undefined => undefined,
       countPlaces: () => 1,
       countMemoryBytes: () => memoryBytes,
       countHeldBytes: () => 0,
--- a/packages/stages/src/stage-admission.ts
+++ b/packages/stages/src/stage-admission.ts
@@ -19,6 +19,7 @@
   | 'countMemoryBytes'
   | 'countHeldBytes'
   | 'getHoldMs'
+  | 'findShortage'
 >;
 
 /** Dependencies of StageAdmission. */
@@ -35,6 +36,8 @@
   readonly predictedMs: number;
   /** Milliseconds after which to come back; set where it is not admitted. */
   readonly retryAfterMs: number;
+  /** Why it is not admitted, where that is another reason than time. */
+  readonly reason?: string;
 }
 
 /** What is added to the priority of requests that can no longer be in time. */
@@ -56,6 +59,11 @@
  * stage.
  */
 const MIN_RETRY_MS = 300;
+/**
+ * Milliseconds after which to come back where no upstream of a stage takes work:
+ * about the time of a restart. A guess.
+ */
+const SHORTAGE_RETRY_MS = 1000;
 /** Share of its time after which a request can still come back. */
 const MAX_RETRY_SHARE = 0.3;
 
@@ -77,6 +85,16 @@
   }
 
   judge(request: StageAdmissionRequest): StageAdmissionDecision {
+    const shortage = this.findShortage(request);
+    if (shortage !== undefined) {
+      const retryAfterMs = SHORTAGE_RETRY_MS;
+      return {
+        isAdmitted: false,
+        predictedMs: 0,
+        retryAfterMs,
+        reason: shortage,
+      };
+    }
     const predictedMs = this.predictMs(request);
     if (predictedMs <= request.dueInMs * TOLERANCE) {
       return this.admit(request, predictedMs);
@@ -124,6 +142,13 @@
     for (const id of [...this.admitted.keys()]) this.recordEnded(id);
   }
 
+  private findShortage({steps}: StageAdmissionRequest): string | undefined {
+    const needed = steps.filter(({pieceCount}) => pieceCount > 0);
+    return needed
+      .map(({service}) => this.parts.fleet.findShortage(service))
+      .find(shortage => shortage !== undefined);
+  }
+
   private predictMs(request: StageAdmissionRequest): number {
     const {fleet, times} = this.parts;
     const stagesMs = predictFinishMs({
--- a/packages/stages/src/stage-coordinator.ts
+++ b/packages/stages/src/stage-coordinator.ts
@@ -181,9 +181,23 @@
     }
   }
 
+  // What no upstream will take is refused now, not at its deadline.
+  private failWaitingJobs(service: string, message: string): void {
+    for (const state of [...this.jobs.values()]) {
+      if (state.job.service !== service || state.waitingCount === 0) continue;
+      state.fail('failed', message);
+      this.releaseResults(state.listResults());
+    }
+  }
+
   private runServiceCalls(service: string, nowMs: number): void {
     const capacity = this.fleet.getCapacity(service);
     if (!capacity) return;
+    const shortage = this.fleet.findShortage(service);
+    if (shortage !== undefined) {
+      this.failWaitingJobs(service, shortage);
+      return;
+    }
     const used = this.fleet.listUsed(service);
     const batches = assembleBatches({
       nowMs,
--- a/packages/stages/src/stage-fleet.ts
+++ b/packages/stages/src/stage-fleet.ts
@@ -1,6 +1,11 @@
 import {DurationEstimator} from '@hollowstack/admission';
 import type {Clock} from '@hollowstack/clock';
-import type {RegisteredUpstream, StageCapacity} from '@hollowstack/routes';
+import {
+  formatShortage,
+  isTakingWork,
+  type RegisteredUpstream,
+  type StageCapacity,
+} from '@hollowstack/routes';
 import {ResultRoom, type HeldResult} from './result-room.ts';
 import {StageUpstream} from './stage-upstreams.ts';
 
@@ -48,9 +53,21 @@
     return this.upstreams.get(id);
   }
 
-  /** Returns whether an upstream is registered and has not said that it leaves. */
+  /** Returns whether an upstream is registered, not leaving and not evacuated. */
   isTakingWork(id: string): boolean {
-    return this.upstreams.get(id)?.record.isLeaving === false;
+    const upstream = this.upstreams.get(id);
+    return upstream !== undefined && isTakingWork(upstream.record);
+  }
+
+  /**
+   * Returns why no upstream of a service can take work, as registrations say;
+   * undefined where one can, or where no registrations are known yet.
+   */
+  findShortage(service: string): string | undefined {
+    if (this.upstreams.size === 0) return undefined;
+    const records = this.listOfService(service).map(({record}) => record);
+    if (records.some(isTakingWork)) return undefined;
+    return formatShortage(service, records);
   }
 
   /** Lists the upstreams of a service that take calls or are at work on one. */
--- a/packages/stages/src/stage-upstreams.ts
+++ b/packages/stages/src/stage-upstreams.ts
@@ -1,4 +1,8 @@
-import type {RegisteredUpstream, StageCapacity} from '@hollowstack/routes';
+import {
+  isTakingWork,
+  type RegisteredUpstream,
+  type StageCapacity,
+} from '@hollowstack/routes';
 import {
   DEFAULT_HEALTH_POLICY,
   Slowness,
@@ -35,7 +39,7 @@
 
   /** Returns whether calls may go there at all. */
   isUsable(nowMs: number): boolean {
-    return !this.record.isLeaving && isCandidate(this.health, nowMs);
+    return isTakingWork(this.record) && isCandidate(this.health, nowMs);
   }
 
   /** Returns whether a call may go there now. */
