Send cold upstreams no more than they bear in a second

Cause: what registrations and the configuration say of a warm-up was read by no part. A cold home of a hot prompt got all of its requests, and a failure domain that was taken back its full share at once. Ruled out: health checks as the source (each has a price, and the registration says the same), and a bound by bursts, which lets twice the rate into one second.

Change: the coordinator spaces what each cold engine gets evenly at its rate and rather waits 250 ms at a warm engine; an instance that decides alone sends its share of 0.4 of the rate, begun at random.

--- a/packages/assignment/src/assignment-plan.test.ts
+++ b/packages/assignment/src/assignment-plan.test.ts
@@ -19,6 +19,7 @@
     capacity: 64,
     keptTokens: 0,
     slowness: 1,
+    isCold: false,
     homeRank: 0,
     ...changes,
   };
--- a/packages/assignment/src/assignment-plan.ts
+++ b/packages/assignment/src/assignment-plan.ts
@@ -12,6 +12,8 @@
   readonly keptTokens: number;
   /** How long work takes there over what it takes elsewhere. */
   readonly slowness: number;
+  /** Whether it has started a short time ago and bears little yet. */
+  readonly isCold: boolean;
   /** Place of the engine in the ranking of this prompt; 0 for its home. */
   readonly homeRank: number;
 }
@@ -54,6 +56,13 @@
  */
 const FULL_MS = 2000;
 
+/**
+ * Milliseconds that one would rather wait at a warm engine than send to a cold
+ * one: kept parts and short queues do not pull work there, and what the warm ones
+ * could serve only late still goes. A quarter of the tightest objective seen.
+ */
+const COLD_MS = 250;
+
 /** Chooses the engine with the least cost in time, in reading again and in moving. */
 export function chooseEngine(
   input: AssignmentInput,
@@ -86,6 +95,7 @@
     predictedMs +
     rereadTokens * REREAD_MS_PER_TOKEN +
     countCrossingBytes(engine.failureDomain, input) * CROSSING_MS_PER_BYTE +
+    (engine.isCold ? COLD_MS : 0) +
     engine.homeRank * input.sharedTokens * RANK_MS_PER_SHARED_TOKEN;
   return {
     id: engine.id,
--- a/packages/assignment/src/engine-directory.ts
+++ b/packages/assignment/src/engine-directory.ts
@@ -1,10 +1,13 @@
 import {
+  getColdUntilMs,
   isTakingWork,
   type RegisteredUpstream,
   type RouteTable,
+  type WarmUp,
 } from '@hollowstack/routes';
 import {
   DEFAULT_HEALTH_POLICY,
+  SendPacer,
   Slowness,
   createHealthyState,
   isCandidate,
@@ -45,6 +48,8 @@
   backlogTokens: number;
   activeCount: number;
   readonly slowness: Slowness;
+  /** Spaces what it gets while it is cold. */
+  readonly coldPacer: SendPacer;
 }
 
 /**
@@ -76,6 +81,7 @@
   private readonly assigned = new Map<string, AssignedRequest>();
   private readonly readingSpeed = new ReadingSpeed();
   private cacheTokens = new Map<string, number>();
+  private warmUps = new Map<string, WarmUp>();
 
   constructor(getNow: () => number) {
     this.getNow = getNow;
@@ -88,6 +94,11 @@
         engine ? [[name, engine.cacheTokens] as const] : [],
       ),
     );
+    this.warmUps = new Map(
+      table.configuration.services.flatMap(({name, warmUp}) =>
+        warmUp ? [[name, warmUp] as const] : [],
+      ),
+    );
   }
 
   /** Takes the upstreams that are registered now. */
@@ -144,6 +155,7 @@
       sinceMs: this.getNow(),
       isRead: false,
     });
+    this.recordColdSend(engine);
     engine.backlogTokens += unreadTokens;
     engine.activeCount += 1;
     engine.cache.recordPrompt(parts);
@@ -171,6 +183,17 @@
     if (progress.step !== 'first') this.endAssignment(progress.requestId);
   }
 
+  private isCold({record}: Engine): boolean {
+    const warmUp = this.warmUps.get(record.service);
+    return this.getNow() < getColdUntilMs(record, warmUp);
+  }
+
+  private recordColdSend(engine: Engine): void {
+    const warmUp = this.warmUps.get(engine.record.service);
+    if (!warmUp || !this.isCold(engine)) return;
+    engine.coldPacer.recordSend(this.getNow(), warmUp.requestsPerSecond);
+  }
+
   private recordRead(
     request: AssignedRequest,
     firstMs: number | undefined,
@@ -225,13 +248,16 @@
         !excluded.has(record.id) &&
         isCandidate(health, nowMs),
     );
+    const bearing = usable.filter(
+      engine => !this.isCold(engine) || engine.coldPacer.isDue(nowMs),
+    );
     const key = shared.map(({id}) => id).join(',');
     const ranking = listByRendezvous(
       key,
-      usable.map(({record}) => record.id),
+      bearing.map(({record}) => record.id),
     );
     const ranks = new Map(ranking.map((id, rank) => [id, rank]));
-    return usable.map(engine => ({
+    return bearing.map(engine => ({
       id: engine.record.id,
       failureDomain: engine.record.failureDomain,
       backlogTokens: engine.backlogTokens,
@@ -239,6 +265,7 @@
       capacity: engine.record.capacity,
       keptTokens: engine.cache.countKeptTokens(request.parts),
       slowness: engine.slowness.getValue(nowMs),
+      isCold: this.isCold(engine),
       homeRank: ranks.get(engine.record.id)!,
     }));
   }
@@ -252,6 +279,7 @@
       backlogTokens: 0,
       activeCount: 0,
       slowness: new Slowness(SLOWNESS_WEIGHT),
+      coldPacer: new SendPacer(0),
     };
   }
 }
--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -98,7 +98,11 @@
     directory,
     protocol: environment.engineProtocol,
   });
-  const pool = new UpstreamPool(getNow);
+  const pool = new UpstreamPool({
+    getNow,
+    random,
+    getInstanceCount: () => membership.getLiveCount(),
+  });
   const runner = new RequestRunner({
     clock,
     logger,
@@ -140,6 +144,7 @@
   holder.addListener(table => {
     coordinator.setConfiguration(table);
     directory.setConfiguration(table);
+    pool.setConfiguration(table);
     server.setLimits(table.configuration.limits);
   });
   evacuated.addListener(change => registry.applyEvacuations(change));
--- a/packages/gateway/src/upstream-choice.ts
+++ b/packages/gateway/src/upstream-choice.ts
@@ -9,6 +9,11 @@
   readonly ownInFlight: number;
   /** How long work takes there over what it takes elsewhere. */
   readonly slowness: number;
+  /**
+   * Whether this instance may send there of its own accord; false while the
+   * upstream is cold and this instance's share of what it bears is used up.
+   */
+  readonly hasShare: boolean;
 }
 
 /** What the choice is made from. */
@@ -34,7 +39,8 @@
 export function chooseRequestUpstream(
   input: RequestChoiceInput,
 ): RequestCandidate | undefined {
-  const {candidates, affinityKey, failureDomain} = input;
+  const {affinityKey, failureDomain} = input;
+  const candidates = input.candidates.filter(({hasShare}) => hasShare);
   if (candidates.length === 0) return undefined;
   const near = candidates.filter(
     candidate => candidate.failureDomain === failureDomain,
--- a/packages/gateway/src/upstream-chooser.ts
+++ b/packages/gateway/src/upstream-chooser.ts
@@ -55,12 +55,14 @@
       const isKnown = candidates.some(({id}) => id === assigned?.id);
       if (assigned && isKnown) return assigned;
     }
-    return chooseRequestUpstream({
+    const chosen = chooseRequestUpstream({
       candidates,
       affinityKey: createAffinityKey(need.parts),
       failureDomain: chooseHeaviestDomain(need.inputBytes),
       random: this.parts.random,
     });
+    if (chosen && need.isFinal) this.parts.pool.recordOwnChoice(chosen.id);
+    return chosen;
   }
 
   /** Notes that an upstream's first bytes are there. */
--- a/packages/gateway/src/upstream-pool.test.ts
+++ b/packages/gateway/src/upstream-pool.test.ts
@@ -1,3 +1,5 @@
+import {createSeededRandom} from '@hollowstack/local-system';
+import type {RouteTable} from '@hollowstack/routes';
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {UpstreamPool} from './upstream-pool.ts';
@@ -17,7 +19,11 @@
 
 test('an upstream that was slow counts as usual again although it gets no work', () => {
   let nowMs = 0;
-  const pool = new UpstreamPool(() => nowMs);
+  const pool = new UpstreamPool({
+    getNow: () => nowMs,
+    random: Math.random,
+    getInstanceCount: () => 1,
+  });
   pool.setUpstreams([createRecord('usual'), createRecord('slow')]);
   const getSlowness = (id: string) =>
     pool.listCandidates('plain', NONE).find(each => each.id === id)!.slowness;
@@ -28,3 +34,44 @@
   nowMs = 20_000;
   assert.equal(getSlowness('slow'), 1);
 });
+
+const WARM_UP = {durationMs: 3000, requestsPerSecond: 9};
+const INSTANCES = 40;
+/** Requests a second of every instance; a cold upstream bears 9 in all. */
+const REQUESTS_PER_SECOND = 5;
+
+test('instances without a coordinator together send a cold upstream no more than it bears', () => {
+  let nowMs = 0;
+  const sentAtMs: number[] = [];
+  const random = createSeededRandom(7);
+  const pools = Array.from({length: INSTANCES}, () => {
+    const pool = new UpstreamPool({
+      getNow: () => nowMs,
+      random,
+      getInstanceCount: () => INSTANCES,
+    });
+    pool.setConfiguration({
+      configuration: {services: [{name: 'plain', warmUp: WARM_UP}]},
+    } as unknown as RouteTable);
+    pool.setUpstreams([{...createRecord('cold'), coldUntilMs: 10_000}]);
+    return pool;
+  });
+  const stepMs = 1000 / REQUESTS_PER_SECOND;
+  for (; nowMs < 10_000; nowMs += stepMs) {
+    for (const pool of pools) {
+      const [candidate] = pool.listCandidates('plain', NONE);
+      if (!candidate.hasShare) continue;
+      pool.recordOwnChoice('cold');
+      sentAtMs.push(nowMs);
+    }
+  }
+  const most = Math.max(
+    ...sentAtMs.map(
+      from => sentAtMs.filter(at => at >= from && at < from + 1000).length,
+    ),
+  );
+  assert.ok(most <= WARM_UP.requestsPerSecond, `${most} in a second`);
+  assert.ok(sentAtMs.length > 10, `${sentAtMs.length} in all`);
+  pools[0].setUpstreams([{...createRecord('cold'), coldUntilMs: 0}]);
+  assert.equal(pools[0].listCandidates('plain', NONE)[0].hasShare, true);
+});
--- a/packages/gateway/src/upstream-pool.ts
+++ b/packages/gateway/src/upstream-pool.ts
@@ -1,10 +1,14 @@
 import {
   formatShortage,
+  getColdUntilMs,
   isTakingWork,
   type RegisteredUpstream,
+  type RouteTable,
+  type WarmUp,
 } from '@hollowstack/routes';
 import {
   DEFAULT_HEALTH_POLICY,
+  SendPacer,
   Slowness,
   createHealthyState,
   createLoadState,
@@ -31,21 +35,49 @@
 /** Weight of the newest request in the slowness of its upstream. */
 const SLOWNESS_WEIGHT = 0.15;
 
+/**
+ * Part of what a cold upstream bears that instances may send of their own accord;
+ * beside it the coordinator sends the whole. Both together stay below the 1.5
+ * times of it that a cold upstream bears for a second.
+ */
+const UNCOORDINATED_SHARE = 0.4;
+
+/** Dependencies of UpstreamPool. */
+export interface UpstreamPoolParts {
+  readonly getNow: () => number;
+  /** Draws from 0 to below 1. */
+  readonly random: () => number;
+  /** Returns how many instances share the upstreams. */
+  readonly getInstanceCount: () => number;
+}
+
 interface PooledUpstream {
   record: RegisteredUpstream;
   health: HealthState;
   load: LoadState;
   readonly slowness: Slowness;
+  /** Spaces what this instance sends while the upstream is cold. */
+  coldPacer: SendPacer | undefined;
 }
 
 /** The upstreams of all services with what this instance has learnt of them. */
 export class UpstreamPool {
-  private readonly getNow: () => number;
+  private readonly parts: UpstreamPoolParts;
+  private warmUps = new Map<string, WarmUp>();
   private readonly upstreams = new Map<string, PooledUpstream>();
   private readonly meanMs = new Map<string, number>();
 
-  constructor(getNow: () => number) {
-    this.getNow = getNow;
+  constructor(parts: UpstreamPoolParts) {
+    this.parts = parts;
+  }
+
+  /** Takes the services of a newer configuration. */
+  setConfiguration(table: RouteTable): void {
+    this.warmUps = new Map(
+      table.configuration.services.flatMap(({name, warmUp}) =>
+        warmUp ? [[name, warmUp] as const] : [],
+      ),
+    );
   }
 
   /** Takes the upstreams that are registered now. */
@@ -63,6 +95,7 @@
           health: createHealthyState(),
           load: createLoadState(),
           slowness: new Slowness(SLOWNESS_WEIGHT),
+          coldPacer: undefined,
         });
       }
     }
@@ -95,9 +128,10 @@
     service: string,
     excluded: ReadonlySet<string>,
   ): RequestCandidate[] {
-    const nowMs = this.getNow();
+    const nowMs = this.parts.getNow();
     const candidates: RequestCandidate[] = [];
-    for (const {record, health, load, slowness} of this.upstreams.values()) {
+    for (const upstream of this.upstreams.values()) {
+      const {record, health, load, slowness} = upstream;
       if (record.service !== service || !isTakingWork(record)) continue;
       if (excluded.has(record.id) || !isCandidate(health, nowMs)) continue;
       candidates.push({
@@ -109,11 +143,47 @@
           ...load,
           slowness: slowness.getValue(nowMs),
         }),
+        hasShare: this.hasShare(upstream, nowMs),
       });
     }
     return candidates;
   }
 
+  /** Notes that this instance chose an upstream of its own accord. */
+  recordOwnChoice(id: string): void {
+    const nowMs = this.parts.getNow();
+    const upstream = this.upstreams.get(id);
+    const perSecond = upstream && this.getOwnRate(upstream.record, nowMs);
+    if (perSecond === undefined) return;
+    upstream?.coldPacer?.recordSend(nowMs, perSecond);
+  }
+
+  // The first send waits for a part of the pause between two, drawn at random:
+  // instances that start or lose their coordinator together would else all send
+  // at once.
+  private hasShare(upstream: PooledUpstream, nowMs: number): boolean {
+    const perSecond = this.getOwnRate(upstream.record, nowMs);
+    if (perSecond === undefined) {
+      upstream.coldPacer = undefined;
+      return true;
+    }
+    const pauseMs = 1000 / perSecond;
+    upstream.coldPacer ??= new SendPacer(nowMs + this.parts.random() * pauseMs);
+    return upstream.coldPacer.isDue(nowMs);
+  }
+
+  // Requests a second that this instance may send to a cold upstream; undefined
+  // for a warm one.
+  private getOwnRate(
+    record: RegisteredUpstream,
+    nowMs: number,
+  ): number | undefined {
+    const warmUp = this.warmUps.get(record.service);
+    if (!warmUp || nowMs >= getColdUntilMs(record, warmUp)) return undefined;
+    const instances = Math.max(1, this.parts.getInstanceCount());
+    return (warmUp.requestsPerSecond * UNCOORDINATED_SHARE) / instances;
+  }
+
   beginRequest(id: string): void {
     this.applyChange(id, ({health, load}) => ({
       health: recordTrial(health),
@@ -139,7 +209,7 @@
     const upstream = this.upstreams.get(id);
     if (!upstream) return;
     const {service} = upstream.record;
-    const nowMs = this.getNow();
+    const nowMs = this.parts.getNow();
     const mean = this.meanMs.get(service) ?? tookMs;
     const slowness = Math.min(MAX_SLOWNESS, tookMs / Math.max(1, mean));
     // The mean follows what a usual upstream takes, not the slow one's.
@@ -156,7 +226,12 @@
 
   recordFailure(id: string, kind: FailureKind): void {
     this.applyChange(id, ({health}) => ({
-      health: recordFailure(health, kind, DEFAULT_HEALTH_POLICY, this.getNow()),
+      health: recordFailure(
+        health,
+        kind,
+        DEFAULT_HEALTH_POLICY,
+        this.parts.getNow(),
+      ),
     }));
   }
 
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -39,3 +39,4 @@
 export {CacheIndex} from './cache-index.ts';
 export {chooseSubset, listByRendezvous} from './rendezvous.ts';
 export {Slowness} from './slowness.ts';
+export {SendPacer} from './send-pacer.ts';
