Make no error for a call that is over

Cause: every call to an upstream ended by destroying its socket with a new error, and its close made another one, each with a stack trace that nobody reads (about 3 % of the main thread in a profile of the first 75 streamed requests). Now an error is made only where the answer is not complete. Ruled out: leaving the sockets to end by themselves, since an upstream may keep them open.

--- a/packages/transport/src/single-call.ts
+++ b/packages/transport/src/single-call.ts
@@ -35,6 +35,7 @@
   readonly response: Promise<IncomingMessage>;
   private readonly outgoing: ClientRequest;
   private progress: SendProgress = 'none';
+  private incoming: IncomingMessage | undefined;
 
   constructor(request: SingleCallRequest, clock: Clock) {
     const {host, port} = splitAddress(request.address);
@@ -67,6 +68,7 @@
       this.outgoing.once('response', incoming => {
         // Errors of the body reach its reader; a reader may be gone by then.
         incoming.on('error', () => {});
+        this.incoming = incoming;
         resolve(incoming);
       });
       this.outgoing.on('error', error => {
@@ -75,6 +77,7 @@
       });
       this.outgoing.once('close', () => {
         timer.cancel();
+        if (this.incoming) return;
         reject(new TransportError('closed without an answer', this.progress));
       });
     });
@@ -89,7 +92,10 @@
 
   /** Closes the connection at once. */
   cancel(reason: string): void {
-    this.outgoing.destroy(new Error(reason));
+    // An error nobody reads still costs its stack trace: 3 % of a streamed
+    // request's processor time (profile of the first 75 of a process).
+    const isOver = this.incoming?.complete === true;
+    this.outgoing.destroy(isOver ? undefined : new Error(reason));
   }
 }
 
