End a gateway that still waits for its store on SIGTERM

Cause: the command looked at the signal only once the start was over, and a start without a store waits for its first configuration. Ruled out: an open socket or timer that kept the process, since the log shows the watch being begun again without end, and no entry.draining.

--- a/packages/cli/src/commands/gateway/index.ts
+++ b/packages/cli/src/commands/gateway/index.ts
@@ -96,7 +96,8 @@
     // the process, as it would by default.
     process.on('SIGHUP', () => {});
     try {
-      await gateway.start();
+      // A gateway whose store is away waits in its start; it must end all the same.
+      await Promise.race([gateway.start(), stopAsked]);
     } catch (error) {
       // What listens already would keep a process that serves nobody.
       gateway.stop();
