Keep one copy of the test whether a service has upstreams left

The pool of the requests and the stage fleet asked the same and explained it by one function; the question, and the time after which to come back, now stand beside it.

--- a/packages/gateway/src/request-runner.ts
+++ b/packages/gateway/src/request-runner.ts
@@ -3,6 +3,7 @@
 import {HollowstackError} from '@hollowstack/errors';
 import type {EventLogger} from '@hollowstack/logger';
 import {
+  SHORTAGE_RETRY_MS,
   computeRequestPriority,
   isRepeatable,
   type RouteTable,
@@ -45,11 +46,6 @@
  * trial of an upstream that was out. A guess.
  */
 const RETRY_AFTER_MS = 300;
-/**
- * Milliseconds after which to come back where no upstream of a service is
- * registered for work: about the time of a restart. A guess.
- */
-const SHORTAGE_RETRY_MS = 1000;
 /** Milliseconds without an event after which the engine of a stream counts as silent. */
 const STREAM_SILENCE_MS = 1500;
 /**
--- a/packages/gateway/src/upstream-pool.ts
+++ b/packages/gateway/src/upstream-pool.ts
@@ -1,5 +1,5 @@
 import {
-  formatShortage,
+  findShortage,
   getColdUntilMs,
   isTakingWork,
   type RegisteredUpstream,
@@ -119,8 +119,7 @@
     const records = [...this.upstreams.values()]
       .map(({record}) => record)
       .filter(record => record.service === service);
-    if (records.some(isTakingWork)) return undefined;
-    return formatShortage(service, records);
+    return findShortage(service, records);
   }
 
   /** Lists the upstreams of a service that new work may go to. */
--- a/packages/routes/src/index.ts
+++ b/packages/routes/src/index.ts
@@ -24,7 +24,8 @@
 } from './routed-configuration.ts';
 export {RouteTable, chooseTarget, isRepeatable} from './route-table.ts';
 export {
-  formatShortage,
+  SHORTAGE_RETRY_MS,
+  findShortage,
   getColdUntilMs,
   isTakingWork,
 } from './upstream-state.ts';
--- a/packages/routes/src/upstream-state.ts
+++ b/packages/routes/src/upstream-state.ts
@@ -23,11 +23,21 @@
   return Math.max(coldUntilMs, returnedAtMs + warmUp.durationMs);
 }
 
-/** Says why none of the upstreams of a service takes work. */
-export function formatShortage(
+/**
+ * Milliseconds after which to come back where no upstream of a service takes work:
+ * about the time of a restart. A guess.
+ */
+export const SHORTAGE_RETRY_MS = 1000;
+
+/**
+ * Returns why none of the upstreams of a service takes work, as registrations say;
+ * undefined where one does.
+ */
+export function findShortage(
   service: string,
   upstreams: readonly RegisteredUpstream[],
-): string {
+): string | undefined {
+  if (upstreams.some(isTakingWork)) return undefined;
   if (upstreams.length === 0) return `no upstream of ${service} is registered`;
   const evacuated = upstreams.filter(({isEvacuated}) => isEvacuated).length;
   if (evacuated === 0) return `all upstreams of ${service} are leaving`;
--- a/packages/stages/src/stage-admission.ts
+++ b/packages/stages/src/stage-admission.ts
@@ -1,6 +1,6 @@
 import {DurationEstimator} from '@hollowstack/admission';
 import type {Clock, Timer} from '@hollowstack/clock';
-import type {StageCapacity} from '@hollowstack/routes';
+import {SHORTAGE_RETRY_MS, type StageCapacity} from '@hollowstack/routes';
 import type {StageAdmissionRequest, StageStep} from '@hollowstack/types';
 import type {ServiceTimes} from './service-times.ts';
 import type {StageFleet} from './stage-fleet.ts';
@@ -59,11 +59,6 @@
  * stage.
  */
 const MIN_RETRY_MS = 300;
-/**
- * Milliseconds after which to come back where no upstream of a stage takes work:
- * about the time of a restart. A guess.
- */
-const SHORTAGE_RETRY_MS = 1000;
 /** Share of its time after which a request can still come back. */
 const MAX_RETRY_SHARE = 0.3;
 
--- a/packages/stages/src/stage-fleet.ts
+++ b/packages/stages/src/stage-fleet.ts
@@ -1,7 +1,7 @@
 import {DurationEstimator} from '@hollowstack/admission';
 import type {Clock} from '@hollowstack/clock';
 import {
-  formatShortage,
+  findShortage,
   isTakingWork,
   type RegisteredUpstream,
   type StageCapacity,
@@ -66,8 +66,7 @@
   findShortage(service: string): string | undefined {
     if (this.upstreams.size === 0) return undefined;
     const records = this.listOfService(service).map(({record}) => record);
-    if (records.some(isTakingWork)) return undefined;
-    return formatShortage(service, records);
+    return findShortage(service, records);
   }
 
   /** Lists the upstreams of a service that take calls or are at work on one. */
