--- /dev/null
+++ b/packages/cli/src/snapshot-main.ts
@@ -0,0 +1,23 @@
+// The binary's entry point. The build runs this module once and stores the heap, so that
+// a process starts with all modules of the daemon loaded. The command line itself is
+// loaded by the process: its library opens the standard streams.
+import '@hollowstack/bench';
+import '@hollowstack/entry';
+import '@hollowstack/gateway';
+import '@hollowstack/local-system';
+import '@hollowstack/log-report';
+import '@hollowstack/logger';
+import '@hollowstack/peers';
+import '@hollowstack/platform';
+import '@hollowstack/transport';
+import {startupSnapshot} from 'node:v8';
+import {runWarmUp} from './warm-up.ts';
+
+runWarmUp();
+startupSnapshot.setDeserializeMainFunction(() => {
+  void import('./run-command-line.ts')
+    .then(({runCommandLine}) => runCommandLine(process.argv.slice(2)))
+    .then(exitCode => {
+      process.exitCode = exitCode;
+    });
+});
--- a/scripts/build-binary.ts
+++ b/scripts/build-binary.ts
@@ -10,6 +10,7 @@
 import {fileURLToPath} from 'node:url';
 import {build} from 'esbuild';
 import {inject} from 'postject';
+import {createLazyModulesPlugin, type LazyModules} from './lazy-modules.ts';
 
 // Builds dist/hollowstack (or into the folder given): one bundle, put into a copy of the Node that runs
 // this script. The fuse is the marker that Node's single executables carry.
@@ -22,10 +23,34 @@
 const root = fileURLToPath(new URL('..', import.meta.url));
 const dist = `${root}${process.argv[2] ?? 'dist'}`;
 
+/** Modules that cannot be in a snapshot: they open handles or create native objects. */
+const LAZY_MODULES: LazyModules = {
+  builtins: [
+    'async_hooks',
+    'child_process',
+    'crypto',
+    'http',
+    'https',
+    'module',
+    'net',
+    'os',
+    'perf_hooks',
+    'readline',
+    'stream',
+    'timers/promises',
+    'tls',
+    'tty',
+    'worker_threads',
+    'zlib',
+  ],
+  packages: ['hdr-histogram-js/dist/HistogramBuilder.js'],
+  resolveDir: `${root}packages/metrics/src`,
+};
+
 rmSync(dist, {recursive: true, force: true});
 mkdirSync(dist);
 await build({
-  entryPoints: [`${root}packages/cli/src/main.ts`],
+  entryPoints: [`${root}packages/cli/src/snapshot-main.ts`],
   bundle: true,
   platform: 'node',
   target: 'node24',
@@ -38,6 +63,7 @@
   minifySyntax: true,
   legalComments: 'none',
   logLevel: 'warning',
+  plugins: [createLazyModulesPlugin(LAZY_MODULES)],
 });
 writeFileSync(
   `${dist}/sea-config.json`,
@@ -45,11 +71,11 @@
     main: `${dist}/hollowstack.cjs`,
     output: `${dist}/hollowstack.blob`,
     disableExperimentalSEAWarning: true,
-    useCodeCache: true,
+    useSnapshot: true,
     execArgv: RUNTIME_OPTIONS,
   }),
 );
-// The runtime takes a code cache only under the options that it was made with.
+// The runtime takes a snapshot only under the options that it was made with.
 execFileSync(process.execPath, [
   ...RUNTIME_OPTIONS,
   '--experimental-sea-config',
