Admit stages by what waits now, not by all pending work

Change: steps are planned, queued or running; a step that begins now waits for queued ones and for half of those running. The fill is learnt only where a whole batch is left waiting.

--- a/packages/stages/src/stage-admission.test.ts
+++ b/packages/stages/src/stage-admission.test.ts
@@ -165,3 +165,71 @@
   assert.ok(count > 2 && count < 20, `${count}`);
   admission.stop();
 });
+
+// Four stages in a row, each on a service of 13 upstreams that are half used when calls
+// are full: 100 requests a second, each some 1.3 s in its stages.
+const CHAIN = ['a', 'b', 'c', 'd'].map((service, index) =>
+  createStep(service, 3, index === 0 ? [] : [index - 1]),
+);
+
+function createChainAdmission(): StageAdmission {
+  return new StageAdmission({
+    clock: new ManualClock(),
+    fleet: {
+      getCapacity: () => ({...CAPACITY, batchSize: 18, callMs: 240}),
+      findShortage: (): undefined => undefined,
+      countPlaces: () => 13,
+      countMemoryBytes: () => Infinity,
+      countHeldBytes: () => 0,
+      getHoldMs: (_, defaultMs) => defaultMs,
+    },
+    times: new ServiceTimes(),
+  });
+}
+
+function judgeChain(admission: StageAdmission, requestId: string) {
+  const request = {steps: CHAIN, dueInMs: 1_500, priority: 2};
+  return admission.judge(createRequest(requestId, request));
+}
+
+test('a chain of stages is let in while the stages of others are as far along as its own will be', () => {
+  const admission = createChainAdmission();
+  for (let index = 0; index < 130; index++) {
+    const requestId = `r${index}`;
+    assert.ok(judgeChain(admission, requestId).isAdmitted, requestId);
+    const current = index % CHAIN.length;
+    CHAIN.forEach(({service}, step) => {
+      if (step < current) admission.recordDone(service, requestId, step);
+    });
+    const {service} = CHAIN[current];
+    admission.recordPhase(service, requestId, current, 'running');
+  }
+  // 4 calls of 270 ms, 120 ms at the engine, and what is left of calls in progress.
+  const {predictedMs} = judgeChain(admission, 'next');
+  assert.ok(predictedMs < 1_310, `${predictedMs}`);
+  admission.stop();
+});
+
+test('a chain of stages is refused once more waits than its time allows', () => {
+  const admission = createChainAdmission();
+  let count = 0;
+  while (count < 2_000 && judgeChain(admission, `r${count}`).isAdmitted) {
+    count += 1;
+  }
+  // Some 0.4 s of waiting at 13 upstreams that do 3 items in 80 ms.
+  assert.ok(count > 30 && count < 150, `${count}`);
+  admission.stop();
+});
+
+test('a step whose items wait again after a failed call counts as waiting', () => {
+  const admission = createAdmission();
+  admission.judge(createRequest('first'));
+  admission.recordPhase('s', 'first', 0, 'running');
+  const behindRunningMs = admission.judge(createRequest('x')).predictedMs;
+  admission.recordEnded('x');
+  admission.recordPhase('s', 'first', 0, 'queued');
+  const behindQueuedMs = admission.judge(createRequest('x')).predictedMs;
+  assert.ok(behindQueuedMs > behindRunningMs);
+  admission.recordPhase('s', 'unknown', 0, 'queued');
+  admission.stop();
+});
--- a/packages/stages/src/stage-admission.ts
+++ b/packages/stages/src/stage-admission.ts
@@ -117,6 +117,16 @@
     if (request) this.firstTimes.recordMs(request.route, firstMs);
   }
 
+  /** Notes that a step of a request waits for calls, or that all of it is in calls. */
+  recordPhase(
+    service: string,
+    requestId: string,
+    step: number,
+    phase: 'queued' | 'running',
+  ): void {
+    this.ledger.setPhase(service, requestId, step, phase);
+  }
+
   /** Notes that a step of a request is done. */
   recordDone(service: string, requestId: string, step: number): void {
     this.ledger.removeStep(service, requestId, step);
@@ -150,7 +160,8 @@
       steps: request.steps,
       getCapacity: service => fleet.getCapacity(service),
       getPieceMs: ({stageKey}, {pieceMs}) => times.getItemMs(stageKey, pieceMs),
-      getWaitMs: service => this.computeWaitMs(service, request.priority),
+      getWaitMs: (service, phase) =>
+        this.computeWaitMs(service, request.priority, phase),
     });
     return stagesMs + this.predictFirstMs(request);
   }
@@ -174,6 +185,7 @@
       this.ledger.addStep(service, requestId, index, {
         ...this.computeWork(step, capacity),
         priority,
+        phase: isReady(request, step) ? 'queued' : 'planned',
       });
     });
     this.timers.set(
@@ -195,8 +207,16 @@
   }
 
   // Upstreams and their result memory are two resources; the scarcer one decides.
-  private computeWaitMs(service: string, priority: number): number {
-    const {workMs, resultBytes} = this.ledger.computeAhead(service, priority);
+  private computeWaitMs(
+    service: string,
+    priority: number,
+    phase: 'queued' | 'planned',
+  ): number {
+    const {workMs, resultBytes} = this.ledger.computeAhead(
+      service,
+      priority,
+      phase,
+    );
     const callsMs = workMs / Math.max(1, this.parts.fleet.countPlaces(service));
     return Math.max(callsMs, this.computeMemoryWaitMs(service, resultBytes));
   }
@@ -213,6 +233,10 @@
   }
 }
 
+function isReady({steps}: StageAdmissionRequest, step: StageStep): boolean {
+  return step.after.every(source => steps[source].pieceCount === 0);
+}
+
 function createRefusal(
   {dueInMs, remainingMs}: StageAdmissionRequest,
   predictedMs: number,
--- a/packages/stages/src/stage-coordinator.ts
+++ b/packages/stages/src/stage-coordinator.ts
@@ -46,6 +46,22 @@
 /** Milliseconds beside that, for connections and lost packets. */
 const CALL_TIMEOUT_MARGIN_MS = 400;
 
+/** How a batch is to be run. */
+interface BatchRun {
+  readonly capacity: StageCapacity;
+  readonly nowMs: number;
+  /** Whether a call's items or more wait that no upstream was free for. */
+  readonly isLoaded: boolean;
+}
+
+/** A call that is answered. */
+interface RunningCall {
+  readonly startedAtMs: number;
+  readonly expectedMs: number;
+  readonly capacity: StageCapacity;
+  readonly isLoaded: boolean;
+}
+
 /**
  * Gathers the pieces of many requests, from all instances that submit them
  * here, into calls that fill the upstreams' batches.
@@ -115,6 +131,7 @@
         resolve(outcome);
       });
       this.jobs.set(job.jobId, state);
+      this.recordPhase(state);
       this.scheduleCalls();
     });
   }
@@ -222,13 +239,37 @@
         upstream => upstream.getSlowness(nowMs) < SLOW_FACTOR,
       ),
     });
-    for (const batch of batches) void this.runBatch(batch, capacity, nowMs);
+    const isLoaded = this.hasBatchLeft(service, capacity, batches);
+    for (const batch of batches) {
+      void this.runBatch(batch, {capacity, nowMs, isLoaded});
+    }
+  }
+
+  // Calls that leave less than another call's items waiting are as small as the load
+  // is; how full calls can be is seen only where there is more.
+  private hasBatchLeft(
+    service: string,
+    {batchSize}: StageCapacity,
+    batches: readonly Batch[],
+  ): boolean {
+    let left = 0;
+    for (const {job, waitingCount} of this.jobs.values()) {
+      if (job.service === service) left += waitingCount;
+    }
+    for (const {parts} of batches) {
+      for (const {pieceCount} of parts) left -= pieceCount;
+    }
+    return left >= batchSize;
+  }
+
+  private recordPhase({job, waitingCount}: JobState): void {
+    const phase = waitingCount > 0 ? 'queued' : 'running';
+    this.admission.recordPhase(job.service, job.requestId, job.stage, phase);
   }
 
   private async runBatch(
     batch: Batch,
-    capacity: StageCapacity,
-    nowMs: number,
+    {capacity, nowMs, isLoaded}: BatchRun,
   ): Promise<void> {
     const upstream = this.fleet.findUpstream(batch.upstreamId)!;
     const taken = batch.parts.flatMap(part =>
@@ -236,6 +277,7 @@
     );
     const {id} = upstream.record;
     for (const {job} of taken) this.fleet.reserveBytes(id, job.resultBytes);
+    for (const state of listStates(taken)) this.recordPhase(state);
     const shares = listShares(taken, capacity);
     const expectedMs = capacity.callMs + this.times.computeItemsMs(shares);
     upstream.beginCall();
@@ -253,11 +295,14 @@
         startedAtMs: nowMs,
         expectedMs,
         capacity,
+        isLoaded,
       });
     } catch (error) {
       this.handleFailure(upstream, taken, error);
     } finally {
       upstream.endCall(this.parts.clock.getNow());
+      // Some of them may wait again.
+      for (const state of listStates(taken)) this.recordPhase(state);
       this.scheduleCalls();
     }
   }
@@ -266,7 +311,7 @@
     upstream: StageUpstream,
     taken: readonly TakenPiece[],
     answer: RunAnswer,
-    call: {startedAtMs: number; expectedMs: number; capacity: StageCapacity},
+    call: RunningCall,
   ): void {
     const nowMs = this.parts.clock.getNow();
     if (answer.type === 'unreadable') {
@@ -307,9 +352,8 @@
     upstream: StageUpstream,
     taken: readonly TakenPiece[],
     answer: RunAnswer,
-    call: {startedAtMs: number; capacity: StageCapacity},
+    {capacity, startedAtMs, isLoaded}: RunningCall,
   ): void {
-    const {capacity, startedAtMs} = call;
     const {service} = upstream.record;
     const nowMs = this.parts.clock.getNow();
     const isWhole =
@@ -319,9 +363,6 @@
     const tookMs = (nowMs - startedAtMs) / upstream.getSlowness(nowMs);
     const itemsMs = Math.max(0, tookMs - capacity.callMs);
     this.times.recordCall(listShares(taken, capacity), itemsMs);
-    const isLoaded = [...this.jobs.values()].some(
-      state => state.job.service === service && state.waitingCount > 0,
-    );
     if (!isLoaded) return;
     this.times.recordFill(service, taken.length / capacity.batchSize);
   }
@@ -413,6 +454,10 @@
   }
 }
 
+function listStates(taken: readonly TakenPiece[]): ReadonlySet<JobState> {
+  return new Set(taken.map(({state}) => state));
+}
+
 function listShares(
   taken: readonly TakenPiece[],
   {pieceMs}: StageCapacity,
