--- a/packages/peers/src/packed-text.ts
+++ b/packages/peers/src/packed-text.ts
@@ -2,7 +2,10 @@
 import {z} from 'zod';
 import {FrameError, MAX_FRAME_BYTES} from './frames.ts';
 
-export const packedTextSchema = z.union([z.string(), z.instanceof(Uint8Array)]);
+export /**
+ *
+ */
+const packedTextSchema = z.union([z.string(), z.instanceof(Uint8Array)]);
 /** A text as it goes to a peer: as it is, or deflated (RFC 1951) where it is long. */
 export type PackedText = z.infer<typeof packedTextSchema>;
 
@@ -36,9 +39,7 @@
     if (!isTaken || text.length < MIN_PACKED_LENGTH) return text;
     const known = this.packed.get(text);
     if (known) return known;
-    const bytes = new Uint8Array(
-      deflateRawSync(text, {level: DEFLATE_LEVEL}),
-    );
+    const bytes = new Uint8Array(deflateRawSync(text, {level: DEFLATE_LEVEL}));
     this.packed.set(text, bytes);
     this.removeOldest();
     return bytes;
