Take an upstream that starts again under its id for another one

Cause: the platform keeps an upstream's id over a restart now and tells its start (born). What was known of the earlier life held on: cached prompts, results, load, health, and an upstream that had been leaving stayed so under its id. Change: the adapter makes the project's id, which names one life, of both; the wire gets the registered id. All that is kept by id is dropped in every instance with the entry. Entries of other writers (fields missing, other types, unknown state, no JSON) name no upstream, are logged once with key and reason, and the others of the page hold.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -161,7 +161,7 @@
       names.deadlineMs,
       `${Math.max(1, request.getRemainingMs(clock))}`,
       names.targetUpstream,
-      upstream.id,
+      protocol.renderTargetUpstream(upstream.id),
     );
     if (facts.workspace) headers.push(names.workspace, facts.workspace.name);
     if (inputs) headers.push(names.stageInputs, inputs.header);
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -6,7 +6,11 @@
   parseGatewaySettings,
   type GatewaySettings,
 } from './gateway-settings.ts';
-export {RequestProtocol, type RequestHeaderNames} from './request-protocol.ts';
+export {
+  RequestProtocol,
+  UnreadableEntryError,
+  type RequestHeaderNames,
+} from './request-protocol.ts';
 export {EngineProtocol} from './engine-protocol.ts';
 export {RouteHolder} from './route-holder.ts';
 export {UpstreamRegistry} from './upstream-registry.ts';
--- a/packages/gateway/src/request-protocol.ts
+++ b/packages/gateway/src/request-protocol.ts
@@ -33,6 +33,14 @@
   readonly stageInputs: string;
 }
 
+/** An entry of the store that names no upstream to use; others may write there too. */
+export class UnreadableEntryError extends Error {
+  constructor(reason: string) {
+    super(reason);
+    this.name = 'UnreadableEntryError';
+  }
+}
+
 /** How requests, configuration and registrations are written; an adapter gives names and formats. */
 export abstract class RequestProtocol {
   abstract readonly headers: RequestHeaderNames;
@@ -59,9 +67,9 @@
   /** @throws HollowstackError `configuration-invalid` with the place. */
   abstract parseConfiguration(text: string): RoutedConfiguration;
 
-  /** Returns undefined for an entry that cannot be read. */
-  abstract parseUpstream(
-    key: string,
-    text: string,
-  ): RegisteredUpstream | undefined;
+  /** Renders the upstream that alone may run a request, for the header. */
+  abstract renderTargetUpstream(id: string): string;
+
+  /** @throws UnreadableEntryError for an entry that names no upstream to use. */
+  abstract parseUpstream(key: string, text: string): RegisteredUpstream;
 }
--- a/packages/gateway/src/upstream-registry.ts
+++ b/packages/gateway/src/upstream-registry.ts
@@ -5,7 +5,10 @@
 import type {KeyValue, WatchEvent} from '@hollowstack/store';
 import type {StoreCopy} from '@hollowstack/types';
 import type {EvacuatedDomains, EvacuationChange} from './evacuated-domains.ts';
-import type {RequestProtocol} from './request-protocol.ts';
+import {
+  UnreadableEntryError,
+  type RequestProtocol,
+} from './request-protocol.ts';
 
 /** What an instance goes by when it chooses an upstream, for the log. */
 export interface RegistryState {
@@ -28,6 +31,8 @@
  * may come back; work still goes to their upstreams until then.
  */
 const LAPSE_GRACE_MS = 2200;
+/** Entries kept that could not be read. */
+const MAX_UNREADABLE = 1000;
 /** Ids kept of upstreams that were seen leaving. */
 const MAX_LEFT_IDS = 10_000;
 
@@ -37,6 +42,8 @@
   private readonly logger: EventLogger;
   private readonly entries = new Map<string, Entry>();
   private readonly leftIds = new Set<string>();
+  /** Entries that could not be read, so that each is logged once. */
+  private readonly unreadable = new Map<string, string>();
   private readonly listeners: Array<
     (upstreams: readonly RegisteredUpstream[]) => void
   > = [];
@@ -252,16 +259,15 @@
     isListedAlone = true,
   ): void {
     this.digest = undefined;
-    const parsed = this.protocol.parseUpstream(key, text);
-    if (!parsed) {
-      this.logger.logEvent('upstream.unreadable', {key, source});
-      return;
-    }
+    const parsed = this.parseEntry(key, text, source);
+    if (!parsed) return;
     this.missing.delete(key);
     // An upstream that was leaving never comes back under the same id.
     const isLeaving = parsed.isLeaving || this.leftIds.has(parsed.id);
     const known = this.entries.get(key);
-    const before = known?.upstream;
+    const isRestart = known !== undefined && known.upstream.id !== parsed.id;
+    // Nothing that was known of an earlier life holds for this one.
+    const before = isRestart ? undefined : known?.upstream;
     // A reading that repeats an entry says nothing new of its warm-up; the age of
     // one that is heard of for the first time is not known, so it counts from now.
     const coldUntilMs =
@@ -272,8 +278,9 @@
     this.entries.set(key, {text, upstream});
     if (isLeaving) this.recordLeft(parsed.id);
     if (before && before.isLeaving === isLeaving) return;
-    if (!isLeaving && !isListedAlone) return;
-    this.logger.logEvent(isLeaving ? 'upstream.leaving' : 'upstream.listed', {
+    if (!isLeaving && !isListedAlone && !isRestart) return;
+    const listed = isRestart ? 'upstream.restarted' : 'upstream.listed';
+    this.logger.logEvent(isLeaving ? 'upstream.leaving' : listed, {
       upstream: parsed.id,
       service: parsed.service,
       address: parsed.address,
@@ -283,8 +290,39 @@
     });
   }
 
+  // An entry that cannot be read names no upstream, whatever it named before; the next
+  // one under its key may.
+  private parseEntry(
+    key: string,
+    text: string,
+    source: string,
+  ): RegisteredUpstream | undefined {
+    try {
+      const parsed = this.protocol.parseUpstream(key, text);
+      this.unreadable.delete(key);
+      return parsed;
+    } catch (error) {
+      if (!(error instanceof UnreadableEntryError)) throw error;
+      this.missing.delete(key);
+      this.entries.delete(key);
+      if (this.unreadable.get(key) === text) return undefined;
+      this.recordUnreadable(key, text);
+      const reason = error.message;
+      this.logger.logEvent('upstream.unreadable', {key, reason, source});
+      return undefined;
+    }
+  }
+
+  private recordUnreadable(key: string, text: string): void {
+    this.unreadable.set(key, text);
+    if (this.unreadable.size <= MAX_UNREADABLE) return;
+    const [oldest] = this.unreadable.keys();
+    this.unreadable.delete(oldest);
+  }
+
   private removeEntry(key: string, source: string): void {
     this.digest = undefined;
+    this.unreadable.delete(key);
     const entry = this.entries.get(key);
     if (!entry || this.missing.has(key)) return;
     const mayComeBack = this.grace !== undefined && !entry.upstream.isLeaving;
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -192,7 +192,7 @@
   'upstream.unreadable': {
     number: 615,
     level: 'warn',
-    text: 'the registration of an upstream cannot be read; what was known of it stays',
+    text: 'an entry among the upstreams cannot be read; it names no upstream',
   },
   'domain.evacuated': {
     number: 616,
@@ -214,6 +214,11 @@
     level: 'info',
     text: 'a whole reading brought upstreams that were not known',
   },
+  'upstream.restarted': {
+    number: 621,
+    level: 'info',
+    text: 'an upstream has started again under its id; what was known of it is forgotten',
+  },
   'engine.kept': {
     number: 620,
     level: 'info',
