Let in what is late by its own size alone, and keep calls short for those that cannot wait

Change: refused is only what waiting for others makes late; a call of a stage takes no item that would make a request in it late, while calls for all that waits are at hand.

--- a/packages/stages/src/batch-plan.test.ts
+++ b/packages/stages/src/batch-plan.test.ts
@@ -171,3 +171,30 @@
   const [only] = assembleBatches({...input, hasUsualUpstream: false});
   assert.equal(only.parts.length, 3);
 });
+
+test('a job with little time to spare gets no more items beside its own than it can wait for', () => {
+  // 150 ms a call and 10 ms an item: done at 170 alone, at 220 with all.
+  const jobs = [
+    createJob('tight', {pieceCount: 2, dueAtMs: 185}),
+    createJob('short', {pieceCount: 1, dueAtMs: 900}),
+    createJob('long', {pieceCount: 4, dueAtMs: 1000}),
+  ];
+  const [batch] = assembleBatches(createInput(jobs, [createUpstream('u')]));
+  assert.deepEqual(
+    batch.parts.map(({jobId}) => jobId),
+    ['tight', 'short'],
+  );
+});
+
+test('a job that is late in any case, or more work than calls, does not make calls small', () => {
+  const late = createJob('late', {pieceCount: 2, dueAtMs: 100});
+  const next = createJob('next', {pieceCount: 4, dueAtMs: 1000});
+  const free = [createUpstream('u')];
+  const [whole] = assembleBatches(createInput([late, next], free));
+  assert.equal(whole.parts.length, 2);
+  const tight = createJob('tight', {pieceCount: 2, dueAtMs: 175});
+  const crowd = createJob('crowd', {pieceCount: 20, dueAtMs: 1000});
+  const [full] = assembleBatches(createInput([tight, crowd], free));
+  const pieces = full.parts.reduce((sum, part) => sum + part.pieceCount, 0);
+  assert.equal(pieces, 8);
+});
--- a/packages/stages/src/batch-plan.ts
+++ b/packages/stages/src/batch-plan.ts
@@ -101,6 +101,8 @@
       maxSize: capacity.batchSize,
       maySplit: pieces > capacity.batchSize * free.length,
       freeBytes: upstream.freeBytes,
+      startedAtMs: input.nowMs,
+      callMs: capacity.callMs,
     });
     if (parts.length > 0) batches.push({upstreamId: upstream.id, parts});
   });
@@ -115,6 +117,9 @@
   /** Whether more waits than fits in the calls at hand. */
   readonly maySplit: boolean;
   readonly freeBytes: number;
+  readonly startedAtMs: number;
+  /** Milliseconds of a call beside those of its pieces. */
+  readonly callMs: number;
 }
 
 function assembleBatch(
@@ -125,6 +130,8 @@
   const parts: BatchPart[] = [];
   let pieces = 0;
   let bytes = 0;
+  let workMs = 0;
+  let spareMs = Infinity;
   for (const job of jobs) {
     if (pieces >= bounds.size) break;
     const wanted = left.get(job.jobId)!;
@@ -133,6 +140,10 @@
     if (fitting <= 0) continue;
     // Otherwise a job is only split where a call of its own would not hold it.
     if (fitting < wanted && parts.length > 0 && !bounds.maySplit) continue;
+    const addedMs = fitting * job.pieceMs;
+    if (!bounds.maySplit && workMs + addedMs > spareMs) continue;
+    workMs += addedMs;
+    spareMs = Math.min(spareMs, computeSpareMs(job, workMs, bounds));
     parts.push({jobId: job.jobId, pieceCount: fitting});
     left.set(job.jobId, wanted - fitting);
     pieces += fitting;
@@ -141,6 +152,19 @@
   return parts;
 }
 
+// Each piece makes the call longer for all in it: one with 25 pieces of 8 ms takes 446 ms
+// where one with two takes 257, which is what a request with a large prompt cannot wait.
+// One that is late already holds up nobody, and where more waits than fits in the calls
+// at hand, full calls serve more.
+function computeSpareMs(
+  job: WaitingJob,
+  workMs: number,
+  {startedAtMs, callMs}: BatchBounds,
+): number {
+  const leftMs = job.dueAtMs - startedAtMs - callMs;
+  return leftMs < workMs ? Infinity : leftMs;
+}
+
 function countRoom(job: WaitingJob, freeBytes: number): number {
   if (job.resultBytes <= 0) return Infinity;
   return Math.floor(freeBytes / job.resultBytes);
--- a/packages/stages/src/stage-admission.test.ts
+++ b/packages/stages/src/stage-admission.test.ts
@@ -234,3 +234,16 @@
   admission.recordPhase('s', 'unknown', 0, 'queued');
   admission.stop();
 });
+
+test('a request that is late by its own size alone is let in: coming back would not help it', () => {
+  const admission = createAdmission();
+  const large = {requestMs: 900, dueInMs: 1000};
+  assert.equal(admission.judge(createRequest('large', large)).isAdmitted, true);
+  admission.recordEnded('large');
+  countAdmitted(admission);
+  assert.equal(
+    admission.judge(createRequest('held-up', large)).isAdmitted,
+    false,
+  );
+  admission.stop();
+});
--- a/packages/stages/src/stage-admission.ts
+++ b/packages/stages/src/stage-admission.ts
@@ -8,6 +8,7 @@
   WorkLedger,
   computeWorkMs,
   predictFinishMs,
+  type FinishInput,
   type WorkAhead,
 } from './work-ledger.ts';
 
@@ -61,6 +62,11 @@
  * with bursts of one kind, at 0.9 every eighth (528 and 304 of 2,600, one run each).
  */
 const TOLERANCE = 0.9;
+/**
+ * Share of the time left that waiting for others must take before a request is refused
+ * for it: the share that the tolerance leaves, below which another moment is no better.
+ */
+const MIN_HOLDUP_SHARE = 0.1;
 /** A result is held for about this many calls' fixed time, before it was learnt. */
 const USUAL_HOLD_CALLS = 4;
 /**
@@ -99,7 +105,8 @@
       };
     }
     const predictedMs = this.predictMs(request);
-    if (predictedMs <= request.dueInMs * TOLERANCE) {
+    const isInTime = predictedMs <= request.dueInMs * TOLERANCE;
+    if (isInTime || !this.isHeldUp(request, predictedMs)) {
       return this.admit(request, predictedMs);
     }
     if (request.mayComeBack && request.dueInMs > 0) {
@@ -164,13 +171,32 @@
   }
 
   private predictMs(request: StageAdmissionRequest): number {
+    return this.predictWithWaits(request, (service, phase) =>
+      this.computeWaitMs(service, request.priority, phase),
+    );
+  }
+
+  // A request that is late by its own size alone would be so later as well: refusing it
+  // serves nobody.
+  private isHeldUp(
+    request: StageAdmissionRequest,
+    predictedMs: number,
+  ): boolean {
+    if (request.dueInMs <= 0) return true;
+    const aloneMs = this.predictWithWaits(request, () => 0);
+    return predictedMs - aloneMs > request.dueInMs * MIN_HOLDUP_SHARE;
+  }
+
+  private predictWithWaits(
+    request: StageAdmissionRequest,
+    getWaitMs: FinishInput['getWaitMs'],
+  ): number {
     const {fleet, times} = this.parts;
     const stagesMs = predictFinishMs({
       steps: request.steps,
       getCapacity: service => fleet.getCapacity(service),
       getPieceMs: ({stageKey}, {pieceMs}) => times.getItemMs(stageKey, pieceMs),
-      getWaitMs: (service, phase) =>
-        this.computeWaitMs(service, request.priority, phase),
+      getWaitMs,
     });
     return stagesMs + this.predictFirstMs(request);
   }
