--- a/packages/peers/src/packed-text.test.ts
+++ b/packages/peers/src/packed-text.test.ts
@@ -12,10 +12,10 @@
     timeoutMs: 1500,
     objectiveMs: 300,
     priority: index % 3,
-    backend: 'registry',
+    service: 'registry',
     maxAttempts: 2,
-    phases: [],
-    public: false,
+    stages: [],
+    isPublic: false,
   })),
 });
 
