--- a/packages/stages/src/batch-plan.ts
+++ b/packages/stages/src/batch-plan.ts
@@ -58,8 +58,8 @@
 const SMALL_CROSSING_BYTES = 200_000;
 /**
  * Share of the time left that a job waits for an upstream in its own domain. A longer
- * wait costs callers their time, a shorter one bytes between domains: of a chain of four
- * stages 0.76 was earned at 0.1 and 0.65 at 0.35, for 4.2 and 1.8 GB (one run each).
+ * wait costs callers their time, a shorter one bytes between domains. A guess between 0.1
+ * and 0.35, which were measured only together with another admission.
  */
 const DOMAIN_PATIENCE = 0.2;
 /** An upstream this much slower is used only where the others cannot keep up. */
--- a/packages/stages/src/stage-admission.ts
+++ b/packages/stages/src/stage-admission.ts
@@ -58,8 +58,8 @@
 const LATE_SHARE = 0.4;
 /**
  * Share of the time left that a prediction may take, since half of the requests take
- * longer than predicted: at 1.1 every fifth of those with three stages was late on a day
- * with bursts of one kind, at 0.9 every eighth (528 and 304 of 2,600, one run each).
+ * longer than predicted. With 1.1 every fifth request of three stages was late on a day
+ * with bursts of one kind (528 of 2,600, one run); what 0.9 alone changes was not measured.
  */
 const TOLERANCE = 0.9;
 /**
