Log what upstreams say of themselves in their answers

Cause: an answer that says that its upstream leaves, or that it wants no work for a time, left no line: whether an instance had heard it could not be told from whether it was overruled. Change: the adapter decodes the two headers once; requests, streams, stage calls and readings of kept prompts note them as upstream.leaving-told (622) and upstream.back-off (623). Ruled out meanwhile: a search for both headers finds no other place that reads them.

--- a/packages/cli/src/commands/gateway/index.ts
+++ b/packages/cli/src/commands/gateway/index.ts
@@ -13,6 +13,7 @@
 import {
   PlatformEngines,
   PlatformRequests,
+  PlatformSignals,
   PlatformStages,
   PlatformStore,
 } from '@hollowstack/platform';
@@ -86,6 +87,7 @@
       requestProtocol: new PlatformRequests(),
       stageProtocol: new PlatformStages(),
       engineProtocol: new PlatformEngines(),
+      signalProtocol: new PlatformSignals(),
     });
     const stopAsked = new Promise<void>(resolve => {
       // Kept for good: a second signal must not cut what the first lets finish.
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -5,6 +5,10 @@
   TransportError,
   readWholeBody,
 } from '@hollowstack/transport';
+import {
+  toAnswerHead,
+  type UpstreamSignals,
+} from '@hollowstack/upstream-signals';
 import type {IncomingMessage} from 'node:http';
 import {writeUpstreamAnswer} from './answer-writer.ts';
 import {listEndToEndHeaders} from './header-list.ts';
@@ -26,6 +30,7 @@
   readonly protocol: RequestProtocol;
   readonly request: RoutedRequest;
   readonly upstream: RegisteredUpstream;
+  readonly signals: Pick<UpstreamSignals, 'recordAnswer'>;
   /** Returns whether the upstream has not said meanwhile that it leaves. */
   readonly mayStillSend: () => boolean;
   /** Stage results that the upstream reads; undefined for a request without stages. */
@@ -117,6 +122,7 @@
     this.watchSilence(call);
     try {
       const head = await call.response;
+      this.recordSignals(head);
       const outcome = await this.handleHead(head, call);
       if (outcome.type === 'not-run') request.recordNotRun(ranBefore);
       if (outcome.type === 'not-run' && outcome.isOtherUpstream) {
@@ -140,6 +146,16 @@
     }
   }
 
+  // Read before anything else: they hold whatever the rest of the answer is.
+  private recordSignals(head: IncomingMessage): void {
+    const {signals, upstream, request} = this.parts;
+    signals.recordAnswer({
+      upstream,
+      head: toAnswerHead(head),
+      requestId: request.facts.requestId,
+    });
+  }
+
   // An upstream may die without a word, or run a request and lose its answer.
   private watchSilence(call: SingleCall): void {
     const {clock, silence} = this.parts;
--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -16,6 +16,10 @@
   type StageProtocol,
 } from '@hollowstack/stages';
 import type {KeyValueStore} from '@hollowstack/store';
+import {
+  UpstreamSignals,
+  type SignalProtocol,
+} from '@hollowstack/upstream-signals';
 import {CoordinatorSearch} from './coordinator-search.ts';
 import {createStoreView} from './create-store-view.ts';
 import {EngineAssigner} from './engine-assigner.ts';
@@ -47,6 +51,7 @@
   readonly requestProtocol: RequestProtocol;
   readonly stageProtocol: StageProtocol;
   readonly engineProtocol: EngineProtocol;
+  readonly signalProtocol: SignalProtocol;
 }
 
 /**
@@ -83,11 +88,20 @@
     registry,
     evacuated,
   });
+  const signals = new UpstreamSignals({
+    logger,
+    metrics,
+    protocol: environment.signalProtocol,
+  });
   const coordinator = new StageCoordinator({
     clock,
     logger,
     metrics,
-    caller: new StageCaller(environment.stageProtocol, clock),
+    caller: new StageCaller({
+      protocol: environment.stageProtocol,
+      clock,
+      signals,
+    }),
   });
   const notes = new NoteQueue({clock, link});
   const dispatcher = new StageDispatcher({
@@ -104,6 +118,7 @@
     logger,
     directory,
     protocol: environment.engineProtocol,
+    signals,
   });
   const pool = new UpstreamPool({
     getNow,
@@ -116,6 +131,7 @@
     protocol,
     pool,
     registry,
+    signals,
     chooser: new UpstreamChooser({
       pool,
       assigner: new EngineAssigner({
--- a/packages/gateway/src/kept-prompts-reader.ts
+++ b/packages/gateway/src/kept-prompts-reader.ts
@@ -3,6 +3,10 @@
 import type {EventLogger} from '@hollowstack/logger';
 import type {RegisteredUpstream} from '@hollowstack/routes';
 import {callForWholeAnswer} from '@hollowstack/transport';
+import {
+  toAnswerHead,
+  type UpstreamSignals,
+} from '@hollowstack/upstream-signals';
 import type {EngineProtocol} from './engine-protocol.ts';
 
 /** What the reader works with. */
@@ -11,6 +15,7 @@
   readonly logger: EventLogger;
   readonly directory: EngineDirectory;
   readonly protocol: EngineProtocol;
+  readonly signals: Pick<UpstreamSignals, 'recordAnswer'>;
 }
 
 /**
@@ -44,8 +49,9 @@
     }
   }
 
-  private async readEngine({id, address}: RegisteredUpstream): Promise<void> {
-    const {clock, logger, directory, protocol} = this.parts;
+  private async readEngine(engine: RegisteredUpstream): Promise<void> {
+    const {clock, logger, directory, protocol, signals} = this.parts;
+    const {id, address} = engine;
     const request = protocol.createKeptRequest(address);
     try {
       const {head, body} = await callForWholeAnswer(
@@ -53,6 +59,11 @@
         clock,
         {timeoutMs: TIMEOUT_MS, maxBytes: MAX_ANSWER_BYTES},
       );
+      signals.recordAnswer({
+        upstream: engine,
+        head: toAnswerHead(head),
+        requestId: undefined,
+      });
       if (head.statusCode !== 200) return;
       const kept = protocol.parseKept(body.toString('utf8'));
       directory.recordKept(id, kept);
--- a/packages/gateway/src/request-runner.ts
+++ b/packages/gateway/src/request-runner.ts
@@ -10,6 +10,7 @@
 } from '@hollowstack/routes';
 import {RequestStages, type StageDispatcher} from '@hollowstack/stages';
 import type {PromptPart} from '@hollowstack/types';
+import type {UpstreamSignals} from '@hollowstack/upstream-signals';
 import {Attempt, type AttemptInputs, type AttemptOutcome} from './attempt.ts';
 import type {PolicySettings} from './gateway-settings.ts';
 import type {RequestProtocol} from './request-protocol.ts';
@@ -26,6 +27,7 @@
   readonly protocol: RequestProtocol;
   readonly pool: UpstreamPool;
   readonly registry: Pick<UpstreamRegistry, 'getState'>;
+  readonly signals: Pick<UpstreamSignals, 'recordAnswer'>;
   readonly chooser: UpstreamChooser;
   readonly dispatcher: StageDispatcher;
   readonly retryBudget: WindowRetryBudget;
@@ -301,7 +303,8 @@
     upstreamId: string,
     {inputs, handleFirst}: AttemptNeeds,
   ): Promise<AttemptOutcome> {
-    const {clock, protocol, pool, registry, chooser, policy} = this.parts;
+    const {clock, protocol, pool, registry, signals, chooser, policy} =
+      this.parts;
     const upstream = pool.getRecord(upstreamId);
     request.registryState = registry.getState();
     if (!upstream) return {type: 'unsent', reason: 'the upstream is gone'};
@@ -310,6 +313,7 @@
       protocol,
       request,
       upstream,
+      signals,
       mayStillSend: () => pool.isTakingWork(upstreamId),
       inputs,
       releasesAtFirst: policy.earlyRelease || !request.facts.route.isResumable,
--- a/packages/stages/src/stage-caller.ts
+++ b/packages/stages/src/stage-caller.ts
@@ -5,6 +5,7 @@
   callForWholeAnswer,
   type WholeAnswer,
 } from '@hollowstack/transport';
+import type {UpstreamSignals} from '@hollowstack/upstream-signals';
 import type {
   EncodedRequest,
   RunAnswer,
@@ -28,6 +29,7 @@
 /** Which upstream a call goes to. */
 export interface StageTarget {
   readonly id: string;
+  readonly service: string;
   readonly address: string;
 }
 
@@ -43,15 +45,20 @@
   }
 }
 
+/** Dependencies of StageCaller. */
+export interface StageCallerParts {
+  readonly protocol: StageProtocol;
+  readonly clock: Clock;
+  readonly signals: Pick<UpstreamSignals, 'recordAnswer'>;
+}
+
 /** Calls upstreams for pieces, and gives results back. */
 export class StageCaller {
-  private readonly protocol: StageProtocol;
-  private readonly clock: Clock;
+  private readonly parts: StageCallerParts;
   private readonly controller = new AbortController();
 
-  constructor(protocol: StageProtocol, clock: Clock) {
-    this.protocol = protocol;
-    this.clock = clock;
+  constructor(parts: StageCallerParts) {
+    this.parts = parts;
   }
 
   /**
@@ -67,8 +74,9 @@
     timeoutMs: number,
     mayStillSend: () => boolean,
   ): Promise<RunAnswer> {
+    const {protocol, signals} = this.parts;
     const {id, address} = target;
-    const request = this.protocol.createRunRequest(id, address, pieces);
+    const request = protocol.createRunRequest(id, address, pieces);
     try {
       const {head, body} = await this.call(
         address,
@@ -81,7 +89,12 @@
         headers: head.headers,
         body: body.toString('utf8'),
       };
-      return this.protocol.parseRunAnswer(answer, pieces.length);
+      signals.recordAnswer({
+        upstream: target,
+        head: answer,
+        requestId: pieces[0]?.requestId,
+      });
+      return protocol.parseRunAnswer(answer, pieces.length);
     } catch (error) {
       const message = error instanceof Error ? error.message : String(error);
       throw new StageCallError(message, isUnreachable(error));
@@ -93,7 +106,7 @@
     address: string,
     handles: readonly string[],
   ): Promise<void> {
-    const request = this.protocol.createReleaseRequest(address, handles);
+    const request = this.parts.protocol.createReleaseRequest(address, handles);
     await this.call(address, request, RELEASE_TIMEOUT_MS).catch(() => {});
   }
 
@@ -115,7 +128,7 @@
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
         mayStillSend,
       },
-      this.clock,
+      this.parts.clock,
       {
         timeoutMs,
         maxBytes: MAX_ANSWER_BYTES,
--- /dev/null
+++ b/packages/upstream-signals/src/index.ts
@@ -0,0 +1,9 @@
+/** What upstreams say of themselves in their answers. */
+export {
+  SignalProtocol,
+  toAnswerHead,
+  type AnswerHead,
+  type AnswerSignals,
+} from './answer-signals.ts';
+export {parseRetryAfterMs} from './retry-after.ts';
+export {UpstreamSignals, type SignalAnswer} from './upstream-signals.ts';
