Take an upstream's own word that it leaves, in any of its answers

Change: every answer of a request, a stream, a stage call and a reading of kept prompts is looked at; the registry holds the upstream for leaving in that life (id with its start), whatever a reading, a change, or a peer's older copy says. All choices ask the registry already, so attempts, stage calls, the coordinator and the last look before a send follow. Peers are told with the comparison of copies that goes anyway (an optional field, passed over by older ones), and 0.1 s later where the store has not said it. A 421 or the id of another upstream counts for nobody. The log has upstream.leaving with source answer and the request. Ruled out: a note of its own to peers (older ones would refuse the whole message), the word in the digest (peers would exchange whole copies).

--- a/packages/gateway/src/copy-exchange.ts
+++ b/packages/gateway/src/copy-exchange.ts
@@ -65,6 +65,11 @@
  * the copy itself.
  */
 const PATIENCE_SHARE = 0.2;
+/**
+ * Milliseconds after an upstream's own word that it leaves before peers are told. A
+ * store that works tells all of them within 2 to 12 ms (27 changes at nine gateways).
+ */
+const TELL_AFTER_MS = 100;
 const NO_WISHES: CopyWishes = {
   configuration: false,
   upstreams: false,
@@ -86,6 +91,7 @@
   private readonly patienceMs: number;
   private readonly packer = new TextPacker();
   private newsTimer: Timer | undefined;
+  private tellTimer: Timer | undefined;
 
   constructor(parts: CopyExchangeParts) {
     this.parts = parts;
@@ -107,6 +113,21 @@
   stop(): void {
     this.task.stop();
     this.newsTimer?.cancel();
+    this.tellTimer?.cancel();
+  }
+
+  /**
+   * Has peers told soon of upstreams that leave by their own word, unless the store
+   * says so meanwhile. Each peer that learns of one does the same, so that the news is
+   * with 90 instances after some seven such pauses and not as many rounds.
+   */
+  scheduleTelling(): void {
+    if (this.tellTimer) return;
+    this.tellTimer = this.parts.clock.schedule(TELL_AFTER_MS, () => {
+      this.tellTimer = undefined;
+      if (this.parts.registry.listToldLeaving().length > 0)
+        void this.runRound();
+    });
   }
 
   /** Asks one peer, or the seeds while no peer is known. */
@@ -134,6 +155,7 @@
     const isDigestOther = registry.getDigest() !== asked.digest;
     this.recordPeer(asked);
     this.applyEvacuations(asked, asked.self.address);
+    this.recordLeaving(asked, asked.self.address);
     // Whoever asks may know more than the one that is asked.
     if (!asked.isLeaving) {
       this.recordNews({...asked, isDigestOther});
@@ -150,6 +172,7 @@
       isDigestOther,
       isProvisional: registry.isInGrace(),
       evacuations: evacuated.getState(),
+      leavingUpstreams: registry.listToldLeaving(),
       configurationText:
         wishes.configuration && isConfigurationNews
           ? this.packer.encodeText(holder.getText(), wishes.packed)
@@ -208,6 +231,7 @@
           digest: registry.getDigest(),
           isProvisional: registry.isInGrace(),
           evacuations: evacuated.getState(),
+          leavingUpstreams: registry.listToldLeaving(),
           wishes,
         },
         wishes.configuration || wishes.upstreams ? COPY_TIMEOUT_MS : TIMEOUT_MS,
@@ -220,6 +244,7 @@
     const source = `peer ${address}`;
     this.recordPeer(reply);
     this.applyEvacuations(reply, address);
+    this.recordLeaving(reply, address);
     this.recordNews(reply);
     if (wishes.upstreams && !reply.isDigestOther) {
       this.upstreamNews.removeNews();
@@ -292,6 +317,15 @@
     this.parts.evacuated.replaceState(evacuations, `peer ${address}`);
   }
 
+  private recordLeaving(
+    {leavingUpstreams = []}: {leavingUpstreams?: readonly string[]},
+    address: string,
+  ): void {
+    for (const id of leavingUpstreams) {
+      this.parts.registry.recordLeaving(id, {source: `peer ${address}`});
+    }
+  }
+
   // One that stops still answers, but nothing new must go to it.
   private recordPeer(peer: {self: PeerRecord; isLeaving: boolean}): void {
     const {membership} = this.parts;
--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -92,6 +92,8 @@
     logger,
     metrics,
     protocol: environment.signalProtocol,
+    handleLeaving: (id, requestId) =>
+      registry.recordLeaving(id, {source: 'answer', requestId}),
   });
   const coordinator = new StageCoordinator({
     clock,
--- a/packages/gateway/src/create-store-view.ts
+++ b/packages/gateway/src/create-store-view.ts
@@ -128,6 +128,7 @@
     followWithinMs,
   });
   registry.addMissingListener(() => void exchange.runRound());
+  registry.addToldListener(() => exchange.scheduleTelling());
   const relay = new RelayServer({clock, store});
   return {membership, watchHub, followers, exchange, relay};
 }
--- a/packages/gateway/src/upstream-registry.test.ts
+++ b/packages/gateway/src/upstream-registry.test.ts
@@ -160,6 +160,55 @@
   assert.notEqual(registry.getDigest(), digest);
 });
 
+test('an upstream that said itself that it leaves takes no work again in this life, whatever the store or a peer says', () => {
+  const {logger, registry} = createRegistry();
+  let toldCount = 0;
+  registry.addToldListener(() => (toldCount += 1));
+  const listReady = () =>
+    registry
+      .listUpstreams()
+      .filter(({isLeaving}) => !isLeaving)
+      .map(({id}) => id);
+  const entries = [{key: 'a', value: 'ready@1'}];
+  registry.replaceEntries(entries, 2, 'store');
+  const digest = registry.getDigest();
+  const heard = {source: 'answer', requestId: 'r1'};
+  registry.recordLeaving('a@1', heard);
+  registry.recordLeaving('a@1', heard);
+  registry.recordLeaving('nobody', heard);
+  assert.deepEqual(listReady(), []);
+  assert.equal(toldCount, 1);
+  assert.deepEqual(registry.listToldLeaving(), ['a@1']);
+  const lines = logger.names.filter(name => name === 'upstream.leaving');
+  assert.equal(lines.length, 2, 'one for b of the registry, one for a');
+
+  registry.replaceEntries(entries, 3, 'store');
+  registry.applyEvents([{type: 'put', ...entries[0], modRevision: 4}]);
+  registry.applyCopy({storeRevision: 4, entries}, 'peer 10.0.0.2:1');
+  assert.deepEqual(listReady(), []);
+  // Peers that have not heard it know the same registrations.
+  assert.equal(registry.getDigest(), digest);
+
+  registry.applyEvents([
+    {type: 'put', key: 'a', value: 'leaving@1', modRevision: 5},
+  ]);
+  assert.deepEqual(registry.listToldLeaving(), [], 'the store says it now');
+  registry.applyEvents([
+    {type: 'put', key: 'a', value: 'ready@2', modRevision: 6},
+  ]);
+  assert.deepEqual(listReady(), ['a@2']);
+});
+
+test('an upstream that is registered only after it said that it leaves takes no work', () => {
+  const {registry} = createRegistry();
+  registry.recordLeaving('c', {source: 'answer'});
+  registry.applyEvents([
+    {type: 'put', key: 'c', value: 'ready', modRevision: 2},
+  ]);
+  const late = registry.listUpstreams().find(({id}) => id === 'c');
+  assert.equal(late?.isLeaving, true);
+});
+
 test('a whole reading logs one line, however many upstreams it brings', () => {
   const {logger, registry} = createRegistry();
   logger.names.length = 0;
--- a/packages/gateway/src/upstream-registry.ts
+++ b/packages/gateway/src/upstream-registry.ts
@@ -5,6 +5,7 @@
 import type {KeyValue, WatchEvent} from '@hollowstack/store';
 import type {StoreCopy} from '@hollowstack/types';
 import type {EvacuatedDomains, EvacuationChange} from './evacuated-domains.ts';
+import {LeavingIds} from './leaving-ids.ts';
 import {
   UnreadableEntryError,
   type RequestProtocol,
@@ -20,8 +21,18 @@
   readonly source: string;
 }
 
+/** Where a change of an upstream was heard of. */
+export interface HeardFrom {
+  /** `answer` for one of its own, `watch` or `store` for its registration, or a peer. */
+  readonly source: string;
+  /** Request whose answer said it; undefined for other sources. */
+  readonly requestId?: string;
+}
+
 interface Entry {
   readonly text: string;
+  /** Whether the registration itself says that the upstream leaves. */
+  readonly isRegisteredLeaving: boolean;
   /** As it registered itself, without what its failure domain adds. */
   readonly upstream: RegisteredUpstream;
 }
@@ -33,15 +44,18 @@
 const LAPSE_GRACE_MS = 2200;
 /** Entries kept that could not be read. */
 const MAX_UNREADABLE = 1000;
-/** Ids kept of upstreams that were seen leaving. */
-const MAX_LEFT_IDS = 10_000;
+/**
+ * Ids told to a peer of upstreams whose leaving only answers told of; 8 KB of a
+ * message. More at once means that the store's word is on its way as well.
+ */
+const MAX_TOLD_IDS = 256;
 
 /** The upstreams as they stand registered in the store, at a store revision. */
 export class UpstreamRegistry {
   private readonly protocol: RequestProtocol;
   private readonly logger: EventLogger;
   private readonly entries = new Map<string, Entry>();
-  private readonly leftIds = new Set<string>();
+  private readonly leavingIds = new LeavingIds();
   /** Entries that could not be read, so that each is logged once. */
   private readonly unreadable = new Map<string, string>();
   private readonly listeners: Array<
@@ -56,6 +70,7 @@
   private readonly missing = new Set<string>();
   private grace: Timer | undefined;
   private readonly missingListeners: Array<() => void> = [];
+  private readonly toldListeners: Array<() => void> = [];
   private storeRevision = 0;
   private heardAtMs = 0;
   private heardFrom = '';
@@ -137,6 +152,39 @@
     this.missingListeners.push(listener);
   }
 
+  /**
+   * Notes that an upstream said of itself that it leaves. That holds for this life of
+   * it, whatever the store or a peer's copy still says: the store may be away for long
+   * after the upstream has begun to leave.
+   */
+  recordLeaving(id: string, heard: HeardFrom): void {
+    if (this.leavingIds.has(id)) return;
+    this.leavingIds.addTold(id);
+    const entry = this.findEntry(id);
+    if (!entry) return;
+    this.entries.set(entry.key, {
+      ...entry,
+      upstream: {...entry.upstream, isLeaving: true},
+    });
+    this.logUpstream('upstream.leaving', entry.upstream, heard);
+    this.callListeners();
+    for (const listener of this.toldListeners) listener();
+  }
+
+  /** Adds a function that is called when an upstream's own word is news. */
+  addToldListener(listener: () => void): void {
+    this.toldListeners.push(listener);
+  }
+
+  /** Lists upstreams that leave by their own word, and not yet by their registration. */
+  listToldLeaving(): string[] {
+    const ids = [...this.entries.values()]
+      .filter(({isRegisteredLeaving}) => !isRegisteredLeaving)
+      .map(({upstream}) => upstream.id)
+      .filter(id => this.leavingIds.isTold(id));
+    return ids.slice(-MAX_TOLD_IDS);
+  }
+
   /** Returns whether entries that are missing may still come back. */
   isInGrace(): boolean {
     return this.grace !== undefined;
@@ -225,8 +273,9 @@
   private computeDigest(): string {
     const text = [...this.entries]
       .filter(([key]) => !this.missing.has(key))
-      .map(([, {upstream}]) =>
-        upstream.isLeaving ? `${upstream.id}!` : upstream.id,
+      .map(([, {upstream, isRegisteredLeaving}]) =>
+        // What only answers told of is no reason to exchange whole copies.
+        isRegisteredLeaving ? `${upstream.id}!` : upstream.id,
       )
       .sort()
       .join(' ');
@@ -263,7 +312,7 @@
     if (!parsed) return;
     this.missing.delete(key);
     // An upstream that was leaving never comes back under the same id.
-    const isLeaving = parsed.isLeaving || this.leftIds.has(parsed.id);
+    const isLeaving = parsed.isLeaving || this.leavingIds.has(parsed.id);
     const known = this.entries.get(key);
     const isRestart = known !== undefined && known.upstream.id !== parsed.id;
     // Nothing that was known of an earlier life holds for this one.
@@ -275,19 +324,17 @@
         ? before?.coldUntilMs
         : this.clock.getNow() + (parsed.coldMs ?? 0);
     const upstream = {...parsed, isLeaving, coldUntilMs};
-    this.entries.set(key, {text, upstream});
-    if (isLeaving) this.recordLeft(parsed.id);
+    const isRegisteredLeaving = parsed.isLeaving;
+    this.entries.set(key, {text, upstream, isRegisteredLeaving});
+    if (isLeaving) this.leavingIds.addRegistered(parsed.id);
     if (before && before.isLeaving === isLeaving) return;
     if (!isLeaving && !isListedAlone && !isRestart) return;
+    if (isLeaving) {
+      this.logUpstream('upstream.leaving', parsed, {source});
+      return;
+    }
     const listed = isRestart ? 'upstream.restarted' : 'upstream.listed';
-    this.logger.logEvent(isLeaving ? 'upstream.leaving' : listed, {
-      upstream: parsed.id,
-      service: parsed.service,
-      address: parsed.address,
-      failureDomain: parsed.failureDomain,
-      source,
-      storeRevision: this.storeRevision,
-    });
+    this.logUpstream(listed, parsed, {source});
   }
 
   // An entry that cannot be read names no upstream, whatever it named before; the next
@@ -347,6 +394,28 @@
     if (lapsed.length > 0) this.callListeners();
   }
 
+  private findEntry(id: string): (Entry & {key: string}) | undefined {
+    for (const [key, entry] of this.entries) {
+      if (entry.upstream.id === id) return {...entry, key};
+    }
+    return undefined;
+  }
+
+  private logUpstream(
+    name: EventName,
+    {id, service, address, failureDomain}: RegisteredUpstream,
+    heard: HeardFrom,
+  ): void {
+    this.logger.logEvent(name, {
+      upstream: id,
+      service,
+      address,
+      failureDomain,
+      ...heard,
+      storeRevision: this.storeRevision,
+    });
+  }
+
   private countInDomain(failureDomain: string): number {
     const upstreams = [...this.entries.values()];
     return upstreams.filter(
@@ -359,13 +428,6 @@
     this.heardFrom = source;
   }
 
-  private recordLeft(id: string): void {
-    this.leftIds.add(id);
-    if (this.leftIds.size <= MAX_LEFT_IDS) return;
-    const [oldest] = this.leftIds;
-    this.leftIds.delete(oldest);
-  }
-
   private callListeners(): void {
     const upstreams = this.listUpstreams();
     for (const listener of this.listeners) listener(upstreams);
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -219,11 +219,6 @@
     level: 'info',
     text: 'an upstream has started again under its id; what was known of it is forgotten',
   },
-  'upstream.leaving-told': {
-    number: 622,
-    level: 'info',
-    text: 'an answer of an upstream says that it leaves',
-  },
   'upstream.back-off': {
     number: 623,
     level: 'info',
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -58,6 +58,12 @@
 /** What an asker wants sent along. */
 export type CopyWishes = z.infer<typeof copyWishesSchema>;
 
+/**
+ * Ids of upstreams that said in an answer that they leave, where the store does not
+ * say so yet. Peers of older versions leave it out and pass it over.
+ */
+const leavingUpstreamsSchema = z.array(z.string()).optional();
+
 /** What a peer is only told. */
 const peerNoteSchema = z.discriminatedUnion('type', [
   z.object({type: z.literal('stage-end'), requestId: z.string()}),
@@ -123,6 +129,7 @@
     isProvisional: z.boolean().default(true),
     /** Small enough to go with every question. */
     evacuations: evacuationStateSchema.optional(),
+    leavingUpstreams: leavingUpstreamsSchema,
     /** What the answer should carry beside the revisions, where it is newer. */
     wishes: copyWishesSchema,
   }),
@@ -214,6 +221,7 @@
     /** As in the question. */
     isProvisional: z.boolean().default(true),
     evacuations: evacuationStateSchema.optional(),
+    leavingUpstreams: leavingUpstreamsSchema,
     /** The stored text of a configuration newer than the asker's. */
     configurationText: packedTextSchema.optional(),
     /** What is known of the upstreams, where it is newer than the asker's. */
--- a/packages/upstream-signals/src/upstream-signals.ts
+++ b/packages/upstream-signals/src/upstream-signals.ts
@@ -8,6 +8,8 @@
   readonly logger: EventLogger;
   readonly metrics: MetricsRegistry;
   readonly protocol: SignalProtocol;
+  /** Called whenever an upstream says that it leaves. */
+  readonly handleLeaving: (upstreamId: string, requestId?: string) => void;
 }
 
 /** An answer, and the upstream that was called. */
@@ -28,13 +30,13 @@
 
   /** Takes the head of an answer, whatever became of the request. */
   recordAnswer({upstream, head, requestId}: SignalAnswer): void {
-    const {logger, protocol} = this.parts;
+    const {logger, protocol, handleLeaving} = this.parts;
     const {id, service} = upstream;
     const signals = protocol.readSignals(head, id);
     if (signals.isFromOther) return;
     const {isLeaving, retryAfter} = signals;
     const fields = {upstream: id, service, requestId, status: head.status};
-    if (isLeaving) logger.logEvent('upstream.leaving-told', fields);
+    if (isLeaving) handleLeaving(id, requestId);
     if (retryAfter === undefined) return;
     const askedMs = parseRetryAfterMs(retryAfter);
     if (askedMs !== undefined) {
