--- a/packages/assignment/src/engine-directory.ts
+++ b/packages/assignment/src/engine-directory.ts
@@ -169,8 +169,8 @@
 
   /** Notes what an instance has seen of an assigned request. */
   recordProgress(progress: AssignmentProgress): void {
-    const request = this.assigned.get(progress.requestId);
-    const engine = request?.engine ?? this.engines.get(progress.upstreamId);
+    const request = this.findAssigned(progress);
+    const engine = this.engines.get(progress.upstreamId);
     if (!engine) return;
     if (progress.step === 'failed') {
       engine.health = recordFailure(
@@ -179,14 +179,33 @@
         DEFAULT_HEALTH_POLICY,
         this.getNow(),
       );
-    } else {
+    } else if (!progress.isTurnedAway) {
       engine.health = recordSuccess(engine.health, this.getNow());
     }
     if (request && progress.step === 'first') {
       this.recordRead(request, progress.firstMs);
     }
-    if (request && progress.step === 'ended') this.recordHold(request);
-    if (progress.step !== 'first') this.endAssignment(progress.requestId);
+    // What was turned away held its slot for no time, which says nothing of the others.
+    if (request && progress.step === 'ended' && !progress.isTurnedAway) {
+      this.recordHold(request);
+    }
+    if (request && progress.step !== 'first') {
+      this.endAssignment(progress.requestId);
+    }
+  }
+
+  // An instance may have sent the request elsewhere, knowing more of the engine than is
+  // known here: its first event shows that, and the place here is free. Other steps of
+  // another engine are news of an earlier attempt that come late.
+  private findAssigned({
+    requestId,
+    upstreamId,
+    step,
+  }: AssignmentProgress): AssignedRequest | undefined {
+    const request = this.assigned.get(requestId);
+    if (request?.engine.record.id === upstreamId) return request;
+    if (step === 'first') this.endAssignment(requestId);
+    return undefined;
   }
 
   private recordHold({engine, sinceMs}: AssignedRequest): void {
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -31,8 +31,11 @@
   readonly request: RoutedRequest;
   readonly upstream: RegisteredUpstream;
   readonly signals: Pick<UpstreamSignals, 'recordAnswer'>;
-  /** Returns whether the upstream has not said meanwhile that it leaves. */
-  readonly mayStillSend: () => boolean;
+  /**
+   * Asked right before the first byte leaves; returns whether the upstream has not said
+   * meanwhile that it leaves or wants no work.
+   */
+  readonly acquireSend: () => boolean;
   /** Stage results that the upstream reads; undefined for a request without stages. */
   readonly inputs: AttemptInputs | undefined;
   /** Whether the inputs are released at the first event of a stream. */
@@ -52,7 +55,12 @@
   /** The answer has gone to the caller whole. */
   | {readonly type: 'answered'; readonly firstMs: number}
   /** No byte of the request has left. */
-  | {readonly type: 'unsent'; readonly reason: string}
+  | {
+      readonly type: 'unsent';
+      readonly reason: string;
+      /** Whether this side kept it back, which says nothing against the upstream. */
+      readonly isWithdrawn: boolean;
+    }
   /** The upstream promises that it has not run the request. */
   | {
       readonly type: 'not-run';
@@ -99,7 +107,8 @@
   }
 
   async run(): Promise<AttemptOutcome> {
-    const {request, upstream, clock, mayStillSend} = this.parts;
+    const {request, upstream, clock, acquireSend} = this.parts;
+    let isWithdrawn = false;
     const ranBefore = request.getRan();
     const call = new SingleCall(
       {
@@ -110,8 +119,12 @@
         body: request.body,
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
         // A connection may take 0.4 s to stand, a fifth of the time in which an
-        // upstream that leaves must get no more work.
-        mayStillSend,
+        // upstream that leaves must get no more work; and fifty requests may wait for
+        // theirs as the first answer asks for none.
+        mayStillSend: () => {
+          isWithdrawn = !acquireSend();
+          return !isWithdrawn;
+        },
       },
       clock,
     );
@@ -136,7 +149,7 @@
       if (isUnsent && !call.mayHaveLeft()) {
         request.sentTo.pop();
         request.recordNotRun(ranBefore);
-        return {type: 'unsent', reason};
+        return {type: 'unsent', reason, isWithdrawn};
       }
       return {type: 'failed', reason, isOwnEnd: request.signal.aborted};
     } finally {
--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -17,6 +17,7 @@
 } from '@hollowstack/stages';
 import type {KeyValueStore} from '@hollowstack/store';
 import {
+  BackOffTable,
   UpstreamSignals,
   type SignalProtocol,
 } from '@hollowstack/upstream-signals';
@@ -88,8 +89,10 @@
     registry,
     evacuated,
   });
+  const backOffs = new BackOffTable({clock, logger});
   const signals = new UpstreamSignals({
     logger,
+    backOffs,
     metrics,
     protocol: environment.signalProtocol,
     handleLeaving: (id, requestId) =>
@@ -104,6 +107,7 @@
       clock,
       signals,
     }),
+    backOffs,
   });
   const notes = new NoteQueue({clock, link});
   const dispatcher = new StageDispatcher({
@@ -121,11 +125,13 @@
     directory,
     protocol: environment.engineProtocol,
     signals,
+    mayAsk: id => pool.maySend(id),
   });
-  const pool = new UpstreamPool({
+  const pool: UpstreamPool = new UpstreamPool({
     getNow,
     random,
     getInstanceCount: () => membership.getLiveCount(),
+    backOffs,
   });
   const runner = new RequestRunner({
     clock,
@@ -207,6 +213,12 @@
   metrics.setGauge('hollowstack_stage_jobs_waiting', {}, () =>
     coordinator.getWaitingCount(),
   );
+  metrics.setGauge('hollowstack_upstreams_backing_off', {}, () =>
+    backOffs.countWaiting(),
+  );
+  metrics.setGauge('hollowstack_upstreams_leaving', {}, () =>
+    registry.countLeaving(),
+  );
   metrics.setGauge('process_resident_memory_bytes', {}, () =>
     process.memoryUsage.rss(),
   );
@@ -225,6 +237,7 @@
     exchange,
     coordinatorSearch,
     registry,
+    backOffs,
     coordinator,
     server,
     probePath: protocol.probePath,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,6 +5,7 @@
 import type {StageCoordinator} from '@hollowstack/stages';
 import type {WatchHub} from '@hollowstack/store';
 import {splitAddress} from '@hollowstack/types';
+import type {BackOffTable} from '@hollowstack/upstream-signals';
 import {createServer, type Server} from 'node:http';
 import type {CoordinatorSearch} from './coordinator-search.ts';
 import type {CopyExchange} from './copy-exchange.ts';
@@ -30,6 +31,7 @@
   readonly exchange: CopyExchange;
   readonly coordinatorSearch: CoordinatorSearch;
   readonly registry: UpstreamRegistry;
+  readonly backOffs: BackOffTable;
   readonly coordinator: StageCoordinator;
   readonly server: GatewayServer;
   readonly probePath: string;
@@ -147,6 +149,7 @@
     parts.exchange.stop();
     parts.coordinatorSearch.stop();
     parts.registry.stop();
+    parts.backOffs.stop();
     parts.watchHub.stop();
     for (const follower of parts.followers) follower.stop();
     parts.coordinator.stop();
--- a/packages/gateway/src/kept-prompts-reader.ts
+++ b/packages/gateway/src/kept-prompts-reader.ts
@@ -16,6 +16,8 @@
   readonly directory: EngineDirectory;
   readonly protocol: EngineProtocol;
   readonly signals: Pick<UpstreamSignals, 'recordAnswer'>;
+  /** Returns whether an engine neither leaves nor wants to be left alone. */
+  readonly mayAsk: (engineId: string) => boolean;
 }
 
 /**
@@ -40,10 +42,13 @@
     this.parts = parts;
   }
 
-  /** Asks the engines of a service that were not asked yet; does not wait for them. */
+  /**
+   * Asks the engines of a service that were not asked yet; does not wait for them. One
+   * that wants no work now is asked later.
+   */
   readService(service: string): void {
     for (const engine of this.parts.directory.listEngines(service)) {
-      if (this.asked.has(engine.id)) continue;
+      if (this.asked.has(engine.id) || !this.parts.mayAsk(engine.id)) continue;
       this.asked.add(engine.id);
       void this.readEngine(engine);
     }
--- a/packages/gateway/src/request-runner.ts
+++ b/packages/gateway/src/request-runner.ts
@@ -3,10 +3,10 @@
 import {HollowstackError} from '@hollowstack/errors';
 import type {EventLogger} from '@hollowstack/logger';
 import {
-  SHORTAGE_RETRY_MS,
   computeRequestPriority,
   isRepeatable,
   type RouteTable,
+  type Shortage,
 } from '@hollowstack/routes';
 import {RequestStages, type StageDispatcher} from '@hollowstack/stages';
 import type {PromptPart} from '@hollowstack/types';
@@ -144,25 +144,36 @@
 
   // Nothing is made for a request that no upstream could take in the end.
   private checkShortage(request: RoutedRequest): void {
-    const shortage = this.parts.pool.findShortage(request.facts.service);
-    if (shortage === undefined) return;
-    throw new HollowstackError('upstream-unavailable', shortage, {
+    const {pool} = this.parts;
+    const shortage = pool.findShortage(request.facts.service);
+    if (!shortage || this.isOverBefore(shortage, request)) return;
+    throw new HollowstackError('upstream-unavailable', shortage.reason, {
       ran: 'no',
-      retryAfterMs: SHORTAGE_RETRY_MS,
+      retryAfterMs: shortage.retryAfterMs,
     });
   }
 
+  // Upstreams that want no work now may want some by the time the stages are done.
+  private isOverBefore({waitMs}: Shortage, {facts}: RoutedRequest): boolean {
+    if (waitMs === undefined) return false;
+    const {route} = facts;
+    return waitMs < this.parts.stageDurations.getMeanMs(route.name, 0);
+  }
+
   private async runWithStages(
     request: RoutedRequest,
     stages: RequestStages,
     parts: readonly PromptPart[],
   ): Promise<void> {
-    const {clock, protocol} = this.parts;
+    const {clock, protocol, stageDurations} = this.parts;
     const startedAtMs = clock.getNow();
     const excluded = new Set<string>();
     for (let rerun = 0; ; rerun++) {
       const made = await stages.run(request.signal);
-      request.stagesMs ??= Math.round(clock.getNow() - startedAtMs);
+      if (request.stagesMs === undefined) {
+        request.stagesMs = Math.round(clock.getNow() - startedAtMs);
+        stageDurations.recordMs(request.facts.route.name, request.stagesMs);
+      }
       const handles = made.results.map(({handle}) => handle);
       try {
         await this.runAttempts(request, {
@@ -257,7 +268,7 @@
           isFinal: true,
         }));
       request.signal.throwIfAborted();
-      if (!upstream) throw createUnavailable(request, 'no upstream left');
+      if (!upstream) throw this.createNoneLeft(request);
       const outcome = await this.attemptOnce(request, upstream.id, needs);
       if (outcome.type === 'answered') return;
       this.logFailure(request, upstream.id, outcome);
@@ -280,10 +291,20 @@
         outcome.passOn();
         return;
       }
-      throw createUnavailable(request, outcome.reason);
+      const shortage = this.parts.pool.findShortage(request.facts.service);
+      throw createUnavailable(request, outcome.reason, shortage?.retryAfterMs);
     }
   }
 
+  private createNoneLeft(request: RoutedRequest): HollowstackError {
+    const shortage = this.parts.pool.findShortage(request.facts.service);
+    return createUnavailable(
+      request,
+      shortage?.reason ?? 'no upstream left',
+      shortage?.retryAfterMs,
+    );
+  }
+
   // A request that may go to no further upstream goes to the same one again,
   // once its lost inputs are made.
   private findOnlyUpstream(request: RoutedRequest): {id: string} | undefined {
@@ -291,10 +312,14 @@
     const {route} = request.facts;
     if (request.sentTo.length < route.maxAttempts) return undefined;
     const upstream = pool.getRecord(request.sentTo[0]);
-    if (!upstream || pool.isTakingWork(upstream.id)) return upstream;
+    if (!upstream || pool.maySend(upstream.id)) return upstream;
+    const waitMs = pool.getWaitMs(upstream.id);
     throw createUnavailable(
       request,
-      'the only upstream that may still get it is leaving',
+      waitMs > 0
+        ? 'the only upstream that may still get it wants no work'
+        : 'the only upstream that may still get it is leaving',
+      waitMs || undefined,
     );
   }
 
@@ -307,14 +332,17 @@
       this.parts;
     const upstream = pool.getRecord(upstreamId);
     request.registryState = registry.getState();
-    if (!upstream) return {type: 'unsent', reason: 'the upstream is gone'};
+    if (!upstream || !pool.maySend(upstreamId)) {
+      const reason = 'the upstream is gone or wants no work';
+      return {type: 'unsent', reason, isWithdrawn: true};
+    }
     const attempt = new Attempt({
       clock,
       protocol,
       request,
       upstream,
       signals,
-      mayStillSend: () => pool.isTakingWork(upstreamId),
+      acquireSend: () => pool.acquireSend(upstreamId),
       inputs,
       releasesAtFirst: policy.earlyRelease || !request.facts.route.isResumable,
       handleFirst: firstMs => {
@@ -409,11 +437,12 @@
 function createUnavailable(
   request: RoutedRequest,
   reason: string,
+  retryAfterMs = RETRY_AFTER_MS,
 ): HollowstackError {
   const ran = request.getRan();
   return new HollowstackError(
     ran === 'no' ? 'upstream-unavailable' : 'upstream-failed',
     reason,
-    {ran, retryAfterMs: ran === 'no' ? RETRY_AFTER_MS : undefined},
+    {ran, retryAfterMs: ran === 'no' ? retryAfterMs : undefined},
   );
 }
--- a/packages/gateway/src/upstream-chooser.ts
+++ b/packages/gateway/src/upstream-chooser.ts
@@ -1,4 +1,4 @@
-import type {PromptPart} from '@hollowstack/types';
+import type {AssignmentProgress, PromptPart} from '@hollowstack/types';
 import type {AttemptOutcome} from './attempt.ts';
 import type {EngineAssigner, EngineAssignment} from './engine-assigner.ts';
 import type {RoutedRequest} from './routed-request.ts';
@@ -51,11 +51,11 @@
           failureDomain,
           bytes,
         })),
-        excluded: [...need.excluded],
+        excluded: this.listExcluded(service, need),
         isFinal: need.isFinal,
         dueInMs: this.computeDueInMs(request, need),
       });
-      // The coordinator may not know yet what this instance knows.
+      // An answer may have come meanwhile that says more.
       const isKnown = candidates.some(({id}) => id === assigned?.id);
       if (assigned && isKnown) return assigned;
     }
@@ -69,6 +69,13 @@
     return chosen;
   }
 
+  // The coordinator decides for all instances, and may not know what upstreams have told
+  // this one: a place that it took for nothing would stay taken until it hears of it.
+  private listExcluded(service: string, {excluded}: ChoiceNeed): string[] {
+    const closed = this.parts.pool.listClosed(service);
+    return [...new Set([...excluded, ...closed])];
+  }
+
   // A forecast for stages that are still to run knows no time yet.
   private computeDueInMs(
     {facts}: RoutedRequest,
@@ -85,14 +92,14 @@
     upstreamId: string,
     firstMs: number,
   ): void {
-    this.recordStep(request, upstreamId, 'first', firstMs);
+    this.recordStep(request, upstreamId, {step: 'first', firstMs});
   }
 
   /** Notes that an upstream has been silent for too long. */
   recordSilence(request: RoutedRequest, upstreamId: string): void {
     // One silent answer may be a lost one; several in a row are an upstream.
     this.parts.pool.recordFailure(upstreamId, 'broken');
-    this.recordStep(request, upstreamId, 'failed');
+    this.recordStep(request, upstreamId, {step: 'failed'});
   }
 
   /** Notes what became of an attempt. */
@@ -104,29 +111,31 @@
     const {pool} = this.parts;
     if (outcome.type === 'answered') {
       pool.recordSuccess(upstreamId, outcome.firstMs);
-      this.recordStep(request, upstreamId, 'ended');
+      this.recordStep(request, upstreamId, {step: 'ended'});
       return;
     }
     const isOther = outcome.type === 'not-run' && outcome.isOtherUpstream;
+    // This side kept it back; the upstream was not even asked.
+    const isUnreached = outcome.type === 'unsent' && !outcome.isWithdrawn;
     const isAgainst =
-      outcome.type === 'unsent' ||
+      isUnreached ||
       isOther ||
       (outcome.type === 'failed' && !outcome.isOwnEnd && !outcome.passOn);
-    if (outcome.type === 'unsent' || isOther)
-      pool.recordFailure(upstreamId, 'refused');
+    if (isUnreached || isOther) pool.recordFailure(upstreamId, 'refused');
     else if (isAgainst) pool.recordFailure(upstreamId, 'broken');
-    this.recordStep(request, upstreamId, isAgainst ? 'failed' : 'ended');
+    const isTurnedAway = outcome.type !== 'failed';
+    const step = isAgainst ? 'failed' : 'ended';
+    this.recordStep(request, upstreamId, {step, isTurnedAway});
   }
 
   private recordStep(
     request: RoutedRequest,
     upstreamId: string,
-    step: 'first' | 'ended' | 'failed',
-    firstMs?: number,
+    seen: Omit<AssignmentProgress, 'requestId' | 'upstreamId'>,
   ): void {
     if (!request.facts.route.hasAffinity) return;
     const {requestId} = request.facts;
-    this.parts.assigner.recordProgress({requestId, upstreamId, step, firstMs});
+    this.parts.assigner.recordProgress({requestId, upstreamId, ...seen});
   }
 }
 
--- a/packages/gateway/src/upstream-pool.test.ts
+++ b/packages/gateway/src/upstream-pool.test.ts
@@ -1,10 +1,17 @@
+import {ManualClock} from '@hollowstack/clock';
 import {createSeededRandom} from '@hollowstack/local-system';
+import {SilentEventLogger} from '@hollowstack/logger';
 import type {RouteTable} from '@hollowstack/routes';
+import {BackOffTable} from '@hollowstack/upstream-signals';
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {UpstreamPool} from './upstream-pool.ts';
 
 const NONE: ReadonlySet<string> = new Set();
+const NO_BACK_OFFS = new BackOffTable({
+  clock: new ManualClock(),
+  logger: new SilentEventLogger(),
+});
 
 function createRecord(id: string) {
   return {
@@ -23,6 +30,7 @@
     getNow: () => nowMs,
     random: Math.random,
     getInstanceCount: () => 1,
+    backOffs: NO_BACK_OFFS,
   });
   pool.setUpstreams([createRecord('usual'), createRecord('slow')]);
   const getSlowness = (id: string) =>
@@ -49,6 +57,7 @@
       getNow: () => nowMs,
       random,
       getInstanceCount: () => INSTANCES,
+      backOffs: NO_BACK_OFFS,
     });
     pool.setConfiguration({
       configuration: {services: [{name: 'plain', warmUp: WARM_UP}]},
--- a/packages/gateway/src/upstream-pool.ts
+++ b/packages/gateway/src/upstream-pool.ts
@@ -4,6 +4,7 @@
   isTakingWork,
   type RegisteredUpstream,
   type RouteTable,
+  type Shortage,
   type WarmUp,
 } from '@hollowstack/routes';
 import {
@@ -23,6 +24,7 @@
   type HealthState,
   type LoadState,
 } from '@hollowstack/routing';
+import type {BackOffTable} from '@hollowstack/upstream-signals';
 import type {RequestCandidate} from './upstream-choice.ts';
 
 /** Weight of the newest request in the mean of a service. */
@@ -49,6 +51,11 @@
   readonly random: () => number;
   /** Returns how many instances share the upstreams. */
   readonly getInstanceCount: () => number;
+  /** The upstreams that asked this instance for no work. */
+  readonly backOffs: Pick<
+    BackOffTable,
+    'maySend' | 'acquireSend' | 'getWaitMs'
+  >;
 }
 
 interface PooledUpstream {
@@ -105,21 +112,36 @@
     return this.upstreams.get(id)?.record;
   }
 
-  /** Returns whether an upstream is registered, not leaving and not evacuated. */
-  isTakingWork(id: string): boolean {
+  /**
+   * Returns whether new work may go to an upstream now: it is registered, not leaving,
+   * not evacuated, and has not asked this instance for none.
+   */
+  maySend(id: string): boolean {
     const upstream = this.upstreams.get(id);
-    return upstream !== undefined && isTakingWork(upstream.record);
+    if (!upstream || !isTakingWork(upstream.record)) return false;
+    return this.parts.backOffs.maySend(id);
   }
 
-  /**
-   * Returns why no upstream of a service can take work, as registrations say;
-   * undefined where one can.
-   */
-  findShortage(service: string): string | undefined {
-    const records = [...this.upstreams.values()]
-      .map(({record}) => record)
-      .filter(record => record.service === service);
-    return findShortage(service, records);
+  /** As maySend, at the very send, which counts from then on. */
+  acquireSend(id: string): boolean {
+    return this.maySend(id) && this.parts.backOffs.acquireSend(id);
+  }
+
+  /** Returns milliseconds for which an upstream still wants no work. */
+  getWaitMs(id: string): number {
+    return this.parts.backOffs.getWaitMs(id);
+  }
+
+  /** Returns why no upstream of a service can take work; undefined where one can. */
+  findShortage(service: string): Shortage | undefined {
+    const records = this.listRecords(service);
+    return findShortage(service, records, id => this.getWaitMs(id));
+  }
+
+  /** Lists the upstreams of a service to which this instance may send nothing now. */
+  listClosed(service: string): string[] {
+    const ids = this.listRecords(service).map(({id}) => id);
+    return ids.filter(id => !this.maySend(id));
   }
 
   /** Lists the upstreams of a service that new work may go to. */
@@ -131,7 +153,7 @@
     const candidates: RequestCandidate[] = [];
     for (const upstream of this.upstreams.values()) {
       const {record, health, load, slowness} = upstream;
-      if (record.service !== service || !isTakingWork(record)) continue;
+      if (record.service !== service || !this.maySend(record.id)) continue;
       if (excluded.has(record.id) || !isCandidate(health, nowMs)) continue;
       candidates.push({
         id: record.id,
@@ -234,6 +256,12 @@
     }));
   }
 
+  private listRecords(service: string): RegisteredUpstream[] {
+    return [...this.upstreams.values()]
+      .map(({record}) => record)
+      .filter(record => record.service === service);
+  }
+
   private applyChange(
     id: string,
     change: (upstream: PooledUpstream) => Partial<PooledUpstream>,
--- a/packages/gateway/src/upstream-registry.ts
+++ b/packages/gateway/src/upstream-registry.ts
@@ -176,6 +176,12 @@
     this.toldListeners.push(listener);
   }
 
+  /** Counts the upstreams that leave, by whomever it was told. */
+  countLeaving(): number {
+    const entries = [...this.entries.values()];
+    return entries.filter(({upstream}) => upstream.isLeaving).length;
+  }
+
   /** Lists upstreams that leave by their own word, and not yet by their registration. */
   listToldLeaving(): string[] {
     const ids = [...this.entries.values()]
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -224,6 +224,16 @@
     level: 'info',
     text: 'an upstream has asked for no work for a time',
   },
+  'upstream.back-off-ended': {
+    number: 624,
+    level: 'info',
+    text: 'the time for which an upstream asked for no work is over',
+  },
+  'upstream.retry-after-unreadable': {
+    number: 625,
+    level: 'warn',
+    text: 'an upstream names a time to come back that is no number of seconds',
+  },
   'engine.kept': {
     number: 620,
     level: 'info',
--- a/packages/routes/src/index.ts
+++ b/packages/routes/src/index.ts
@@ -24,9 +24,9 @@
 } from './routed-configuration.ts';
 export {RouteTable, chooseTarget, isRepeatable} from './route-table.ts';
 export {
-  SHORTAGE_RETRY_MS,
   findShortage,
   getColdUntilMs,
   isTakingWork,
+  type Shortage,
 } from './upstream-state.ts';
 export {computeRequestPriority} from './request-priority.ts';
--- /dev/null
+++ b/packages/routes/src/upstream-state.test.ts
@@ -0,0 +1,70 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {findShortage, type RegisteredUpstream} from './index.ts';
+
+function createUpstream(
+  id: string,
+  changes: Partial<RegisteredUpstream> = {},
+): RegisteredUpstream {
+  return {
+    id,
+    service: 'chat',
+    address: '10.0.0.1:1',
+    failureDomain: 'a',
+    capacity: 1,
+    isLeaving: false,
+    ...changes,
+  };
+}
+
+function getNoWait(): number {
+  return 0;
+}
+
+test('a service with one upstream that takes work lacks nothing', () => {
+  const upstreams = [
+    createUpstream('a', {isLeaving: true}),
+    createUpstream('b'),
+    createUpstream('c'),
+  ];
+  const getWaitMs = (id: string) => (id === 'c' ? 0 : 2000);
+  assert.equal(findShortage('chat', upstreams, getWaitMs), undefined);
+});
+
+test('upstreams that all want no work are short until the first takes some again', () => {
+  const upstreams = [
+    createUpstream('a'),
+    createUpstream('b'),
+    createUpstream('c', {isLeaving: true}),
+  ];
+  const getWaitMs = (id: string) => (id === 'a' ? 2500 : 1200);
+  assert.deepEqual(findShortage('chat', upstreams, getWaitMs), {
+    reason:
+      'all 2 upstreams of chat that take work have asked for none, the first for another 1.2 s',
+    waitMs: 1200,
+    retryAfterMs: 1200,
+  });
+});
+
+test('the end of a shortage is not known where upstreams leave, are evacuated or missing', () => {
+  const leaving = createUpstream('a', {isLeaving: true});
+  const evacuated = createUpstream('b', {isEvacuated: true});
+  const listReasons = (upstreams: RegisteredUpstream[]) => {
+    const shortage = findShortage('chat', upstreams, getNoWait);
+    assert.equal(shortage?.waitMs, undefined);
+    assert.ok(shortage!.retryAfterMs > 0);
+    return shortage!.reason;
+  };
+  assert.deepEqual(
+    [
+      listReasons([]),
+      listReasons([leaving]),
+      listReasons([leaving, evacuated]),
+    ],
+    [
+      'no upstream of chat is registered',
+      'all upstreams of chat are leaving',
+      '1 of 2 upstreams of chat are evacuated, the others are leaving',
+    ],
+  );
+});
--- a/packages/routes/src/upstream-state.ts
+++ b/packages/routes/src/upstream-state.ts
@@ -27,17 +27,53 @@
  * Milliseconds after which to come back where no upstream of a service takes work:
  * about the time of a restart. A guess.
  */
-export const SHORTAGE_RETRY_MS = 1000;
+const SHORTAGE_RETRY_MS = 1000;
+
+/** Why no upstream of a service takes work now. */
+export interface Shortage {
+  readonly reason: string;
+  /**
+   * Milliseconds until the first of them takes work again, where all asked for a time
+   * without; undefined where no end is known.
+   */
+  readonly waitMs: number | undefined;
+  /** Milliseconds after which a caller may come back. */
+  readonly retryAfterMs: number;
+}
 
 /**
- * Returns why none of the upstreams of a service takes work, as registrations say;
- * undefined where one does.
+ * Returns why none of the upstreams of a service takes work; undefined where one does.
+ *
+ * @param getWaitMs Returns milliseconds for which an upstream still wants no work, 0
+ * where it asked for none.
  */
 export function findShortage(
   service: string,
   upstreams: readonly RegisteredUpstream[],
-): string | undefined {
-  if (upstreams.some(isTakingWork)) return undefined;
+  getWaitMs: (id: string) => number,
+): Shortage | undefined {
+  const waits = upstreams.filter(isTakingWork).map(({id}) => getWaitMs(id));
+  if (waits.length === 0) {
+    return {
+      reason: formatAbsence(service, upstreams),
+      waitMs: undefined,
+      retryAfterMs: SHORTAGE_RETRY_MS,
+    };
+  }
+  const waitMs = Math.min(...waits);
+  if (waitMs <= 0) return undefined;
+  const seconds = (waitMs / 1000).toFixed(1);
+  return {
+    reason: `all ${waits.length} upstreams of ${service} that take work have asked for none, the first for another ${seconds} s`,
+    waitMs,
+    retryAfterMs: waitMs,
+  };
+}
+
+function formatAbsence(
+  service: string,
+  upstreams: readonly RegisteredUpstream[],
+): string {
   if (upstreams.length === 0) return `no upstream of ${service} is registered`;
   const evacuated = upstreams.filter(({isEvacuated}) => isEvacuated).length;
   if (evacuated === 0) return `all upstreams of ${service} are leaving`;
--- a/packages/stages/src/job-state.ts
+++ b/packages/stages/src/job-state.ts
@@ -109,9 +109,10 @@
     return this.results.filter(result => result !== undefined);
   }
 
-  fail(failure: StageFailure, message: string): void {
+  /** @param retryAfterMs Milliseconds after which to come back, where that is known. */
+  fail(failure: StageFailure, message: string, retryAfterMs?: number): void {
     if (this.isSettled) return;
     this.isSettled = true;
-    this.settle({type: 'failed', failure, message});
+    this.settle({type: 'failed', failure, message, retryAfterMs});
   }
 }
--- a/packages/stages/src/request-stages.ts
+++ b/packages/stages/src/request-stages.ts
@@ -49,10 +49,10 @@
 export class StageError extends HollowstackError {
   readonly failure: StageFailure;
 
-  constructor(failure: StageFailure, message: string) {
+  constructor(failure: StageFailure, message: string, retryAfterMs?: number) {
     const kind =
       failure === 'late' ? 'deadline-exceeded' : 'upstream-unavailable';
-    super(kind, message, {ran: 'no'});
+    super(kind, message, {ran: 'no', retryAfterMs});
     this.name = 'StageError';
     this.failure = failure;
   }
@@ -278,6 +278,7 @@
     throw new StageError(
       outcome.failure,
       `stage ${index} (${stage.service}): ${outcome.message}`,
+      outcome.retryAfterMs,
     );
   }
 
--- a/packages/stages/src/stage-admission.ts
+++ b/packages/stages/src/stage-admission.ts
@@ -1,5 +1,5 @@
 import type {Clock, Timer} from '@hollowstack/clock';
-import {SHORTAGE_RETRY_MS, type StageCapacity} from '@hollowstack/routes';
+import type {Shortage, StageCapacity} from '@hollowstack/routes';
 import type {StageAdmissionRequest, StageStep} from '@hollowstack/types';
 import {FirstEventTimes} from './first-event-times.ts';
 import type {ServiceTimes} from './service-times.ts';
@@ -95,16 +95,12 @@
 
   judge(request: StageAdmissionRequest): StageAdmissionDecision {
     const shortage = this.findShortage(request);
-    if (shortage !== undefined) {
-      const retryAfterMs = SHORTAGE_RETRY_MS;
-      return {
-        isAdmitted: false,
-        predictedMs: 0,
-        retryAfterMs,
-        reason: shortage,
-      };
+    const workMs = this.predictMs(request);
+    if (shortage && !isOverInTime(shortage, request, workMs)) {
+      const {reason, retryAfterMs} = shortage;
+      return {isAdmitted: false, predictedMs: 0, retryAfterMs, reason};
     }
-    const predictedMs = this.predictMs(request);
+    const predictedMs = workMs + (shortage?.waitMs ?? 0);
     const isInTime = predictedMs <= request.dueInMs * TOLERANCE;
     if (isInTime || !this.isHeldUp(request, predictedMs)) {
       return this.admit(request, predictedMs);
@@ -163,11 +159,14 @@
     for (const id of [...this.admitted.keys()]) this.recordEnded(id);
   }
 
-  private findShortage({steps}: StageAdmissionRequest): string | undefined {
+  // The one that lasts longest; one without a known end before all others.
+  private findShortage({steps}: StageAdmissionRequest): Shortage | undefined {
     const needed = steps.filter(({pieceCount}) => pieceCount > 0);
     return needed
       .map(({service}) => this.parts.fleet.findShortage(service))
-      .find(shortage => shortage !== undefined);
+      .filter(shortage => shortage !== undefined)
+      .sort((left, right) => getWaitMs(right) - getWaitMs(left))
+      .at(0);
   }
 
   private predictMs(request: StageAdmissionRequest): number {
@@ -273,6 +272,20 @@
   }
 }
 
+function getWaitMs({waitMs = Infinity}: Shortage): number {
+  return waitMs;
+}
+
+// Upstreams that want no work now are waited for only where the request can still be in
+// time behind them; otherwise its caller knows sooner that it has to come back.
+function isOverInTime(
+  shortage: Shortage,
+  {dueInMs}: StageAdmissionRequest,
+  workMs: number,
+): boolean {
+  return getWaitMs(shortage) + workMs <= dueInMs * TOLERANCE;
+}
+
 function isReady({steps}: StageAdmissionRequest, step: StageStep): boolean {
   return step.after.every(source => steps[source].pieceCount === 0);
 }
--- /dev/null
+++ b/packages/stages/src/stage-back-off.test.ts
@@ -0,0 +1,202 @@
+// The load: a stage service all of whose upstreams turn calls away and name a time.
+// Before that was read, each job was sent back and forth between them until its deadline.
+import {ManualClock} from '@hollowstack/clock';
+import {SilentEventLogger} from '@hollowstack/logger';
+import {MetricsRegistry} from '@hollowstack/metrics';
+import type {RegisteredUpstream, RouteTable} from '@hollowstack/routes';
+import type {StageJob, StageOutcome} from '@hollowstack/types';
+import {BackOffTable} from '@hollowstack/upstream-signals';
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {StageCoordinator} from './stage-coordinator.ts';
+import type {StagePiece} from './stage-protocol.ts';
+
+const CALL_MS = 100;
+const SERVICE = {
+  name: 'rank',
+  stage: {
+    concurrency: 1,
+    backlog: 0,
+    batchSize: 4,
+    callMs: CALL_MS,
+    pieceMs: 0,
+    resultBytes: 1_000_000,
+    resultTtlMs: 4000,
+  },
+};
+
+function createUpstream(id: string): RegisteredUpstream {
+  return {
+    id,
+    service: 'rank',
+    address: id,
+    failureDomain: 'a',
+    capacity: 1,
+    isLeaving: false,
+  };
+}
+
+function createJob(jobId: string, dueInMs: number): StageJob {
+  return {
+    jobId,
+    requestId: jobId,
+    service: 'rank',
+    stage: 0,
+    stageKey: 'r/0',
+    pieceCount: 1,
+    key: 'k',
+    inputs: [],
+    resultBytes: 1,
+    dueInMs,
+    remainingMs: 8000,
+    priority: 1,
+    crossingBytes: 0,
+  };
+}
+
+/** A coordinator of upstreams `a` and `b`; `turnAway` says how often they do so first. */
+function createCoordinator(turnAway: {count: number; forMs: number}) {
+  const clock = new ManualClock(0);
+  const logger = new SilentEventLogger();
+  const backOffs = new BackOffTable({clock, logger});
+  const callsAtMs: Array<{id: string; atMs: number}> = [];
+  const caller = {
+    runPieces: async (
+      {id}: {id: string},
+      pieces: readonly StagePiece[],
+      _: number,
+      mayStillSend: () => boolean,
+    ) => {
+      const notRun = {type: 'not-run', isOtherUpstream: false} as const;
+      if (!mayStillSend()) return notRun;
+      callsAtMs.push({id, atMs: clock.getNow()});
+      if (turnAway.count > 0) {
+        turnAway.count -= 1;
+        backOffs.begin(id, turnAway.forMs);
+        return notRun;
+      }
+      await new Promise<void>(resolve => clock.schedule(CALL_MS, resolve));
+      const outcomes = pieces.map(
+        ({requestId}) =>
+          ({type: 'made', handle: requestId, address: id}) as const,
+      );
+      return {type: 'outcomes', outcomes} as const;
+    },
+    releaseResults: async () => {},
+    close: () => {},
+  };
+  const coordinator = new StageCoordinator({
+    clock,
+    logger,
+    metrics: new MetricsRegistry(),
+    caller,
+    backOffs,
+  });
+  const table = {configuration: {services: [SERVICE]}};
+  coordinator.setConfiguration(table as unknown as RouteTable);
+  coordinator.setUpstreams([createUpstream('a'), createUpstream('b')]);
+  const run = (jobId: string, dueInMs: number) => {
+    const ended: {outcome?: StageOutcome; atMs?: number} = {};
+    void coordinator.runJob(createJob(jobId, dueInMs)).then(outcome => {
+      Object.assign(ended, {outcome, atMs: clock.getNow()});
+    });
+    return ended;
+  };
+  return {clock, backOffs, coordinator, callsAtMs, run};
+}
+
+test('a call that is turned away goes to the upstream that still takes work', async () => {
+  const {clock, callsAtMs, run} = createCoordinator({count: 1, forMs: 3000});
+  const job = run('j1', 1000);
+  await clock.advance(1000);
+  assert.equal(job.outcome?.type, 'made');
+  assert.equal(new Set(callsAtMs.map(({id}) => id)).size, 2);
+});
+
+test('jobs are refused at once, with the time that is left, where no upstream wants work in their time', async () => {
+  const {clock, callsAtMs, run} = createCoordinator({count: 2, forMs: 3000});
+  const job = run('j1', 1000);
+  await clock.advance(200);
+  assert.equal(job.outcome?.type, 'failed');
+  assert.ok(job.atMs! < 100, `${job.atMs} ms`);
+  const {message, retryAfterMs} = job.outcome as Extract<
+    StageOutcome,
+    {type: 'failed'}
+  >;
+  assert.match(message, /have asked for none/);
+  assert.ok(retryAfterMs! > 2800 && retryAfterMs! <= 3000);
+  run('j2', 1000);
+  await clock.advance(2700);
+  assert.equal(callsAtMs.length, 2);
+});
+
+test('a job waits for upstreams that want work again well inside its time', async () => {
+  const {clock, callsAtMs, run} = createCoordinator({count: 2, forMs: 400});
+  const job = run('j1', 1000);
+  await clock.advance(1000);
+  assert.equal(job.outcome?.type, 'made');
+  const early = callsAtMs.slice(2).filter(({atMs}) => atMs < 400);
+  assert.deepEqual(early, []);
+});
+
+test('a call that is kept back counts neither against its job nor against its upstream', async () => {
+  const {clock, backOffs, callsAtMs, run} = createCoordinator({
+    count: 0,
+    forMs: 0,
+  });
+  // The word comes between the choice and the send, ten times over.
+  for (let round = 0; round < 10; round++) {
+    const job = run(`j${round}`, 2000);
+    backOffs.begin('a', 300);
+    backOffs.begin('b', 300);
+    await clock.advance(1200);
+    assert.equal(job.outcome?.type, 'made', `round ${round}`);
+  }
+  assert.equal(callsAtMs.length, 10);
+});
+
+test('a coordinator that was turned away counts fewer places and admits less', async () => {
+  const {clock, backOffs, coordinator} = createCoordinator({
+    count: 0,
+    forMs: 0,
+  });
+  const countAdmitted = () => {
+    let count = 0;
+    const steps = [
+      {
+        service: 'rank',
+        stageKey: 'r/0',
+        resultBytes: 1,
+        pieceCount: 4,
+        after: [],
+      },
+    ];
+    while (count < 100) {
+      const decision = coordinator.admitRequest({
+        requestId: `r${count}`,
+        route: 'r',
+        steps,
+        requestMs: 50,
+        ownTokens: 0,
+        dueInMs: 1000,
+        remainingMs: 8000,
+        priority: 1,
+        mayComeBack: true,
+      });
+      if (!decision.isAdmitted) break;
+      count += 1;
+    }
+    for (let each = 0; each <= count; each++) {
+      coordinator.endRequest(`r${each}`);
+    }
+    return count;
+  };
+  const usual = countAdmitted();
+  backOffs.begin('a', 3000);
+  const half = countAdmitted();
+  assert.ok(half > 0 && half <= usual / 2 + 1, `${half} of ${usual}`);
+  backOffs.begin('b', 3000);
+  assert.equal(countAdmitted(), 0);
+  await clock.advance(4000);
+  assert.equal(countAdmitted(), usual);
+});
--- a/packages/stages/src/stage-caller.ts
+++ b/packages/stages/src/stage-caller.ts
@@ -76,14 +76,13 @@
   ): Promise<RunAnswer> {
     const {protocol, signals} = this.parts;
     const {id, address} = target;
+    let isWithdrawn = false;
     const request = protocol.createRunRequest(id, address, pieces);
     try {
-      const {head, body} = await this.call(
-        address,
-        request,
-        timeoutMs,
-        mayStillSend,
-      );
+      const {head, body} = await this.call(address, request, timeoutMs, () => {
+        isWithdrawn = !mayStillSend();
+        return !isWithdrawn;
+      });
       const answer = {
         status: head.statusCode ?? 0,
         headers: head.headers,
@@ -96,6 +95,8 @@
       });
       return protocol.parseRunAnswer(answer, pieces.length);
     } catch (error) {
+      // Kept back by this side, which says nothing against the upstream.
+      if (isWithdrawn) return {type: 'not-run', isOtherUpstream: false};
       const message = error instanceof Error ? error.message : String(error);
       throw new StageCallError(message, isUnreachable(error));
     }
--- a/packages/stages/src/stage-coordinator.ts
+++ b/packages/stages/src/stage-coordinator.ts
@@ -4,6 +4,7 @@
 import type {
   RegisteredUpstream,
   RouteTable,
+  Shortage,
   StageCapacity,
 } from '@hollowstack/routes';
 import type {
@@ -23,7 +24,7 @@
 import {logAnsweredCall} from './stage-call-log.ts';
 import {StageCallError, type StageCaller} from './stage-caller.ts';
 import type {PieceOutcome, RunAnswer} from './stage-protocol.ts';
-import {StageFleet} from './stage-fleet.ts';
+import {StageFleet, type StageBackOffs} from './stage-fleet.ts';
 import type {StageUpstream} from './stage-upstreams.ts';
 
 /** What the coordinator works with. */
@@ -31,7 +32,9 @@
   readonly clock: Clock;
   readonly logger: EventLogger;
   readonly metrics: MetricsRegistry;
-  readonly caller: StageCaller;
+  readonly caller: Pick<StageCaller, 'runPieces' | 'releaseResults' | 'close'>;
+  /** The upstreams that asked this instance for no work. */
+  readonly backOffs: StageBackOffs;
 }
 
 /** Milliseconds between two plans while jobs wait that nothing else wakes. */
@@ -77,15 +80,20 @@
 
   constructor(parts: StageCoordinatorParts) {
     this.parts = parts;
-    this.fleet = new StageFleet(parts.clock);
+    this.fleet = new StageFleet(parts.clock, parts.backOffs);
     this.admission = new StageAdmission({
       clock: parts.clock,
       fleet: this.fleet,
       times: this.times,
     });
-    this.releaser = new ResultReleaser(parts.clock, parts.caller, handles => {
-      this.fleet.recordReleased(handles);
-      this.scheduleCalls();
+    this.releaser = new ResultReleaser({
+      clock: parts.clock,
+      caller: parts.caller,
+      getWaitMs: address => this.fleet.getReleaseWaitMs(address),
+      handleReleased: handles => {
+        this.fleet.recordReleased(handles);
+        this.scheduleCalls();
+      },
     });
   }
 
@@ -198,11 +206,21 @@
     }
   }
 
-  // What no upstream will take is refused now, not at its deadline.
-  private failWaitingJobs(service: string, message: string): void {
+  // What no upstream will take in time is refused now, not at its deadline.
+  private failWaitingJobs(
+    service: string,
+    {reason, waitMs = Infinity, retryAfterMs}: Shortage,
+    capacity: StageCapacity,
+  ): void {
+    const beginAtMs = this.parts.clock.getNow() + waitMs;
     for (const state of [...this.jobs.values()]) {
       if (state.job.service !== service || state.waitingCount === 0) continue;
-      state.fail('failed', message);
+      const {pieceCount, dueAtMs, pieceMs} = state.toWaitingJob(
+        this.getPieceMs(state, capacity),
+      );
+      const workMs = capacity.callMs + pieceCount * pieceMs;
+      if (beginAtMs + workMs <= dueAtMs) continue;
+      state.fail('failed', reason, retryAfterMs);
       this.releaseResults(state.listResults());
     }
   }
@@ -212,7 +230,7 @@
     if (!capacity) return;
     const shortage = this.fleet.findShortage(service);
     if (shortage !== undefined) {
-      this.failWaitingJobs(service, shortage);
+      this.failWaitingJobs(service, shortage, capacity);
       return;
     }
     const used = this.fleet.listUsed(service);
@@ -289,7 +307,7 @@
           CALL_TIMEOUT_FACTOR *
           Math.max(1, upstream.getSlowness(nowMs)) +
           CALL_TIMEOUT_MARGIN_MS,
-        () => this.fleet.isTakingWork(id),
+        () => this.fleet.acquireSend(id),
       );
       this.handleAnswer(upstream, taken, answer, {
         startedAtMs: nowMs,
--- a/packages/stages/src/stage-fleet.ts
+++ b/packages/stages/src/stage-fleet.ts
@@ -4,24 +4,34 @@
   findShortage,
   isTakingWork,
   type RegisteredUpstream,
+  type Shortage,
   type StageCapacity,
 } from '@hollowstack/routes';
+import type {BackOffTable} from '@hollowstack/upstream-signals';
 import {ResultRoom, type HeldResult} from './result-room.ts';
 import {StageUpstream} from './stage-upstreams.ts';
 
 /** Results may be larger than their stage says by this factor; seen on played days. */
 const SIZE_MARGIN = 1.05;
 
+/** What the fleet asks of the upstreams that want no work for a time. */
+export type StageBackOffs = Pick<
+  BackOffTable,
+  'maySend' | 'acquireSend' | 'getWaitMs'
+>;
+
 /** The upstreams of all stage services, and the result memory that is left at each. */
 export class StageFleet {
   private readonly clock: Clock;
+  private readonly backOffs: StageBackOffs;
   private readonly room = new ResultRoom();
   private readonly holdTimes: DurationEstimator;
   private readonly upstreams = new Map<string, StageUpstream>();
   private capacities: ReadonlyMap<string, StageCapacity> = new Map();
 
-  constructor(clock: Clock) {
+  constructor(clock: Clock, backOffs: StageBackOffs) {
     this.clock = clock;
+    this.backOffs = backOffs;
     this.holdTimes = new DurationEstimator(clock);
   }
 
@@ -45,7 +55,8 @@
     for (const record of records) {
       const known = this.upstreams.get(record.id);
       if (known) known.record = record;
-      else this.upstreams.set(record.id, new StageUpstream(record));
+      else
+        this.upstreams.set(record.id, new StageUpstream(record, this.backOffs));
     }
   }
 
@@ -53,20 +64,36 @@
     return this.upstreams.get(id);
   }
 
-  /** Returns whether an upstream is registered, not leaving and not evacuated. */
-  isTakingWork(id: string): boolean {
+  /**
+   * Asked right before the first byte of a call leaves; returns whether the upstream has
+   * not said meanwhile that it leaves or wants no work.
+   */
+  acquireSend(id: string): boolean {
     const upstream = this.upstreams.get(id);
-    return upstream !== undefined && isTakingWork(upstream.record);
+    if (!upstream || !isTakingWork(upstream.record)) return false;
+    return this.backOffs.acquireSend(id);
   }
 
   /**
-   * Returns why no upstream of a service can take work, as registrations say;
-   * undefined where one can, or where no registrations are known yet.
+   * Returns why no upstream of a service can take work; undefined where one can, or
+   * where no registrations are known yet.
    */
-  findShortage(service: string): string | undefined {
+  findShortage(service: string): Shortage | undefined {
     if (this.upstreams.size === 0) return undefined;
     const records = this.listOfService(service).map(({record}) => record);
-    return findShortage(service, records);
+    return findShortage(service, records, id => this.backOffs.getWaitMs(id));
+  }
+
+  /**
+   * Returns milliseconds for which the upstream at an address still wants nothing;
+   * undefined where it leaves, so that what it keeps need not be released.
+   */
+  getReleaseWaitMs(address: string): number | undefined {
+    for (const {record} of this.upstreams.values()) {
+      if (record.address !== address) continue;
+      return record.isLeaving ? undefined : this.backOffs.getWaitMs(record.id);
+    }
+    return 0;
   }
 
   /** Lists the upstreams of a service that take calls or are at work on one. */
--- a/packages/stages/src/stage-upstreams.ts
+++ b/packages/stages/src/stage-upstreams.ts
@@ -14,6 +14,7 @@
   type FailureKind,
   type HealthState,
 } from '@hollowstack/routing';
+import type {BackOffTable} from '@hollowstack/upstream-signals';
 
 /** Weight of the newest call in the slowness. */
 const SLOWNESS_WEIGHT = 0.3;
@@ -26,20 +27,29 @@
   record: RegisteredUpstream;
   callsInFlight = 0;
   idleSinceMs = 0;
-  /** The upstream called itself full; it is left alone until then. */
+  /** The upstream called itself full and named no time; it is left alone until then. */
   pausedUntilMs = 0;
+  private readonly backOffs: Pick<BackOffTable, 'maySend'>;
   private unknownBytes = 0;
   private unknownUntilMs = 0;
   private readonly slowness = new Slowness(SLOWNESS_WEIGHT);
   private health: HealthState = createHealthyState();
 
-  constructor(record: RegisteredUpstream) {
+  constructor(
+    record: RegisteredUpstream,
+    backOffs: Pick<BackOffTable, 'maySend'>,
+  ) {
     this.record = record;
+    this.backOffs = backOffs;
   }
 
   /** Returns whether calls may go there at all. */
   isUsable(nowMs: number): boolean {
-    return isTakingWork(this.record) && isCandidate(this.health, nowMs);
+    return (
+      isTakingWork(this.record) &&
+      this.backOffs.maySend(this.record.id) &&
+      isCandidate(this.health, nowMs)
+    );
   }
 
   /** Returns whether a call may go there now. */
--- a/packages/types/src/assignment.ts
+++ b/packages/types/src/assignment.ts
@@ -37,6 +37,8 @@
   step: z.enum(['first', 'ended', 'failed']),
   /** Milliseconds from sending the request to its first event. */
   firstMs: z.number().optional(),
+  /** Whether the engine got nothing of it, or turned it away; absent means no. */
+  isTurnedAway: z.boolean().optional(),
 });
 /** What an instance has seen of a request that was assigned. */
 export type AssignmentProgress = z.infer<typeof assignmentProgressSchema>;
--- a/packages/types/src/stage-job.ts
+++ b/packages/types/src/stage-job.ts
@@ -59,6 +59,8 @@
     type: z.literal('failed'),
     failure: z.enum(STAGE_FAILURES),
     message: z.string(),
+    /** Milliseconds after which to come back, where that is known. */
+    retryAfterMs: z.number().nonnegative().optional(),
   }),
 ]);
 /** What became of a job. */
--- a/packages/upstream-signals/src/index.ts
+++ b/packages/upstream-signals/src/index.ts
@@ -5,5 +5,6 @@
   type AnswerHead,
   type AnswerSignals,
 } from './answer-signals.ts';
+export {BackOffTable} from './back-off-table.ts';
 export {parseRetryAfterMs} from './retry-after.ts';
 export {UpstreamSignals, type SignalAnswer} from './upstream-signals.ts';
--- /dev/null
+++ b/packages/upstream-signals/src/upstream-signals.test.ts
@@ -0,0 +1,183 @@
+import {ManualClock} from '@hollowstack/clock';
+import {
+  EventLogger,
+  type EventFields,
+  type EventName,
+} from '@hollowstack/logger';
+import {MetricsRegistry} from '@hollowstack/metrics';
+import fc from 'fast-check';
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+  BackOffTable,
+  SignalProtocol,
+  UpstreamSignals,
+  type AnswerHead,
+  type AnswerSignals,
+} from './index.ts';
+
+class ListingLogger extends EventLogger {
+  readonly lines: Array<[EventName, EventFields]> = [];
+
+  logEvent(name: EventName, fields: EventFields = {}): void {
+    this.lines.push([name, fields]);
+  }
+}
+
+/** Headers of the tests: `from-other`, `leaving`, `retry-after`. */
+class TestProtocol extends SignalProtocol {
+  readSignals({headers}: AnswerHead): AnswerSignals {
+    const retryAfter = headers['retry-after'];
+    return {
+      isFromOther: headers['from-other'] !== undefined,
+      isLeaving: headers.leaving !== undefined,
+      retryAfter: typeof retryAfter === 'string' ? retryAfter : undefined,
+    };
+  }
+}
+
+function createSignals() {
+  const clock = new ManualClock(0);
+  const logger = new ListingLogger();
+  const metrics = new MetricsRegistry();
+  const backOffs = new BackOffTable({clock, logger});
+  const leaving: string[] = [];
+  const signals = new UpstreamSignals({
+    logger,
+    metrics,
+    backOffs,
+    protocol: new TestProtocol(),
+    handleLeaving: id => leaving.push(id),
+  });
+  const answer = (headers: Record<string, string>, id = 'u1') =>
+    signals.recordAnswer({
+      upstream: {id, service: 'chat'},
+      head: {status: 503, headers},
+      requestId: 'r1',
+    });
+  const listNames = () => logger.lines.map(([name]) => name);
+  const countSignal = (signal: string) =>
+    metrics.getCounter('hollowstack_upstream_signals_total', {
+      service: 'chat',
+      signal,
+    });
+  return {clock, logger, backOffs, leaving, answer, listNames, countSignal};
+}
+
+test('an upstream that names a time is left alone for it, and nobody else is', async () => {
+  const {clock, logger, backOffs, answer, listNames} = createSignals();
+  answer({'retry-after': '1.5'});
+  assert.equal(backOffs.maySend('u1'), false);
+  assert.equal(backOffs.maySend('u2'), true);
+  assert.equal(backOffs.getWaitMs('u1'), 1500);
+  assert.equal(backOffs.countWaiting(), 1);
+  assert.deepEqual(logger.lines, [
+    [
+      'upstream.back-off',
+      {
+        upstream: 'u1',
+        service: 'chat',
+        requestId: 'r1',
+        status: 503,
+        askedMs: 1500,
+        forMs: 1500,
+      },
+    ],
+  ]);
+  await clock.advance(1500);
+  assert.equal(backOffs.maySend('u1'), true);
+  assert.equal(backOffs.countWaiting(), 0);
+  assert.deepEqual(listNames(), [
+    'upstream.back-off',
+    'upstream.back-off-ended',
+  ]);
+});
+
+test('answers of what was under way are one event, and the longest time holds', async () => {
+  const {clock, backOffs, answer, listNames, countSignal} = createSignals();
+  answer({'retry-after': '3'});
+  await clock.advance(400);
+  answer({'retry-after': '1'});
+  answer({'retry-after': '3'});
+  assert.equal(backOffs.getWaitMs('u1'), 3000);
+  assert.deepEqual(listNames(), ['upstream.back-off']);
+  assert.equal(countSignal('back-off'), 3);
+});
+
+test('of 50 that are sent at once when the time is over two are let through', async () => {
+  const {clock, backOffs, answer} = createSignals();
+  answer({'retry-after': '1'});
+  await clock.advance(1000);
+  const sent = Array.from({length: 50}, () => backOffs.acquireSend('u1'));
+  assert.equal(sent.filter(isSent => isSent).length, 2);
+  await clock.advance(600);
+  const later = Array.from({length: 50}, () => backOffs.acquireSend('u1'));
+  assert.ok(later.every(isSent => isSent));
+});
+
+test('a pause of the process counts towards the time', async () => {
+  const {clock, backOffs, answer} = createSignals();
+  answer({'retry-after': '2'});
+  // Nothing runs for five seconds; then the first question comes before any timer.
+  const paused = new ManualClock(clock.getNow() + 5000);
+  clock.getNow = () => paused.getNow();
+  assert.equal(backOffs.maySend('u1'), true);
+  assert.equal(backOffs.getWaitMs('u1'), 0);
+});
+
+test('a time that is absurdly long is cut', () => {
+  for (const value of ['86400', '9'.repeat(400)]) {
+    const {backOffs, answer} = createSignals();
+    answer({'retry-after': value});
+    assert.equal(backOffs.getWaitMs('u1'), 60_000);
+  }
+});
+
+test('what is no number of seconds is logged once an upstream, counted, and asks for nothing', () => {
+  const dateText = 'Fri, 04 Dec 2026 10:00:00 GMT';
+  const values = ['', 'soon', dateText, '-3', 'NaN', '3, 5', '1e3', '3s', '+3'];
+  const {backOffs, answer, listNames, countSignal} = createSignals();
+  for (const value of values) answer({'retry-after': value});
+  answer({'retry-after': 'soon'}, 'u2');
+  assert.equal(backOffs.maySend('u1'), true);
+  assert.deepEqual(listNames(), [
+    'upstream.retry-after-unreadable',
+    'upstream.retry-after-unreadable',
+  ]);
+  assert.equal(countSignal('unreadable'), values.length + 1);
+});
+
+test('a time of nothing asks for nothing', () => {
+  const {backOffs, answer, listNames} = createSignals();
+  answer({'retry-after': '0'});
+  answer({'retry-after': '0.0'});
+  assert.equal(backOffs.maySend('u1'), true);
+  assert.deepEqual(listNames(), []);
+});
+
+test('an upstream says for itself alone that it leaves', () => {
+  const {leaving, answer, countSignal} = createSignals();
+  answer({leaving: '1'}, 'u2');
+  answer({leaving: '1', 'from-other': '1', 'retry-after': '3'}, 'u1');
+  assert.deepEqual(leaving, ['u2']);
+  assert.equal(countSignal('leaving'), 1);
+});
+
+test('no value throws, and none keeps an upstream without work for over a minute', () => {
+  fc.assert(
+    fc.property(fc.string(), fc.boolean(), (value, isNumeric) => {
+      const {backOffs, answer} = createSignals();
+      const digits = value.replace(/\D/g, '');
+      answer({'retry-after': isNumeric ? digits : value});
+      return backOffs.getWaitMs('u1') <= 60_000;
+    }),
+  );
+});
+
+test('nothing is left to happen after a stop', async () => {
+  const {clock, backOffs, answer, listNames} = createSignals();
+  answer({'retry-after': '1'});
+  backOffs.stop();
+  await clock.advance(5000);
+  assert.deepEqual(listNames(), ['upstream.back-off']);
+});
