Honour Retry-After of the upstreams of pipelines too

Cause: the same class at the entry daemon's upstreams: a refusal's time was read nowhere, and an upstream that reports to be live got its next trial half a second later, whatever it had asked for. Change: the refusal carries the time, bounded like the gateway's, and a live report brings the upstream back no sooner than its end. Looked at and left: health answers (nobody asks for them), Connection: close (upstreams send it now and then without leaving), refusals of the store (its callers wait 0.1 to 1 s with jitter, a bound of their own), refusals of peers (they count as unreachable until heard again). Test: fails with the bound taken out, passes with it.

--- a/packages/pipeline/src/attempt-error.ts
+++ b/packages/pipeline/src/attempt-error.ts
@@ -7,22 +7,31 @@
 export type AttemptFailure =
   'refused' | 'not-run' | 'silent' | 'crossed' | 'broken' | 'given-up';
 
+/** What else is known of a failed attempt. */
+export interface AttemptErrorOptions {
+  readonly cause?: unknown;
+  /** Whether no byte of the call has left this instance. */
+  readonly neverLeft?: boolean;
+  readonly retryAfterMs?: number;
+}
+
 /** An attempt at an upstream that brought no whole answer. */
 export class AttemptError extends Error {
   readonly failure: AttemptFailure;
+  /** Milliseconds for which the upstream wants no work; undefined where it named none. */
+  readonly retryAfterMs: number | undefined;
   private readonly neverLeft: boolean;
 
-  /** @param neverLeft Whether no byte of the call has left this instance. */
   constructor(
     failure: AttemptFailure,
     message: string,
-    cause?: unknown,
-    neverLeft = false,
+    {cause, neverLeft = false, retryAfterMs}: AttemptErrorOptions = {},
   ) {
     super(message, {cause});
     this.name = 'AttemptError';
     this.failure = failure;
     this.neverLeft = neverLeft;
+    this.retryAfterMs = retryAfterMs;
   }
 
   /** Whether the upstream may have begun the work. */
--- a/packages/pipeline/src/attempt.test.ts
+++ b/packages/pipeline/src/attempt.test.ts
@@ -63,6 +63,42 @@
   }
 });
 
+class RefusingClient extends HttpClient {
+  private readonly retryAfter: string;
+
+  constructor(retryAfter: string) {
+    super();
+    this.retryAfter = retryAfter;
+  }
+
+  async send(): Promise<HttpResponse> {
+    const headers = {'x-not-run': 'true', 'retry-after': this.retryAfter};
+    return {status: 503, headers, body: new AsyncQueue<Uint8Array>()};
+  }
+}
+
+test('a refusal tells for how long the upstream wants no work, bounded, if it can be read', async () => {
+  const cases = [
+    ['2.5', 2500],
+    ['86400', 60_000],
+    ['soon', undefined],
+  ] as const;
+  for (const [value, retryAfterMs] of cases) {
+    const attempt = new Attempt(
+      new RefusingClient(value),
+      new ManualClock(),
+      'attempt-1',
+      createWatch(() => 0),
+      new AbortController().signal,
+    );
+    await assert.rejects(attempt.send('127.0.0.1:1', CALL), {
+      failure: 'not-run',
+      retryAfterMs,
+    });
+    attempt.close();
+  }
+});
+
 test('work that waits at an upstream which answers others is not given up', async () => {
   const clock = new ManualClock();
   const client = new QueueClient();
--- a/packages/pipeline/src/attempt.ts
+++ b/packages/pipeline/src/attempt.ts
@@ -5,6 +5,10 @@
   type HttpHeaders,
   type HttpResponse,
 } from '@hollowstack/transport';
+import {
+  MAX_BACK_OFF_MS,
+  parseRetryAfterMs,
+} from '@hollowstack/upstream-signals';
 import {AttemptError} from './attempt-error.ts';
 
 /** One call to an upstream, ready to be sent. */
@@ -24,6 +28,9 @@
 /** Header by which an upstream says that it did not run what it refuses. */
 const NOT_RUN_HEADER = 'x-not-run';
 
+/** Header by which it says for how many seconds it wants no work. */
+const RETRY_AFTER_HEADER = 'retry-after';
+
 /** HTTP status. */
 const TOO_MANY_REQUESTS = 429;
 /** HTTP status. */
@@ -120,7 +127,9 @@
     const isRefusal =
       status === SERVICE_UNAVAILABLE || status === TOO_MANY_REQUESTS;
     if (isRefusal && headers[NOT_RUN_HEADER] !== undefined) {
-      throw new AttemptError('not-run', `upstream refused with ${status}`);
+      throw new AttemptError('not-run', `upstream refused with ${status}`, {
+        retryAfterMs: readRetryAfterMs(headers),
+      });
     }
   }
 
@@ -179,11 +188,21 @@
     if (neverLeft) {
       const failure =
         this.failure?.failure === 'given-up' ? 'given-up' : 'refused';
-      return new AttemptError(failure, error.message, error, true);
+      return new AttemptError(failure, error.message, {
+        cause: error,
+        neverLeft: true,
+      });
     }
     if (this.failure) return this.failure;
     if (error instanceof AttemptError) return error;
     const message = error instanceof Error ? error.message : String(error);
-    return new AttemptError('broken', message, error);
+    return new AttemptError('broken', message, {cause: error});
   }
 }
+
+// What cannot be read counts as nothing named; the refusal itself is logged.
+function readRetryAfterMs(headers: HttpHeaders): number | undefined {
+  const askedMs = parseRetryAfterMs(headers[RETRY_AFTER_HEADER] ?? '');
+  if (askedMs === undefined) return undefined;
+  return Math.min(askedMs, MAX_BACK_OFF_MS);
+}
--- a/packages/pipeline/src/group-runner.ts
+++ b/packages/pipeline/src/group-runner.ts
@@ -259,7 +259,9 @@
     });
     match(error.failure)
       .with('given-up', () => group.recordGivenUp(upstream))
-      .with('not-run', () => group.recordNotRun(upstream))
+      .with('not-run', () =>
+        group.recordNotRun(upstream, error.retryAfterMs ?? 0),
+      )
       .with('refused', () => group.recordFailure(upstream, 'refused'))
       .with('crossed', () => {
         this.parts.logger.logEvent('upstream.crossed-answer', {
@@ -362,5 +364,7 @@
 function toAttemptError(error: unknown): AttemptError {
   if (error instanceof AttemptError) return error;
   const message = error instanceof Error ? error.message : String(error);
-  return new AttemptError('broken', `unreadable answer: ${message}`, error);
+  return new AttemptError('broken', `unreadable answer: ${message}`, {
+    cause: error,
+  });
 }
--- a/packages/pipeline/src/upstream-group.ts
+++ b/packages/pipeline/src/upstream-group.ts
@@ -6,6 +6,7 @@
   getStartFactor,
   isCandidate,
   predictDurationMs,
+  recordBackOff,
   recordDispatch,
   recordSlowness,
   recordEnd,
@@ -245,11 +246,16 @@
     });
   }
 
-  /** An upstream refused work because it is leaving or full. */
-  recordNotRun(id: string): void {
+  /**
+   * An upstream refused work because it is leaving or full.
+   *
+   * @param forMs Milliseconds for which it wants none, 0 where it named no time.
+   */
+  recordNotRun(id: string, forMs: number): void {
     this.applyChange(id, tracked => {
       tracked.load = recordEnd(tracked.load);
-      tracked.health = recordLeaving(tracked.health, this.clock.getNow());
+      const nowMs = this.clock.getNow();
+      tracked.health = recordBackOff(tracked.health, forMs, nowMs);
     });
   }
 
--- a/packages/routing/src/health.ts
+++ b/packages/routing/src/health.ts
@@ -11,6 +11,8 @@
   readonly backAtMs: number;
   /** When it was last said to be leaving. */
   readonly leavingAtMs: number;
+  /** Until when it has asked for no work; 0 where it has not. */
+  readonly backOffUntilMs: number;
 }
 
 /** Thresholds and times of the health decisions. */
@@ -50,6 +52,7 @@
     trialAtMs: 0,
     backAtMs: 0,
     leavingAtMs: 0,
+    backOffUntilMs: 0,
   };
 }
 
@@ -109,6 +112,19 @@
   return {...health, state: 'leaving', leavingAtMs: nowMs};
 }
 
+/**
+ * The upstream turned work away and named a time for which it wants none. Whether it
+ * is full or leaves is not known until it reports; neither way it gets work before.
+ */
+export function recordBackOff(
+  health: HealthState,
+  forMs: number,
+  nowMs: number,
+): HealthState {
+  const backOffUntilMs = Math.max(health.backOffUntilMs, nowMs + forMs);
+  return {...recordLeaving(health, nowMs), backOffUntilMs};
+}
+
 // Clocks of upstreams and instances differ by less than this.
 const CLOCK_SKEW_MS = 500;
 
@@ -126,7 +142,9 @@
 ): HealthState {
   if (health.state === 'leaving') {
     const isFresh = reportAtMs > health.leavingAtMs + CLOCK_SKEW_MS;
-    return isFresh ? {...health, state: 'out', trialAtMs: nowMs} : health;
+    if (!isFresh) return health;
+    const trialAtMs = Math.max(nowMs, health.backOffUntilMs);
+    return {...health, state: 'out', trialAtMs};
   }
   if (policy.reportRestores && health.state === 'out') {
     return {...createHealthyState(), backAtMs: nowMs};
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -3,6 +3,7 @@
   createHealthyState,
   getStartFactor,
   isCandidate,
+  recordBackOff,
   recordFailure,
   recordLeaving,
   recordLive,
--- a/packages/upstream-signals/src/index.ts
+++ b/packages/upstream-signals/src/index.ts
@@ -6,5 +6,5 @@
   type AnswerSignals,
 } from './answer-signals.ts';
 export {BackOffTable} from './back-off-table.ts';
-export {parseRetryAfterMs} from './retry-after.ts';
+export {MAX_BACK_OFF_MS, parseRetryAfterMs} from './retry-after.ts';
 export {UpstreamSignals, type SignalAnswer} from './upstream-signals.ts';
--- a/packages/upstream-signals/src/retry-after.ts
+++ b/packages/upstream-signals/src/retry-after.ts
@@ -1,3 +1,8 @@
+/**
+ * Longest milliseconds for which an upstream is left alone at its word. Upstreams ask
+ * for seconds; one that writes milliseconds by mistake would else be lost for an hour.
+ */
+export const MAX_BACK_OFF_MS = 60_000;
 /** Seconds in decimal digits, a fraction allowed; no sign, exponent or unit. */
 const SECONDS = /^\d+(\.\d+)?$/;
 
--- a/packages/upstream-signals/src/upstream-signals.ts
+++ b/packages/upstream-signals/src/upstream-signals.ts
@@ -2,7 +2,7 @@
 import type {MetricsRegistry} from '@hollowstack/metrics';
 import type {AnswerHead, SignalProtocol} from './answer-signals.ts';
 import type {BackOffTable} from './back-off-table.ts';
-import {parseRetryAfterMs} from './retry-after.ts';
+import {MAX_BACK_OFF_MS, parseRetryAfterMs} from './retry-after.ts';
 
 /** Dependencies of UpstreamSignals. */
 export interface UpstreamSignalsParts {
@@ -22,11 +22,6 @@
   readonly requestId: string | undefined;
 }
 
-/**
- * Longest milliseconds for which an upstream is left alone at its word. Upstreams ask
- * for seconds; one that writes milliseconds by mistake would else be lost for an hour.
- */
-const MAX_BACK_OFF_MS = 60_000;
 /** Upstreams remembered whose values could not be read, so that each is logged once. */
 const MAX_UNREADABLE = 1000;
 /** Characters of such a value in the log. */
