Give stage results back while the call that has read them still works

Cause: results took memory from the start of their call until the answer of the call that reads them, and some 80 ms more; in bursts calls of the middle stage held 27 of 50 items for want of memory while its upstreams were busy for 0.82 of the time. Change: when half of the time that a call is expected to take has passed since its bytes left, its upstream has fetched what it reads; if no other stage reads it, all items of the job are that far, and half of the maker's memory is taken, the coordinator releases it.

--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -25,6 +25,8 @@
   latestStart: z.boolean().default(true),
   /** Releases a resumable stream's inputs at its first event, not at its end. */
   earlyRelease: z.boolean().default(true),
+  /** Gives stage results back while the call that has read them still works. */
+  readRelease: z.boolean().default(true),
   /** Chooses engines by the time that a request can spare, see docs/design. */
   slackPlacing: z.boolean().default(true),
 });
--- /dev/null
+++ b/packages/stages/src/input-reads.test.ts
@@ -0,0 +1,243 @@
+// The load: more chains of two stages than the first stage's result memory holds. Its
+// results are read by the second stage, 400 ms after they were made, and were kept until
+// that had answered, so that its upstreams stood idle for want of memory.
+import {ManualClock} from '@hollowstack/clock';
+import {SilentEventLogger} from '@hollowstack/logger';
+import {MetricsRegistry} from '@hollowstack/metrics';
+import type {RegisteredUpstream, RouteTable} from '@hollowstack/routes';
+import type {StageJob, StageOutcome, StageResult} from '@hollowstack/types';
+import {BackOffTable} from '@hollowstack/upstream-signals';
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {StageCallError} from './stage-caller.ts';
+import {StageCoordinator} from './stage-coordinator.ts';
+import type {StagePiece} from './stage-protocol.ts';
+
+const CALL_MS = 200;
+const RESULT_BYTES = 1000;
+/** Milliseconds after which an upstream has fetched the inputs of a call. */
+const FETCH_MS = 10;
+
+function createService(name: string, resultCount: number) {
+  const stage = {
+    concurrency: 1,
+    backlog: 0,
+    batchSize: 10,
+    callMs: CALL_MS,
+    pieceMs: 0,
+    // With the margin that is kept for results that are larger than they should be.
+    resultBytes: resultCount * RESULT_BYTES * 1.06,
+    resultTtlMs: 4000,
+  };
+  return {name, stage};
+}
+
+function createUpstream(id: string, service: string): RegisteredUpstream {
+  return {
+    id,
+    service,
+    address: id,
+    failureDomain: 'a',
+    capacity: 1,
+    isLeaving: false,
+  };
+}
+
+/** Makers and readers of their results; each maker holds some results at most. */
+function createChain(options: {
+  readonly memory: number;
+  readonly releasesRead?: boolean;
+  /** Upstreams of each of the two stages. */
+  readonly upstreams?: number;
+}) {
+  const clock = new ManualClock(0);
+  const logger = new SilentEventLogger();
+  const kept = new Set<string>();
+  const calls = {broken: 0, gone: 0, mostKept: 0};
+  let nextHandle = 1;
+  const runPieces = async (
+    {id}: {id: string},
+    pieces: readonly StagePiece[],
+    _: number,
+    mayStillSend: () => boolean,
+  ) => {
+    if (!mayStillSend())
+      return {type: 'not-run', isOtherUpstream: false} as const;
+    await waitMs(clock, FETCH_MS);
+    const areThere = pieces.map(({inputs}) =>
+      inputs.every(handle => kept.has(handle)),
+    );
+    await waitMs(clock, CALL_MS);
+    if (id.startsWith('reader') && calls.broken > 0) {
+      calls.broken -= 1;
+      throw new StageCallError('broke off', false);
+    }
+    const outcomes = areThere.map(isThere => {
+      if (!isThere) {
+        calls.gone += 1;
+        return {type: 'failed', failure: 'input-gone'} as const;
+      }
+      const handle = `${id}/${nextHandle++}`;
+      if (id.startsWith('maker')) kept.add(handle);
+      return {type: 'made', handle, address: id} as const;
+    });
+    calls.mostKept = Math.max(calls.mostKept, kept.size);
+    return {type: 'outcomes', outcomes} as const;
+  };
+  const coordinator = new StageCoordinator({
+    clock,
+    logger,
+    metrics: new MetricsRegistry(),
+    caller: {
+      runPieces,
+      releaseResults: async (_, handles) => {
+        for (const handle of handles) kept.delete(handle);
+      },
+      close: () => {},
+    },
+    backOffs: new BackOffTable({clock, logger}),
+    releasesRead: options.releasesRead ?? true,
+  });
+  const services = [
+    createService('make', options.memory),
+    createService('read', 1000),
+  ];
+  const table = {configuration: {services}};
+  coordinator.setConfiguration(table as unknown as RouteTable);
+  const count = options.upstreams ?? 1;
+  coordinator.setUpstreams(
+    Array.from({length: count}, (_, index) => [
+      createUpstream(`maker-${index}`, 'make'),
+      createUpstream(`reader-${index}`, 'read'),
+    ]).flat(),
+  );
+  return {clock, coordinator, kept, calls};
+}
+
+function waitMs(clock: ManualClock, durationMs: number): Promise<void> {
+  return new Promise(resolve => clock.schedule(durationMs, resolve));
+}
+
+let nextJob = 1;
+
+function createJob(
+  service: string,
+  pieceCount: number,
+  inputs: readonly StageResult[] = [],
+  isOnlyReader = true,
+): StageJob {
+  const jobId = `j${nextJob++}`;
+  return {
+    jobId,
+    requestId: jobId,
+    service,
+    stage: 0,
+    stageKey: `r/${service}`,
+    pieceCount,
+    key: 'k',
+    inputs: inputs.map(({handle}) => handle),
+    isOnlyReader,
+    resultBytes: RESULT_BYTES,
+    dueInMs: 5000,
+    remainingMs: 8000,
+    priority: 1,
+    crossingBytes: 0,
+  };
+}
+
+type Chain = ReturnType<typeof createChain>;
+
+async function createInputs({clock, coordinator}: Chain, count: number) {
+  const made = coordinator.runJob(createJob('make', count));
+  const outcome = await clock.advanceUntil(made, 1000);
+  assert.equal(outcome.type, 'made');
+  return (outcome as Extract<StageOutcome, {type: 'made'}>).results;
+}
+
+test('inputs are given back once half of the call that reads them has passed, where memory is short', async () => {
+  const chain = createChain({memory: 10});
+  const inputs = await createInputs(chain, 6);
+  const read = chain.coordinator.runJob(createJob('read', 2, inputs));
+  await chain.clock.advance(80);
+  assert.equal(chain.kept.size, 6);
+  await chain.clock.advance(90);
+  assert.equal(chain.kept.size, 0);
+  const outcome = await chain.clock.advanceUntil(read, 1000);
+  assert.equal(outcome.type, 'made');
+  assert.equal(
+    'areInputsReleased' in outcome && outcome.areInputsReleased,
+    true,
+  );
+});
+
+test('inputs are kept until the answer where memory is plenty, or others read them too', async () => {
+  for (const [memory, isOnlyReader] of [
+    [100, true],
+    [10, false],
+  ] as const) {
+    const chain = createChain({memory});
+    const inputs = await createInputs(chain, 6);
+    const job = createJob('read', 2, inputs, isOnlyReader);
+    const outcome = await chain.clock.advanceUntil(
+      chain.coordinator.runJob(job),
+      1000,
+    );
+    assert.equal(chain.kept.size, 6);
+    assert.equal(
+      'areInputsReleased' in outcome && outcome.areInputsReleased,
+      false,
+    );
+  }
+});
+
+test('inputs are kept while items of their job still wait for a call', async () => {
+  const chain = createChain({memory: 10});
+  const inputs = await createInputs(chain, 6);
+  const read = chain.coordinator.runJob(createJob('read', 12, inputs));
+  await chain.clock.advance(190);
+  assert.equal(chain.kept.size, 6, 'two items wait for the second call');
+  const outcome = await chain.clock.advanceUntil(read, 1000);
+  assert.equal(outcome.type, 'made');
+  assert.equal(chain.calls.gone, 0);
+});
+
+test('a call that breaks off after its inputs went ends its job at once, for its stages to run again', async () => {
+  const chain = createChain({memory: 10});
+  const inputs = await createInputs(chain, 6);
+  chain.calls.broken = 1;
+  const read = chain.coordinator.runJob(createJob('read', 2, inputs));
+  const outcome = await chain.clock.advanceUntil(read, 1000);
+  assert.deepEqual(
+    outcome.type === 'failed' ? outcome.failure : outcome.type,
+    'input-gone',
+  );
+  assert.equal(chain.calls.gone, 0, 'no call is made without inputs');
+});
+
+/** Runs more chains than can be done for some seconds, and counts those that were. */
+async function countChains(releasesRead: boolean) {
+  const chain = createChain({memory: 20, releasesRead, upstreams: 4});
+  const {clock, coordinator, calls} = chain;
+  let doneCount = 0;
+  const runOne = async () => {
+    const made = await coordinator.runJob(createJob('make', 2));
+    if (made.type !== 'made') return;
+    const read = await coordinator.runJob(createJob('read', 2, made.results));
+    if (read.type !== 'made') return;
+    doneCount += 1;
+    if (!read.areInputsReleased) coordinator.releaseResults(made.results);
+  };
+  for (let atMs = 0; atMs < 8000; atMs += 8) {
+    void runOne();
+    await clock.advance(8);
+  }
+  assert.ok(calls.mostKept <= 80, `${calls.mostKept} results kept`);
+  assert.equal(calls.gone, 0);
+  return doneCount;
+}
+
+test('a stage that lacked memory does a quarter more', async () => {
+  const before = await countChains(false);
+  const after = await countChains(true);
+  assert.ok(after >= before * 1.25, `${before} -> ${after}`);
+});
--- a/packages/stages/src/job-state.ts
+++ b/packages/stages/src/job-state.ts
@@ -25,7 +25,9 @@
   private readonly settle: (outcome: StageOutcome) => void;
   private readonly waiting: number[];
   private readonly results: Array<StageResult | undefined>;
+  private readonly read = new Set<number>();
   private failedPieces = 0;
+  private areInputsReleased = false;
   private isSettled = false;
 
   constructor(
@@ -78,19 +80,39 @@
     }));
   }
 
-  /** Puts a piece back that no upstream has begun. */
-  putBackPiece(piece: number): void {
+  /**
+   * Puts a piece back that was not made; false where its inputs are given back already,
+   * so that it cannot be made any more.
+   */
+  putBackPiece(piece: number): boolean {
+    if (this.areInputsReleased) return false;
+    this.read.delete(piece);
     this.waiting.unshift(piece);
+    return true;
   }
 
-  /** Puts a piece back that an upstream failed to make; false where it failed too often. */
-  putBackFailedPiece(piece: number): boolean {
+  /** Notes that an upstream failed to make a piece; false where that is once too often. */
+  recordFailedPiece(): boolean {
     this.failedPieces += 1;
-    if (this.failedPieces > this.job.pieceCount * MAX_FAILED_PIECES_FACTOR) {
-      return false;
-    }
-    this.putBackPiece(piece);
-    return true;
+    const most = this.job.pieceCount * MAX_FAILED_PIECES_FACTOR;
+    return this.failedPieces <= most;
+  }
+
+  /** Notes that an upstream has fetched the inputs of a piece. */
+  recordRead(piece: number): void {
+    this.read.add(piece);
+  }
+
+  /** Returns whether nobody will read the job's inputs any more. */
+  mayReleaseInputs(): boolean {
+    const {job, read, isSettled, areInputsReleased} = this;
+    if (isSettled || areInputsReleased || job.inputs.length === 0) return false;
+    return job.isOnlyReader === true && read.size === job.pieceCount;
+  }
+
+  /** Notes that the job's inputs are given back; its pieces cannot be made again. */
+  recordInputsReleased(): void {
+    this.areInputsReleased = true;
   }
 
   /** Notes a result; returns false where nobody waits for it any more. */
@@ -100,7 +122,8 @@
     const results = this.listResults();
     if (results.length === this.job.pieceCount) {
       this.isSettled = true;
-      this.settle({type: 'made', results});
+      const {areInputsReleased} = this;
+      this.settle({type: 'made', results, areInputsReleased});
     }
     return true;
   }
--- a/packages/stages/src/request-stages.ts
+++ b/packages/stages/src/request-stages.ts
@@ -2,7 +2,7 @@
 import {waitFor, type Clock} from '@hollowstack/clock';
 import {HollowstackError} from '@hollowstack/errors';
 import type {Route, StageCapacity} from '@hollowstack/routes';
-import type {StageFailure, StageResult} from '@hollowstack/types';
+import type {StageFailure, StageOutcome, StageResult} from '@hollowstack/types';
 import type {StageDispatcher} from './stage-dispatcher.ts';
 import {computeSlackMs, type StageProgress} from './stage-timing.ts';
 
@@ -231,10 +231,17 @@
     const inputs = sources.flat();
     await this.waitForLatestStart(index, signal);
     this.stageStartsMs[index] = this.clock.getNow();
-    const results = await this.runJob(index, pieceCount, inputs, signal);
+    const {results, areInputsReleased = false} = await this.runJob(
+      index,
+      pieceCount,
+      inputs,
+      signal,
+    );
     this.recordDone(index);
     this.unreleased.set(index, results);
-    for (const source of stage.after) this.recordRead(source);
+    for (const source of stage.after) {
+      this.recordRead(source, areInputsReleased);
+    }
     return results;
   }
 
@@ -243,7 +250,7 @@
     pieceCount: number,
     inputs: readonly StageResult[],
     signal: AbortSignal,
-  ): Promise<readonly StageResult[]> {
+  ): Promise<Extract<StageOutcome, {type: 'made'}>> {
     const {input} = this;
     const stage = input.route.stages[index];
     const passedMs = this.clock.getNow() - this.startedAtMs;
@@ -260,6 +267,9 @@
         pieceCount,
         key: stage.after.length === 0 ? input.key : undefined,
         inputs: inputs.map(({handle}) => handle),
+        isOnlyReader: stage.after.every(
+          source => this.listReaders(source).length === 1,
+        ),
         resultBytes: stage.resultBytes,
         dueInMs: input.dueInMs - passedMs - tailMs,
         // What cannot be read any more need not be made.
@@ -274,7 +284,7 @@
       },
       signal,
     );
-    if (outcome.type === 'made') return outcome.results;
+    if (outcome.type === 'made') return outcome;
     throw new StageError(
       outcome.failure,
       `stage ${index} (${stage.service}): ${outcome.message}`,
@@ -379,12 +389,12 @@
     );
   }
 
-  private recordRead(source: number): void {
+  private recordRead(source: number, isReleased: boolean): void {
     this.readersLeft[source] -= 1;
     if (this.readersLeft[source] > 0) return;
     const results = this.unreleased.get(source);
     this.unreleased.delete(source);
-    if (results) this.dispatcher.releaseResults(results);
+    if (results && !isReleased) this.dispatcher.releaseResults(results);
   }
 }
 
--- a/packages/stages/src/result-room.ts
+++ b/packages/stages/src/result-room.ts
@@ -46,6 +46,11 @@
     this.held.set(handle, result);
   }
 
+  /** Returns the upstream that holds a result, if it is known. */
+  findUpstreamOf(handle: string): string | undefined {
+    return this.held.get(handle)?.upstreamId;
+  }
+
   /** Notes that a result was released; returns it if it was held. */
   release(handle: string): HeldResult | undefined {
     const result = this.held.get(handle);
--- a/packages/stages/src/stage-back-off.test.ts
+++ b/packages/stages/src/stage-back-off.test.ts
@@ -91,6 +91,7 @@
     metrics: new MetricsRegistry(),
     caller,
     backOffs,
+    releasesRead: true,
   });
   const table = {configuration: {services: [SERVICE]}};
   coordinator.setConfiguration(table as unknown as RouteTable);
--- a/packages/stages/src/stage-coordinator.ts
+++ b/packages/stages/src/stage-coordinator.ts
@@ -9,11 +9,13 @@
 } from '@hollowstack/routes';
 import type {
   StageAdmissionRequest,
+  StageFailure,
   StageJob,
   StageOutcome,
   StageResult,
 } from '@hollowstack/types';
 import {SLOW_FACTOR, assembleBatches, type Batch} from './batch-plan.ts';
+import {InputReads} from './input-reads.ts';
 import {JobState, type TakenPiece} from './job-state.ts';
 import {ResultReleaser} from './result-releaser.ts';
 import {ServiceTimes, type CallShare} from './service-times.ts';
@@ -35,6 +37,8 @@
   readonly caller: Pick<StageCaller, 'runPieces' | 'releaseResults' | 'close'>;
   /** The upstreams that asked this instance for no work. */
   readonly backOffs: StageBackOffs;
+  /** Whether inputs are given back while the calls that have read them still work. */
+  readonly releasesRead: boolean;
 }
 
 /** Milliseconds between two plans while jobs wait that nothing else wakes. */
@@ -74,6 +78,7 @@
   private readonly jobs = new Map<string, JobState>();
   private readonly fleet: StageFleet;
   private readonly releaser: ResultReleaser;
+  private readonly inputReads: InputReads;
   private readonly admission: StageAdmission;
   private readonly times = new ServiceTimes();
   private timer: Timer | undefined;
@@ -99,6 +104,11 @@
         this.scheduleCalls();
       },
     });
+    this.inputReads = new InputReads({
+      clock: parts.clock,
+      fleet: this.fleet,
+      releaseResults: results => this.releaseResults(results),
+    });
   }
 
   /** Decides whether the stages of a request may begin. */
@@ -152,8 +162,7 @@
   cancelJob(jobId: string): void {
     const state = this.jobs.get(jobId);
     if (!state) return;
-    state.fail('cancelled', 'the request was given up');
-    this.releaseResults(state.listResults());
+    this.failJob(state, 'cancelled', 'the request was given up');
   }
 
   /** Gives results back to the upstreams that keep them. */
@@ -164,8 +173,7 @@
   /** Fails all jobs: after a pause their submitters have gone elsewhere. */
   failAllJobs(message: string): void {
     for (const state of [...this.jobs.values()]) {
-      state.fail('overloaded', message);
-      this.releaseResults(state.listResults());
+      this.failJob(state, 'overloaded', message);
     }
   }
 
@@ -205,8 +213,11 @@
   private failLateJobs(nowMs: number): void {
     for (const state of [...this.jobs.values()]) {
       if (state.deadlineAtMs > nowMs) continue;
-      state.fail('late', 'the deadline passed while the pieces waited');
-      this.releaseResults(state.listResults());
+      this.failJob(
+        state,
+        'late',
+        'the deadline passed while the pieces waited',
+      );
     }
   }
 
@@ -224,8 +235,7 @@
       );
       const workMs = capacity.callMs + pieceCount * pieceMs;
       if (beginAtMs + workMs <= dueAtMs) continue;
-      state.fail('failed', reason, retryAfterMs);
-      this.releaseResults(state.listResults());
+      this.failJob(state, 'failed', reason, retryAfterMs);
     }
   }
 
@@ -302,6 +312,7 @@
     for (const state of listStates(taken)) this.recordPhase(state);
     const shares = listShares(taken, capacity);
     const expectedMs = capacity.callMs + this.times.computeItemsMs(shares);
+    const reads = this.inputReads.beginCall(taken, expectedMs);
     upstream.beginCall();
     try {
       const answer = await this.parts.caller.runPieces(
@@ -311,7 +322,11 @@
           CALL_TIMEOUT_FACTOR *
           Math.max(1, upstream.getSlowness(nowMs)) +
           CALL_TIMEOUT_MARGIN_MS,
-        () => this.fleet.acquireSend(id),
+        () => {
+          if (!this.fleet.acquireSend(id)) return false;
+          if (this.parts.releasesRead) reads.recordSent();
+          return true;
+        },
       );
       this.handleAnswer(upstream, taken, answer, {
         startedAtMs: nowMs,
@@ -322,6 +337,7 @@
     } catch (error) {
       this.handleFailure(upstream, taken, error);
     } finally {
+      reads.end();
       upstream.endCall(this.parts.clock.getNow());
       // Some of them may wait again.
       for (const state of listStates(taken)) this.recordPhase(state);
@@ -428,15 +444,14 @@
     this.fleet.cancelReservation(id, job.resultBytes);
     const {failure} = outcome;
     if (failure === 'late' || failure === 'input-gone') {
-      state.fail(failure, `upstream ${id} answered ${failure}`);
-      this.releaseResults(state.listResults());
+      this.failJob(state, failure, `upstream ${id} answered ${failure}`);
       return;
     }
     if (failure === 'no-room') {
       // Somebody else's results lie there, of an instance that is gone maybe.
       const free = this.fleet.countFreeBytes(upstream);
       upstream.addUnknownBytes(free - job.resultBytes + 1, nowMs);
-      state.putBackPiece(piece.piece);
+      this.putBack(taken);
       return;
     }
     this.putBackOrFail(taken, `upstream ${id} answered ${failure}`);
@@ -471,15 +486,30 @@
     upstream: StageUpstream,
     taken: readonly TakenPiece[],
   ): void {
-    for (const {state, job, piece} of taken) {
-      this.fleet.cancelReservation(upstream.record.id, job.resultBytes);
-      state.putBackPiece(piece.piece);
+    for (const piece of taken) {
+      this.fleet.cancelReservation(upstream.record.id, piece.job.resultBytes);
+      this.putBack(piece);
     }
   }
 
-  private putBackOrFail({state, piece}: TakenPiece, message: string): void {
-    if (state.putBackFailedPiece(piece.piece)) return;
-    state.fail('failed', message);
+  private putBackOrFail(taken: TakenPiece, message: string): void {
+    if (taken.state.recordFailedPiece()) this.putBack(taken);
+    else this.failJob(taken.state, 'failed', message);
+  }
+
+  // The stages before it have to run again, and the sooner the better.
+  private putBack({state, piece}: TakenPiece): void {
+    if (state.putBackPiece(piece.piece)) return;
+    this.failJob(state, 'input-gone', 'a call ended after its inputs had gone');
+  }
+
+  private failJob(
+    state: JobState,
+    failure: StageFailure,
+    message: string,
+    retryAfterMs?: number,
+  ): void {
+    state.fail(failure, message, retryAfterMs);
     this.releaseResults(state.listResults());
   }
 }
--- a/packages/stages/src/stage-fleet.ts
+++ b/packages/stages/src/stage-fleet.ts
@@ -7,6 +7,7 @@
   type Shortage,
   type StageCapacity,
 } from '@hollowstack/routes';
+import type {StageResult} from '@hollowstack/types';
 import type {BackOffTable} from '@hollowstack/upstream-signals';
 import {ResultRoom, type HeldResult} from './result-room.ts';
 import type {ServiceTimes} from './service-times.ts';
@@ -29,6 +30,18 @@
   readonly times: Pick<ServiceTimes, 'getCallMs'>;
 }
 
+/** A result that a job reads, with the upstream that keeps it. */
+export interface HeldInput {
+  readonly upstreamId: string;
+  readonly result: StageResult;
+}
+
+/**
+ * Share of an upstream's result memory from which on it counts as short: a call that
+ * fills its batch no longer finds room beside what is kept.
+ */
+const SHORT_MEMORY_SHARE = 0.5;
+
 /** The upstreams of all stage services, and the result memory that is left at each. */
 export class StageFleet {
   private readonly clock: Clock;
@@ -186,6 +199,22 @@
     this.room.recordResult(handle, result);
   }
 
+  /** Finds a result by its handle, if a call of this instance made it. */
+  findHeldInput(handle: string): HeldInput | undefined {
+    const upstreamId = this.room.findUpstreamOf(handle);
+    const record = this.upstreams.get(upstreamId ?? '')?.record;
+    if (!record) return undefined;
+    const {id, address, failureDomain} = record;
+    return {upstreamId: id, result: {handle, address, failureDomain}};
+  }
+
+  /** Returns whether the result memory of an upstream is short. */
+  isShortOfMemory(upstreamId: string): boolean {
+    const record = this.upstreams.get(upstreamId)?.record;
+    const bytes = this.getCapacity(record?.service ?? '')?.resultBytes ?? 0;
+    return this.getUsedBytes(upstreamId) >= bytes * SHORT_MEMORY_SHARE;
+  }
+
   /** Notes that results were released, and how long they were held. */
   recordReleased(handles: readonly string[]): void {
     const nowMs = this.clock.getNow();
--- a/packages/types/src/stage-job.ts
+++ b/packages/types/src/stage-job.ts
@@ -15,6 +15,8 @@
   key: z.string().optional(),
   /** Handles of all results of the stages that this one reads. */
   inputs: z.array(z.string()),
+  /** Whether no other stage reads them; absent means that this is not known. */
+  isOnlyReader: z.boolean().optional(),
   /** Approximate size of one result in bytes. */
   resultBytes: z.number().nonnegative(),
   /** Milliseconds until the request's objective; below zero once it is missed. */
@@ -54,7 +56,12 @@
 
 /** What became of a job; results are in the order of its pieces. */
 export const stageOutcomeSchema = z.discriminatedUnion('type', [
-  z.object({type: z.literal('made'), results: z.array(stageResultSchema)}),
+  z.object({
+    type: z.literal('made'),
+    results: z.array(stageResultSchema),
+    /** Whether the job's inputs are given back already; absent means no. */
+    areInputsReleased: z.boolean().optional(),
+  }),
   z.object({
     type: z.literal('failed'),
     failure: z.enum(STAGE_FAILURES),
