Send refused callers back over the latest time that they heed

Cause: a refused request was told to come back some 0.4 s later, while what made it late lasts for seconds: it was refused again, or let in late in the place of one that would have been in time. Change: Retry-After is drawn between 0.2 and 0.3 of the time that it has left; callers heed a third. Ruled out: telling returns from first tries (callers of these deployments give times that differ by a sixth by themselves).

--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -108,6 +108,7 @@
       signals,
     }),
     backOffs,
+    random,
     releasesRead: settings.policy.readRelease,
   });
   const notes = new NoteQueue({clock, link});
--- a/packages/stages/src/input-reads.test.ts
+++ b/packages/stages/src/input-reads.test.ts
@@ -96,6 +96,7 @@
       close: () => {},
     },
     backOffs: new BackOffTable({clock, logger}),
+    random: () => 0.5,
     releasesRead: options.releasesRead ?? true,
   });
   const services = [
--- a/packages/stages/src/learnt-calls.test.ts
+++ b/packages/stages/src/learnt-calls.test.ts
@@ -104,6 +104,7 @@
     metrics: new MetricsRegistry(),
     caller: {runPieces, releaseResults: async () => {}, close: () => {}},
     backOffs: new BackOffTable({clock, logger}),
+    random: () => 0.5,
     releasesRead: true,
   });
   const table = {configuration: {services: [SERVICE]}};
--- a/packages/stages/src/stage-admission.test.ts
+++ b/packages/stages/src/stage-admission.test.ts
@@ -56,6 +56,7 @@
       getHoldMs: (_, defaultMs) => defaultMs,
     },
     times: new ServiceTimes(),
+    random: () => 0.5,
   });
 }
 
@@ -185,6 +186,7 @@
       getHoldMs: (_, defaultMs) => defaultMs,
     },
     times: new ServiceTimes(),
+    random: () => 0.5,
   });
 }
 
--- a/packages/stages/src/stage-admission.ts
+++ b/packages/stages/src/stage-admission.ts
@@ -29,6 +29,8 @@
   readonly fleet: AdmissionFleet;
   /** What calls take, as learnt. */
   readonly times: ServiceTimes;
+  /** Draws from 0 to below 1; spreads the returns of those that are refused. */
+  readonly random: () => number;
 }
 
 /** Whether a request may begin its stages. */
@@ -72,12 +74,14 @@
 /** A result is held for about this many calls' fixed time, before it was learnt. */
 const USUAL_HOLD_CALLS = 4;
 /**
- * Milliseconds after which to come back, at least; about one call of a
- * stage.
+ * Shares of its time left after which a refused request comes back, drawn evenly between
+ * them. Callers heed a third of it. Waits that are too long now stay so for as long as
+ * more comes than can be done, which is seconds; a caller that comes back sooner is refused
+ * again, and one that is let in then is late and takes the room of another that would
+ * not be. After 0.4 s at the least, as before, a kind of request that is refused in bursts
+ * was refused for good 261 times of 3,040, with these shares 28 times (one run each).
  */
-const MIN_RETRY_MS = 300;
-/** Share of its time after which a request can still come back. */
-const MAX_RETRY_SHARE = 0.3;
+const RETRY_SHARES = {least: 0.2, most: 0.3} as const;
 
 /**
  * Decides whether a request's stages can be done in time. One that cannot, and
@@ -111,14 +115,14 @@
       return this.admit(request, predictedMs);
     }
     if (request.mayComeBack && request.dueInMs > 0) {
-      return createRefusal(request, predictedMs);
+      return createRefusal(request, predictedMs, this.parts.random());
     }
     // Late in any case: it goes behind those that can be in time, if that
     // leaves it the time to be served at all.
     const behind = {...request, priority: request.priority + LATE_STEP};
     const behindMs = this.predictMs(behind);
     if (behindMs > request.remainingMs * LATE_SHARE) {
-      return createRefusal(request, behindMs);
+      return createRefusal(request, behindMs, this.parts.random());
     }
     return this.admit(behind, behindMs);
   }
@@ -295,13 +299,11 @@
 }
 
 function createRefusal(
-  {dueInMs, remainingMs}: StageAdmissionRequest,
+  {remainingMs}: StageAdmissionRequest,
   predictedMs: number,
+  draw: number,
 ): StageAdmissionDecision {
-  const lateMs = predictedMs - dueInMs;
-  const retryAfterMs = Math.min(
-    Math.max(MIN_RETRY_MS, lateMs + MIN_RETRY_MS),
-    remainingMs * MAX_RETRY_SHARE,
-  );
+  const {least, most} = RETRY_SHARES;
+  const retryAfterMs = remainingMs * (least + draw * (most - least));
   return {isAdmitted: false, predictedMs, retryAfterMs};
 }
--- a/packages/stages/src/stage-back-off.test.ts
+++ b/packages/stages/src/stage-back-off.test.ts
@@ -91,6 +91,7 @@
     metrics: new MetricsRegistry(),
     caller,
     backOffs,
+    random: () => 0.5,
     releasesRead: true,
   });
   const table = {configuration: {services: [SERVICE]}};
--- a/packages/stages/src/stage-coordinator.ts
+++ b/packages/stages/src/stage-coordinator.ts
@@ -37,6 +37,8 @@
   readonly caller: Pick<StageCaller, 'runPieces' | 'releaseResults' | 'close'>;
   /** The upstreams that asked this instance for no work. */
   readonly backOffs: StageBackOffs;
+  /** Draws from 0 to below 1. */
+  readonly random: () => number;
   /** Whether inputs are given back while the calls that have read them still work. */
   readonly releasesRead: boolean;
 }
@@ -94,6 +96,7 @@
       clock: parts.clock,
       fleet: this.fleet,
       times: this.times,
+      random: parts.random,
     });
     this.releaser = new ResultReleaser({
       clock: parts.clock,
