Split the stage coordinator into its jobs, its calls and its planning

Change: JobTable keeps the jobs that are not settled and ends those that cannot be, BatchRunner makes the calls of a plan and settles what they bring, StageCoordinator plans. Code moved, no decision changed. Ruled out: a fault of the tests by the split, npm test whole on it.

--- /dev/null
+++ b/packages/stages/src/batch-runner.ts
@@ -0,0 +1,290 @@
+import type {Clock} from '@hollowstack/clock';
+import type {EventLogger} from '@hollowstack/logger';
+import type {MetricsRegistry} from '@hollowstack/metrics';
+import type {StageCapacity} from '@hollowstack/routes';
+import type {StageResult} from '@hollowstack/types';
+import type {Batch} from './batch-plan.ts';
+import type {InputReads} from './input-reads.ts';
+import {
+  listShares,
+  listStates,
+  type JobState,
+  type TakenPiece,
+} from './job-state.ts';
+import type {JobTable} from './job-table.ts';
+import type {ServiceTimes} from './service-times.ts';
+import {logAnsweredCall} from './stage-call-log.ts';
+import {StageCallError, type StageCaller} from './stage-caller.ts';
+import type {StageFleet} from './stage-fleet.ts';
+import type {PieceOutcome, RunAnswer} from './stage-protocol.ts';
+import type {StageUpstream} from './stage-upstreams.ts';
+
+/** Dependencies of BatchRunner. */
+export interface BatchRunnerParts {
+  readonly clock: Clock;
+  readonly logger: EventLogger;
+  readonly metrics: MetricsRegistry;
+  readonly caller: Pick<StageCaller, 'runPieces'>;
+  readonly jobs: JobTable;
+  readonly fleet: StageFleet;
+  /** Learns what calls take. */
+  readonly times: ServiceTimes;
+  readonly inputReads: InputReads;
+  /** Whether inputs are given back while the calls that have read them still work. */
+  readonly releasesRead: boolean;
+  /** Gives results back to the upstreams that keep them. */
+  readonly releaseResults: (results: readonly StageResult[]) => void;
+  /** Called when pieces of a job were taken, or wait again. */
+  readonly handlePhase: (state: JobState) => void;
+  /** Called when a call is over. */
+  readonly handleEnd: () => void;
+}
+
+/** How a batch is to be run. */
+export interface BatchRun {
+  readonly capacity: StageCapacity;
+  readonly nowMs: number;
+  /** Whether a call's items or more wait that no upstream was free for. */
+  readonly isLoaded: boolean;
+}
+
+/** A call that is answered. */
+interface RunningCall {
+  readonly startedAtMs: number;
+  readonly expectedMs: number;
+  readonly capacity: StageCapacity;
+  readonly isLoaded: boolean;
+}
+
+/** Milliseconds for which an upstream that was full is left alone. */
+const FULL_PAUSE_MS = 60;
+/**
+ * A call is given up after this many times what it should take; upstreams at
+ * a quarter of their speed are slow, not gone.
+ */
+const CALL_TIMEOUT_FACTOR = 3;
+/** Milliseconds beside that, for connections and lost packets. */
+const CALL_TIMEOUT_MARGIN_MS = 400;
+
+/** Makes the calls of planned batches, and settles the jobs by what they bring. */
+export class BatchRunner {
+  private readonly parts: BatchRunnerParts;
+
+  constructor(parts: BatchRunnerParts) {
+    this.parts = parts;
+  }
+
+  /** Makes the call of a batch and settles what it brought; never rejects. */
+  async runBatch(
+    batch: Batch,
+    {capacity, nowMs, isLoaded}: BatchRun,
+  ): Promise<void> {
+    const upstream = this.parts.fleet.findUpstream(batch.upstreamId)!;
+    const taken = batch.parts.flatMap(part =>
+      this.parts.jobs.find(part.jobId)!.takePieces(part.pieceCount, nowMs),
+    );
+    const {id} = upstream.record;
+    for (const {job} of taken)
+      this.parts.fleet.reserveBytes(id, job.resultBytes);
+    for (const state of listStates(taken)) this.parts.handlePhase(state);
+    const shares = listShares(taken, capacity);
+    const expectedMs =
+      capacity.callMs + this.parts.times.computeItemsMs(shares);
+    const reads = this.parts.inputReads.beginCall(taken, expectedMs);
+    upstream.beginCall();
+    try {
+      const answer = await this.parts.caller.runPieces(
+        upstream.record,
+        taken.map(({piece}) => piece),
+        expectedMs *
+          CALL_TIMEOUT_FACTOR *
+          Math.max(1, upstream.getSlowness(nowMs)) +
+          CALL_TIMEOUT_MARGIN_MS,
+        () => {
+          if (!this.parts.fleet.acquireSend(id)) return false;
+          if (this.parts.releasesRead) reads.recordSent();
+          return true;
+        },
+      );
+      this.handleAnswer(upstream, taken, answer, {
+        startedAtMs: nowMs,
+        expectedMs,
+        capacity,
+        isLoaded,
+      });
+    } catch (error) {
+      this.handleFailure(upstream, taken, error);
+    } finally {
+      reads.end();
+      upstream.endCall(this.parts.clock.getNow());
+      // Some of them may wait again.
+      for (const state of listStates(taken)) this.parts.handlePhase(state);
+      this.parts.handleEnd();
+    }
+  }
+
+  private handleAnswer(
+    upstream: StageUpstream,
+    taken: readonly TakenPiece[],
+    answer: RunAnswer,
+    call: RunningCall,
+  ): void {
+    const nowMs = this.parts.clock.getNow();
+    if (answer.type === 'unreadable') {
+      throw new StageCallError(answer.message, false);
+    }
+    if (answer.type === 'not-run') {
+      upstream.pausedUntilMs = nowMs + FULL_PAUSE_MS;
+      if (answer.isOtherUpstream) upstream.recordFailure(nowMs, 'refused');
+      this.putBackPieces(upstream, taken);
+      return;
+    }
+    const tookMs = nowMs - call.startedAtMs;
+    upstream.recordSuccess(nowMs, tookMs / call.expectedMs);
+    this.recordTimes(upstream, taken, answer, call);
+    const {id, service} = upstream.record;
+    const {outcomes} = answer;
+    logAnsweredCall(
+      {
+        service,
+        upstreamId: id,
+        taken,
+        outcomes,
+        tookMs,
+        expectedMs: call.expectedMs,
+        usedBytes: this.parts.fleet.getUsedBytes(id),
+        waitingJobs: this.parts.jobs.size,
+      },
+      this.parts.logger,
+      this.parts.metrics,
+    );
+    taken.forEach((piece, index) =>
+      this.settlePiece(upstream, piece, outcomes[index], call),
+    );
+  }
+
+  // Calls that lacked room or inputs end early, and say nothing of the work. How slow one
+  // upstream is counts against the others': if all of them count as slow or fast, it is
+  // the expectation that is wrong.
+  private recordTimes(
+    upstream: StageUpstream,
+    taken: readonly TakenPiece[],
+    answer: RunAnswer,
+    {capacity, startedAtMs, expectedMs, isLoaded}: RunningCall,
+  ): void {
+    const {service} = upstream.record;
+    const nowMs = this.parts.clock.getNow();
+    const isWhole =
+      answer.type === 'outcomes' &&
+      answer.outcomes.every(({type}) => type === 'made');
+    if (!isWhole) return;
+    const usualSlowness = this.parts.fleet.getUsualSlowness(service);
+    const slowness = upstream.getSlowness(nowMs) / usualSlowness;
+    this.parts.times.recordCall({
+      service,
+      batchSize: capacity.batchSize,
+      shares: listShares(taken, capacity),
+      expectedMs,
+      tookMs: (nowMs - startedAtMs) / slowness,
+    });
+    if (!isLoaded) return;
+    this.parts.times.recordFill(service, taken.length / capacity.batchSize);
+  }
+
+  private settlePiece(
+    upstream: StageUpstream,
+    taken: TakenPiece,
+    outcome: PieceOutcome,
+    {capacity, startedAtMs}: {capacity: StageCapacity; startedAtMs: number},
+  ): void {
+    const nowMs = this.parts.clock.getNow();
+    const {id, failureDomain} = upstream.record;
+    const {state, job, piece} = taken;
+    if (outcome.type === 'made') {
+      const {handle, address} = outcome;
+      const result: StageResult = {handle, address, failureDomain};
+      this.parts.fleet.recordResult(handle, {
+        upstreamId: id,
+        service: job.service,
+        bytes: job.resultBytes,
+        sinceMs: startedAtMs,
+        untilMs: nowMs + capacity.resultTtlMs,
+      });
+      if (!state.recordResult(piece.piece, result)) {
+        this.parts.releaseResults([result]);
+      }
+      return;
+    }
+    this.parts.fleet.cancelReservation(id, job.resultBytes);
+    const {failure} = outcome;
+    if (failure === 'late' || failure === 'input-gone') {
+      this.parts.jobs.fail(
+        state,
+        failure,
+        `upstream ${id} answered ${failure}`,
+      );
+      return;
+    }
+    if (failure === 'no-room') {
+      // Somebody else's results lie there, of an instance that is gone maybe.
+      const free = this.parts.fleet.countFreeBytes(upstream);
+      upstream.addUnknownBytes(free - job.resultBytes + 1, nowMs);
+      this.putBack(taken);
+      return;
+    }
+    this.putBackOrFail(taken, `upstream ${id} answered ${failure}`);
+  }
+
+  private handleFailure(
+    upstream: StageUpstream,
+    taken: readonly TakenPiece[],
+    error: unknown,
+  ): void {
+    const {id, service, address} = upstream.record;
+    const nowMs = this.parts.clock.getNow();
+    const isUnreachable =
+      error instanceof StageCallError && error.isUnreachable;
+    upstream.recordFailure(nowMs, isUnreachable ? 'refused' : 'broken');
+    const reason = error instanceof Error ? error.message : String(error);
+    this.parts.logger.logEvent('stage.call-failed', {
+      service,
+      upstream: id,
+      address,
+      pieces: taken.length,
+      requests: [...new Set(taken.map(({job}) => job.requestId))].join(','),
+      reason,
+    });
+    for (const piece of taken) {
+      this.parts.fleet.cancelReservation(id, piece.job.resultBytes);
+      this.putBackOrFail(piece, `call to upstream ${id} failed: ${reason}`);
+    }
+  }
+
+  private putBackPieces(
+    upstream: StageUpstream,
+    taken: readonly TakenPiece[],
+  ): void {
+    for (const piece of taken) {
+      this.parts.fleet.cancelReservation(
+        upstream.record.id,
+        piece.job.resultBytes,
+      );
+      this.putBack(piece);
+    }
+  }
+
+  private putBackOrFail(taken: TakenPiece, message: string): void {
+    if (taken.state.recordFailedPiece()) this.putBack(taken);
+    else this.parts.jobs.fail(taken.state, 'failed', message);
+  }
+
+  // The stages before it have to run again, and the sooner the better.
+  private putBack({state, piece}: TakenPiece): void {
+    if (state.putBackPiece(piece.piece)) return;
+    this.parts.jobs.fail(
+      state,
+      'input-gone',
+      'a call ended after its inputs had gone',
+    );
+  }
+}
--- a/packages/stages/src/job-state.ts
+++ b/packages/stages/src/job-state.ts
@@ -4,7 +4,9 @@
   StageOutcome,
   StageResult,
 } from '@hollowstack/types';
+import type {StageCapacity} from '@hollowstack/routes';
 import type {WaitingJob} from './batch-plan.ts';
+import type {CallShare} from './service-times.ts';
 import type {StagePiece} from './stage-protocol.ts';
 
 /** A piece that is on its way to an upstream. */
@@ -141,3 +143,26 @@
     this.settle({type: 'failed', failure, message, retryAfterMs});
   }
 }
+
+/** Lists the jobs that items of a call belong to. */
+export function listStates(
+  taken: readonly TakenPiece[],
+): ReadonlySet<JobState> {
+  return new Set(taken.map(({state}) => state));
+}
+
+/** Counts the pieces of a call by the stages that they belong to. */
+export function listShares(
+  taken: readonly TakenPiece[],
+  {pieceMs}: StageCapacity,
+): CallShare[] {
+  const counts = new Map<string, number>();
+  for (const {job} of taken) {
+    counts.set(job.stageKey, (counts.get(job.stageKey) ?? 0) + 1);
+  }
+  return [...counts].map(([stageKey, itemCount]) => ({
+    stageKey,
+    itemCount,
+    configuredMs: pieceMs,
+  }));
+}
--- /dev/null
+++ b/packages/stages/src/job-table.ts
@@ -0,0 +1,129 @@
+import type {StageCapacity, Shortage} from '@hollowstack/routes';
+import type {
+  StageFailure,
+  StageJob,
+  StageOutcome,
+  StageResult,
+} from '@hollowstack/types';
+import type {WaitingJob} from './batch-plan.ts';
+import {JobState} from './job-state.ts';
+import type {ServiceTimes} from './service-times.ts';
+
+/** Dependencies of JobTable. */
+export interface JobTableParts {
+  readonly getNow: () => number;
+  /** What items take, as learnt. */
+  readonly times: Pick<ServiceTimes, 'getItemMs'>;
+  /** Gives results back to the upstreams that keep them. */
+  readonly releaseResults: (results: readonly StageResult[]) => void;
+}
+
+/** The jobs that are not settled yet. */
+export class JobTable {
+  private readonly parts: JobTableParts;
+  private readonly jobs = new Map<string, JobState>();
+
+  constructor(parts: JobTableParts) {
+    this.parts = parts;
+  }
+
+  get size(): number {
+    return this.jobs.size;
+  }
+
+  /**
+   * Adds a job.
+   *
+   * @param settle Called once with what became of it.
+   */
+  add(job: StageJob, settle: (outcome: StageOutcome) => void): JobState {
+    const state = new JobState(job, this.parts.getNow(), outcome => {
+      this.jobs.delete(job.jobId);
+      settle(outcome);
+    });
+    this.jobs.set(job.jobId, state);
+    return state;
+  }
+
+  find(jobId: string): JobState | undefined {
+    return this.jobs.get(jobId);
+  }
+
+  /** Ends a job without results; what was made for it is given back. */
+  fail(
+    state: JobState,
+    failure: StageFailure,
+    message: string,
+    retryAfterMs?: number,
+  ): void {
+    state.fail(failure, message, retryAfterMs);
+    this.parts.releaseResults(state.listResults());
+  }
+
+  /** Ends all jobs without results. */
+  failAll(message: string): void {
+    for (const state of [...this.jobs.values()]) {
+      this.fail(state, 'overloaded', message);
+    }
+  }
+
+  /** Ends the jobs whose deadline has passed. */
+  failOverdue(): void {
+    const nowMs = this.parts.getNow();
+    const message = 'the deadline passed while the pieces waited';
+    for (const state of [...this.jobs.values()]) {
+      if (state.deadlineAtMs <= nowMs) this.fail(state, 'late', message);
+    }
+  }
+
+  /** Ends the jobs that no upstream of their service will take in time. */
+  failShort(
+    service: string,
+    {reason, waitMs = Infinity, retryAfterMs}: Shortage,
+    capacity: StageCapacity,
+  ): void {
+    const beginAtMs = this.parts.getNow() + waitMs;
+    for (const state of this.listWaitingStates(service)) {
+      const {pieceCount, dueAtMs, pieceMs} = this.toWaiting(state, capacity);
+      const workMs = capacity.callMs + pieceCount * pieceMs;
+      if (beginAtMs + workMs <= dueAtMs) continue;
+      this.fail(state, 'failed', reason, retryAfterMs);
+    }
+  }
+
+  /** Lists the services that have jobs waiting. */
+  listServices(): ReadonlySet<string> {
+    const services = new Set<string>();
+    for (const state of this.jobs.values()) {
+      if (state.waitingCount > 0) services.add(state.job.service);
+    }
+    return services;
+  }
+
+  /** Lists the jobs of a service that wait for calls. */
+  listWaiting(service: string, capacity: StageCapacity): WaitingJob[] {
+    return this.listWaitingStates(service).map(state =>
+      this.toWaiting(state, capacity),
+    );
+  }
+
+  /** Counts the pieces of a service that wait for calls. */
+  countWaitingPieces(service: string): number {
+    return this.listWaitingStates(service).reduce(
+      (sum, {waitingCount}) => sum + waitingCount,
+      0,
+    );
+  }
+
+  private listWaitingStates(service: string): JobState[] {
+    return [...this.jobs.values()].filter(
+      ({job, waitingCount}) => job.service === service && waitingCount > 0,
+    );
+  }
+
+  private toWaiting(state: JobState, capacity: StageCapacity): WaitingJob {
+    const {stageKey} = state.job;
+    const pieceMs = this.parts.times.getItemMs(stageKey, capacity.pieceMs);
+    return state.toWaitingJob(pieceMs);
+  }
+}
