--- a/packages/cli/src/commands/gateway/index.ts
+++ b/packages/cli/src/commands/gateway/index.ts
@@ -9,6 +9,7 @@
   DEFAULT_LOG_BOUND,
   TslogEventLogger,
 } from '@hollowstack/logger';
+import {MetricsRegistry} from '@hollowstack/metrics';
 import {TcpPeerNetwork} from '@hollowstack/peers';
 import {
   PlatformEngines,
@@ -78,12 +79,14 @@
       DEFAULT_LOG_BOUND,
       () => process.stdout.writableLength,
     );
+    const metrics = new MetricsRegistry();
     const gateway = createGateway(settings, {
       clock,
       logger,
+      metrics,
       random: Math.random,
       peerNetwork: new TcpPeerNetwork(),
-      store: new PlatformStore(client, clock, logger, store),
+      store: new PlatformStore({client, clock, logger, metrics}, store),
       requestProtocol: new PlatformRequests(),
       stageProtocol: new PlatformStages(),
       engineProtocol: new PlatformEngines(),
--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -2,7 +2,7 @@
 import {EngineDirectory} from '@hollowstack/assignment';
 import type {Clock} from '@hollowstack/clock';
 import type {EventLogger} from '@hollowstack/logger';
-import {MetricsRegistry} from '@hollowstack/metrics';
+import type {MetricsRegistry} from '@hollowstack/metrics';
 import {
   KeyRing,
   NoteQueue,
@@ -45,6 +45,7 @@
 export interface GatewayEnvironment {
   readonly clock: Clock;
   readonly logger: EventLogger;
+  readonly metrics: MetricsRegistry;
   /** Returns numbers from 0 to below 1. */
   readonly random: () => number;
   readonly peerNetwork: PeerNetwork;
@@ -63,11 +64,10 @@
   settings: GatewaySettings,
   environment: GatewayEnvironment,
 ): Gateway {
-  const {clock, logger, random} = environment;
+  const {clock, logger, metrics, random} = environment;
   const protocol = environment.requestProtocol;
   const {id, failureDomain} = settings.instance;
   const getNow = () => clock.getNow();
-  const metrics = new MetricsRegistry();
   const lifecycle = new GatewayLifecycle();
   const holder = new RouteHolder(protocol, logger);
   const evacuated = new EvacuatedDomains({protocol, logger, clock});
