Part a request's attempts from its stages

Change: AttemptRunner chooses an upstream, sends, judges the outcome and sends again where that may help; RequestRunner keeps admission and stages, and is told that the stages have to run again. Code moved and wired in create-gateway, no decision changed.

--- /dev/null
+++ b/packages/gateway/src/attempt-runner.ts
@@ -0,0 +1,289 @@
+import type {Clock} from '@hollowstack/clock';
+import {HollowstackError} from '@hollowstack/errors';
+import type {EventLogger} from '@hollowstack/logger';
+import {isRepeatable} from '@hollowstack/routes';
+import type {PromptPart} from '@hollowstack/types';
+import type {UpstreamSignals} from '@hollowstack/upstream-signals';
+import {Attempt, type AttemptInputs, type AttemptOutcome} from './attempt.ts';
+import type {PolicySettings} from './gateway-settings.ts';
+import type {RequestProtocol} from './request-protocol.ts';
+import type {RoutedRequest} from './routed-request.ts';
+import type {UpstreamChooser} from './upstream-chooser.ts';
+import type {UpstreamPool} from './upstream-pool.ts';
+import type {UpstreamRegistry} from './upstream-registry.ts';
+import type {WindowRetryBudget} from './window-retry-budget.ts';
+
+/** Dependencies of AttemptRunner. */
+export interface AttemptRunnerParts {
+  readonly clock: Clock;
+  readonly logger: EventLogger;
+  readonly protocol: RequestProtocol;
+  readonly pool: UpstreamPool;
+  readonly registry: Pick<UpstreamRegistry, 'getState'>;
+  readonly signals: Pick<UpstreamSignals, 'recordAnswer'>;
+  readonly chooser: UpstreamChooser;
+  readonly retryBudget: WindowRetryBudget;
+  readonly policy: PolicySettings;
+}
+
+/** Connections that may fail to stand before a request is refused. */
+const MAX_UNSENT = 8;
+/**
+ * Milliseconds after which to come back where no upstream is left; about one
+ * trial of an upstream that was out. A guess.
+ */
+const RETRY_AFTER_MS = 300;
+/** Milliseconds without an event after which the engine of a stream counts as silent. */
+const STREAM_SILENCE_MS = 1500;
+/**
+ * Milliseconds of silence that no plain upstream is blamed for; several
+ * times the usual work. A guess.
+ */
+const MIN_SILENCE_MS = 100;
+/** Times of what is usual, and share of the objective, for a plain answer. */
+const SILENCE_FACTOR = 2.5;
+/**
+ * Share of the objective after which a silent plain upstream is given up;
+ * what is left suffices for another one.
+ */
+const SILENCE_SHARE = 0.6;
+
+/** What the attempts of a request need beside the request. */
+export interface AttemptNeeds {
+  /** Parts of the prompt, the shared ones first. */
+  readonly parts: readonly PromptPart[];
+  /** Bytes of the inputs by the failure domain in which they lie. */
+  readonly inputBytes: ReadonlyMap<string, number>;
+  /** Stage results that the upstream reads; undefined for a request without stages. */
+  readonly inputs: ReleasableInputs | undefined;
+  /** Upstreams that have failed the request. */
+  readonly excluded: Set<string>;
+  /** Called with the milliseconds from a send to the first event. */
+  readonly handleFirst?: (firstMs: number) => void;
+}
+
+/** Inputs of an attempt that know whether they were released. */
+export class ReleasableInputs implements AttemptInputs {
+  readonly header: string;
+  isReleased = false;
+  private readonly releaseResults: () => void;
+
+  constructor(header: string, releaseResults: () => void) {
+    this.header = header;
+    this.releaseResults = releaseResults;
+  }
+
+  release(): void {
+    if (this.isReleased) return;
+    this.isReleased = true;
+    this.releaseResults();
+  }
+}
+
+/** Sends a request to upstreams, one after the other, for as long as another attempt may help. */
+export class AttemptRunner {
+  private readonly parts: AttemptRunnerParts;
+
+  constructor(parts: AttemptRunnerParts) {
+    this.parts = parts;
+  }
+
+  /**
+   * Makes attempts until one is answered or none is left.
+   *
+   * @throws InputsLostError where the stages have to run again, HollowstackError where the
+   * request ends without an answer.
+   */
+  async run(request: RoutedRequest, needs: AttemptNeeds): Promise<void> {
+    const {retryBudget, chooser} = this.parts;
+    const {parts, inputBytes, inputs, excluded} = needs;
+    let unsentCount = 0;
+    for (;;) {
+      request.signal.throwIfAborted();
+      const upstream =
+        this.findOnlyUpstream(request) ??
+        (await chooser.choose(request, {
+          parts,
+          inputBytes,
+          excluded,
+          isFinal: true,
+        }));
+      request.signal.throwIfAborted();
+      if (!upstream) throw this.createNoneLeft(request);
+      const outcome = await this.attemptOnce(request, upstream.id, needs);
+      if (outcome.type === 'answered') return;
+      this.logFailure(request, upstream.id, outcome);
+      request.signal.throwIfAborted();
+      if (outcome.type === 'not-run' && outcome.isInputGone) {
+        if (retryBudget.acquireRetry(request.facts.service)) {
+          throw new InputsLostError(outcome.reason, request);
+        }
+        throw createUnavailable(request, outcome.reason);
+      }
+      excluded.add(upstream.id);
+      if (isUnsent(outcome)) {
+        unsentCount += 1;
+        if (unsentCount < MAX_UNSENT) continue;
+      } else if (this.mayRetry(request, outcome)) {
+        if (!inputs?.isReleased) continue;
+        throw new InputsLostError(outcome.reason, request);
+      }
+      if (outcome.type === 'failed' && outcome.passOn) {
+        outcome.passOn();
+        return;
+      }
+      const shortage = this.parts.pool.findShortage(request.facts.service);
+      throw createUnavailable(request, outcome.reason, shortage?.retryAfterMs);
+    }
+  }
+
+  private createNoneLeft(request: RoutedRequest): HollowstackError {
+    const shortage = this.parts.pool.findShortage(request.facts.service);
+    return createUnavailable(
+      request,
+      shortage?.reason ?? 'no upstream left',
+      shortage?.retryAfterMs,
+    );
+  }
+
+  // A request that may go to no further upstream goes to the same one again,
+  // once its lost inputs are made.
+  private findOnlyUpstream(request: RoutedRequest): {id: string} | undefined {
+    const {pool} = this.parts;
+    const {route} = request.facts;
+    if (request.sentTo.length < route.maxAttempts) return undefined;
+    const upstream = pool.getRecord(request.sentTo[0]);
+    if (!upstream || pool.maySend(upstream.id)) return upstream;
+    const waitMs = pool.getWaitMs(upstream.id);
+    throw createUnavailable(
+      request,
+      waitMs > 0
+        ? 'the only upstream that may still get it wants no work'
+        : 'the only upstream that may still get it is leaving',
+      waitMs || undefined,
+    );
+  }
+
+  private async attemptOnce(
+    request: RoutedRequest,
+    upstreamId: string,
+    {inputs, handleFirst}: AttemptNeeds,
+  ): Promise<AttemptOutcome> {
+    const {clock, protocol, pool, registry, signals, chooser, policy} =
+      this.parts;
+    const upstream = pool.getRecord(upstreamId);
+    request.registryState = registry.getState();
+    if (!upstream || !pool.maySend(upstreamId)) {
+      const reason = 'the upstream is gone or wants no work';
+      return {type: 'unsent', reason, isWithdrawn: true};
+    }
+    const attempt = new Attempt({
+      clock,
+      protocol,
+      request,
+      upstream,
+      signals,
+      acquireSend: () => pool.acquireSend(upstreamId),
+      inputs,
+      releasesAtFirst: policy.earlyRelease || !request.facts.route.isResumable,
+      handleFirst: firstMs => {
+        request.recordFirst(clock.getNow());
+        chooser.recordFirst(request, upstreamId, firstMs);
+        handleFirst?.(firstMs);
+      },
+      silence: {
+        limitMs: this.computeSilenceMs(request),
+        handleSilence: () => this.handleSilence(request, upstreamId),
+      },
+    });
+    pool.beginRequest(upstreamId);
+    try {
+      const outcome = await attempt.run();
+      chooser.recordOutcome(request, upstreamId, outcome);
+      return outcome;
+    } finally {
+      pool.endRequest(upstreamId);
+    }
+  }
+
+  private computeSilenceMs(request: RoutedRequest): number {
+    const {route, service} = request.facts;
+    if (route.repeatability === 'stream') return STREAM_SILENCE_MS;
+    const usualMs = this.parts.pool.getMeanMs(service) ?? 0;
+    return Math.max(
+      MIN_SILENCE_MS,
+      SILENCE_FACTOR * usualMs,
+      SILENCE_SHARE * route.objectiveMs,
+    );
+  }
+
+  private handleSilence(request: RoutedRequest, upstreamId: string): boolean {
+    const {chooser, pool, retryBudget} = this.parts;
+    const {route, service} = request.facts;
+    chooser.recordSilence(request, upstreamId);
+    const hasAttempt = request.sentTo.length < route.maxAttempts;
+    if (!hasAttempt || !isRepeatable(route)) return false;
+    const others = pool.listCandidates(service, new Set(request.sentTo));
+    return others.length > 0 && retryBudget.hasRetry(service);
+  }
+
+  private mayRetry(
+    request: RoutedRequest,
+    outcome: Exclude<AttemptOutcome, {type: 'answered'}>,
+  ): boolean {
+    const {route, service} = request.facts;
+    if (request.sentTo.length >= route.maxAttempts) return false;
+    if (outcome.type === 'failed') {
+      if (!isRepeatable(route) || outcome.isOwnEnd) return false;
+      if (request.outgoing.headersSent && !route.isResumable) return false;
+    }
+    return this.parts.retryBudget.acquireRetry(service);
+  }
+
+  private logFailure(
+    request: RoutedRequest,
+    upstreamId: string,
+    outcome: Exclude<AttemptOutcome, {type: 'answered'}>,
+  ): void {
+    const {requestId, service} = request.facts;
+    this.parts.logger.logEvent('attempt.failed', {
+      requestId,
+      service,
+      upstream: upstreamId,
+      attempt: request.sentTo.length,
+      outcome: outcome.type,
+      reason: outcome.reason,
+    });
+  }
+}
+
+/** The next attempt needs stage results that are gone, and may be made. */
+export class InputsLostError extends HollowstackError {
+  constructor(reason: string, request: RoutedRequest) {
+    super('upstream-unavailable', reason, {
+      ran: request.getRan(),
+      retryAfterMs: RETRY_AFTER_MS,
+    });
+  }
+}
+
+// An upstream that was not there has not been sent anything.
+function isUnsent(outcome: AttemptOutcome): boolean {
+  return (
+    outcome.type === 'unsent' ||
+    (outcome.type === 'not-run' && outcome.isOtherUpstream)
+  );
+}
+
+function createUnavailable(
+  request: RoutedRequest,
+  reason: string,
+  retryAfterMs = RETRY_AFTER_MS,
+): HollowstackError {
+  const ran = request.getRan();
+  return new HollowstackError(
+    ran === 'no' ? 'upstream-unavailable' : 'upstream-failed',
+    reason,
+    {ran, retryAfterMs: ran === 'no' ? retryAfterMs : undefined},
+  );
+}
--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -21,6 +21,7 @@
   UpstreamSignals,
   type SignalProtocol,
 } from '@hollowstack/upstream-signals';
+import {AttemptRunner} from './attempt-runner.ts';
 import {CoordinatorSearch} from './coordinator-search.ts';
 import {createStoreView} from './create-store-view.ts';
 import {EngineAssigner} from './engine-assigner.ts';
@@ -135,34 +136,44 @@
     getInstanceCount: () => membership.getLiveCount(),
     backOffs,
   });
+  const chooser = new UpstreamChooser({
+    pool,
+    assigner: new EngineAssigner({
+      link,
+      notes,
+      membership,
+      local: directory,
+      keptPrompts,
+    }),
+    random,
+    getNow,
+    placesBySlack: settings.policy.slackPlacing,
+  });
+  const retryBudget = new WindowRetryBudget(
+    {...settings.retries, windowMs: settings.retries.windowSeconds * 1000},
+    getNow,
+    () => membership.getLiveCount(),
+  );
   const runner = new RequestRunner({
     clock,
-    logger,
     protocol,
     pool,
-    registry,
-    signals,
-    chooser: new UpstreamChooser({
-      pool,
-      assigner: new EngineAssigner({
-        link,
-        notes,
-        membership,
-        local: directory,
-        keptPrompts,
-      }),
-      random,
-      getNow,
-      placesBySlack: settings.policy.slackPlacing,
-    }),
+    chooser,
     dispatcher,
+    retryBudget,
     policy: settings.policy,
     stageDurations: new DurationEstimator(clock),
-    retryBudget: new WindowRetryBudget(
-      {...settings.retries, windowMs: settings.retries.windowSeconds * 1000},
-      getNow,
-      () => membership.getLiveCount(),
-    ),
+    attempts: new AttemptRunner({
+      clock,
+      logger,
+      protocol,
+      pool,
+      registry,
+      signals,
+      chooser,
+      retryBudget,
+      policy: settings.policy,
+    }),
   });
   const front = new GatewayFront({
     clock,
