Gather changes of registrations for a tenth of the time that they have

Cause: registrations change in series, and each answer of a watch cost every watcher its next call after 108 ms: 67 of 101 such calls of one watcher in 51 s came back that soon. Change: changes behind a first one are gathered for a tenth of the time in which they must be in force (200 or 300 ms; the first one is told at once as before), longer only where many instances watch. With the heartbeat and its margin 0.8 of that time are used where the connection is silent as well. Ruled out: one watch for all ranges (the members' range gathers for a second, and starts would wake all watchers), two watchers a failure domain (both may be lost at once).

--- a/packages/gateway/src/watch-pace.ts
+++ b/packages/gateway/src/watch-pace.ts
@@ -12,11 +12,18 @@
  * takes 0.24 s.
  */
 const MARGIN_SHARE = 0.2;
-/** Part of the time in which a change must be in force that gathering may take. */
-const GATHER_SHARE = 1 / 3;
+/**
+ * Part of the time in which a change must be in force for which the changes behind a first
+ * one are gathered. Registrations change in series, and each answer costs every watcher
+ * its next call. With the heartbeat and its margin 0.8 of that time are used up where the
+ * connection falls silent meanwhile, which leaves the rest for the next one.
+ */
+const GATHER_SHARE = 0.1;
+/** Part of that time that gathering may take where many instances watch. */
+const MAX_GATHER_SHARE = 1 / 3;
 /**
  * Milliseconds to gather changes for each instance that watches: the calls of
- * the whole fleet for one range stay at some 80 a second.
+ * the whole fleet for one range stay at some 80 a second, however many watch.
  */
 const GATHER_MS_PER_WATCHER = 12;
 
@@ -37,9 +44,10 @@
     waitMs: followWithinMs * HEARTBEAT_SHARE,
     marginMs: followWithinMs * MARGIN_SHARE,
     get gatherMs() {
+      const forLoadMs = input.getWatcherCount() * GATHER_MS_PER_WATCHER;
       return Math.min(
-        followWithinMs * GATHER_SHARE,
-        input.getWatcherCount() * GATHER_MS_PER_WATCHER,
+        followWithinMs * MAX_GATHER_SHARE,
+        Math.max(followWithinMs * GATHER_SHARE, forLoadMs),
       );
     },
   };
