Give back the stage results of lost instances by checkpoints in the store

Cause: after the loss of all instances nobody can name the results that upstreams of stages keep for lost requests; until they run out calls find no memory. Change, after docs/design/ result-checkpoints.md: the coordinator writes the handles that it holds, each with the instance that asked and its start, every 0.4 s to a key of its own life; who comes to coordinate reads them and gives back what belongs to instances that have started again. Peers' records and jobs carry one optional field more. [policy] resultCheckpoints switches it off. Events 903 to 905. Ruled out: giving back what the lost coordinator held for instances that live (they still read it), deletion at the reading (of two that coordinate for a moment the wrong one may read first). Test: result-checkpoint.test.ts, seven cases in memory; stages, gateway, peers, whole path and planned stops pass (182).

--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -7,6 +7,7 @@
   KeyRing,
   NoteQueue,
   PeerLink,
+  chooseCoordinator,
   type PeerNetwork,
 } from '@hollowstack/peers';
 import {
@@ -15,6 +16,7 @@
   StageDispatcher,
   type StageProtocol,
 } from '@hollowstack/stages';
+import {CheckpointWriter, OrphanReleaser} from '@hollowstack/result-checkpoint';
 import type {KeyValueStore} from '@hollowstack/store';
 import {
   BackOffTable,
@@ -236,6 +238,26 @@
     process.memoryUsage.rss(),
   );
 
+  const checkpointParts = {
+    clock,
+    logger,
+    random,
+    store: environment.store,
+    self: {instance: id, startedAtMs: membership.getSelf().startedAtMs ?? 0},
+  };
+  const checkpointTasks = [
+    new CheckpointWriter({
+      ...checkpointParts,
+      listHeld: () => coordinator.listOwnedResults(),
+    }),
+    new OrphanReleaser({
+      ...checkpointParts,
+      isCoordinator: () => chooseCoordinator(membership) === undefined,
+      listStarts: () => membership.listStarts(),
+      releaseResults: results => coordinator.releaseOrphans(results),
+    }),
+  ];
+
   return new Gateway({
     settings,
     clock,
@@ -252,6 +274,7 @@
     registry,
     backOffs,
     coordinator,
+    checkpointTasks: settings.policy.resultCheckpoints ? checkpointTasks : [],
     server,
     probePath: protocol.probePath,
   });
--- a/packages/gateway/src/create-store-view.ts
+++ b/packages/gateway/src/create-store-view.ts
@@ -81,6 +81,7 @@
       failureDomain,
       address: advertisedPeerAddress ?? peerAddress,
       cores: cpuShare * cpuSpeed,
+      startedAtMs: clock.getNow(),
     },
     store,
     clock,
--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -29,6 +29,8 @@
   readRelease: z.boolean().default(true),
   /** Chooses engines by the time that a request can spare, see docs/design. */
   slackPlacing: z.boolean().default(true),
+  /** Names held stage results in the store, so that a next coordinator can give them back. */
+  resultCheckpoints: z.boolean().default(true),
 });
 /** Switches of single mechanisms. */
 export type PolicySettings = z.infer<typeof policySettingsSchema>;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,6 +2,10 @@
 import type {EventLogger} from '@hollowstack/logger';
 import type {MetricsRegistry} from '@hollowstack/metrics';
 import type {Membership, PeerLink} from '@hollowstack/peers';
+import type {
+  CheckpointWriter,
+  OrphanReleaser,
+} from '@hollowstack/result-checkpoint';
 import type {StageCoordinator} from '@hollowstack/stages';
 import type {WatchHub} from '@hollowstack/store';
 import {splitAddress} from '@hollowstack/types';
@@ -33,6 +37,8 @@
   readonly registry: UpstreamRegistry;
   readonly backOffs: BackOffTable;
   readonly coordinator: StageCoordinator;
+  /** Run from the end of the start on. */
+  readonly checkpointTasks: ReadonlyArray<CheckpointWriter | OrphanReleaser>;
   readonly server: GatewayServer;
   readonly probePath: string;
 }
@@ -100,6 +106,8 @@
       await waitFor(clock, START_POLL_MS);
     }
     if (isEnding()) return;
+    // Before, each instance takes itself for the coordinator.
+    for (const task of parts.checkpointTasks) void task.start();
     lifecycle.setState('ready');
     logger.logEvent('entry.ready', {revision: parts.holder.getRevision()});
   }
@@ -153,6 +161,7 @@
     parts.watchHub.stop();
     for (const follower of parts.followers) follower.stop();
     parts.coordinator.stop();
+    for (const task of parts.checkpointTasks) task.stop();
     parts.link.close();
     parts.server.close();
     for (const probe of this.probes) {
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -279,6 +279,21 @@
     level: 'info',
     text: 'an upstream answered a call for work items of stages',
   },
+  'results.orphaned': {
+    number: 903,
+    level: 'info',
+    text: 'results that a lost coordinator held for lost instances are given back',
+  },
+  'results.checkpoint-failed': {
+    number: 904,
+    level: 'warn',
+    text: 'the results that are held could not be written to the store',
+  },
+  'results.checkpoint-unread': {
+    number: 905,
+    level: 'warn',
+    text: 'what earlier coordinators held could not be read, or not taken out',
+  },
 } as const satisfies Record<string, EventDefinition>;
 
 /** The name of an event of the catalogue. */
--- a/packages/peers/src/membership.ts
+++ b/packages/peers/src/membership.ts
@@ -153,6 +153,15 @@
     );
   }
 
+  /** Returns when each known instance started, this one counted, by its id. */
+  listStarts(): ReadonlyMap<string, number> {
+    const starts = new Map<string, number>();
+    for (const {id, startedAtMs} of [this.getSelf(), ...this.listPeers()]) {
+      if (startedAtMs !== undefined) starts.set(id, startedAtMs);
+    }
+    return starts;
+  }
+
   /** Returns how many instances are live, this one counted. */
   getLiveCount(): number {
     return this.listPeers().length + 1;
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -20,6 +20,11 @@
   failureDomain: z.string(),
   /** Processor it has, in cores of usual speed; unlike machines get unlike work. */
   cores: z.number().positive().optional(),
+  /**
+   * When it started, in Unix milliseconds of its own clock: tells its lives apart.
+   * Absent where it is of an older version.
+   */
+  startedAtMs: z.number().optional(),
 });
 /** One instance as its peers know it. */
 export type PeerRecord = z.infer<typeof peerRecordSchema>;
--- /dev/null
+++ b/packages/result-checkpoint/src/result-checkpoint.test.ts
@@ -0,0 +1,237 @@
+// All instances of a fleet were lost in a burst and were back two seconds later. The
+// upstreams of its stages kept the results of the lost requests for another two and a half:
+// 800 items found no memory, calls made 5 to 15 items where they make 30 otherwise, and half
+// of the requests that were let in were late. Nobody could name those results any more.
+import {ManualClock} from '@hollowstack/clock';
+import {
+  EventLogger,
+  type EventFields,
+  type EventName,
+} from '@hollowstack/logger';
+import {
+  StoreError,
+  type KeyRange,
+  type RangeResult,
+  type Transaction,
+  type TransactionResult,
+} from '@hollowstack/store';
+import type {OwnedResult} from '@hollowstack/types';
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+  MAX_CHECKPOINT_HANDLES,
+  decodeCheckpoint,
+  encodeCheckpoint,
+} from './checkpoint.ts';
+import {CheckpointWriter, OrphanReleaser} from './index.ts';
+import {assembleOrphanPlan} from './orphans.ts';
+
+class ListingLogger extends EventLogger {
+  readonly lines: Array<[EventName, EventFields]> = [];
+
+  logEvent(name: EventName, fields: EventFields = {}): void {
+    this.lines.push([name, fields]);
+  }
+}
+
+/** The keys of a store that may be away. */
+class KeyStore {
+  readonly values = new Map<string, string>();
+  isAway = false;
+  writeCount = 0;
+
+  async readRange({start}: KeyRange): Promise<RangeResult> {
+    this.checkAway();
+    const keyValues = [...this.values]
+      .filter(([key]) => key.startsWith(start))
+      .map(([key, value]) => ({key, value, modRevision: 1, createRevision: 1}));
+    return {storeId: 's', storeRevision: 1, keyValues};
+  }
+
+  async runTransaction({onSuccess}: Transaction): Promise<TransactionResult> {
+    this.checkAway();
+    this.writeCount += 1;
+    for (const step of onSuccess) {
+      if (step.type === 'put') this.values.set(step.key, step.value);
+      if (step.type === 'delete') this.values.delete(step.range.start);
+    }
+    return {succeeded: true, storeId: 's', storeRevision: 1, reads: []};
+  }
+
+  private checkAway(): void {
+    if (this.isAway) throw new StoreError('away', 'none');
+  }
+}
+
+// Pauses without jitter.
+function getMiddle(): number {
+  return 0.5;
+}
+
+function createResult(
+  handle: string,
+  instance: string,
+  startedAtMs: number,
+): OwnedResult {
+  const owner = {instance, startedAtMs};
+  return {handle, address: '10.0.0.1:80', failureDomain: 'a', owner};
+}
+
+/** One coordinator's life, with what it holds and what it has given back. */
+function createCoordinator(
+  store: KeyStore,
+  clock: ManualClock,
+  startedAtMs: number,
+) {
+  const logger = new ListingLogger();
+  const held: OwnedResult[] = [];
+  const released: string[] = [];
+  const starts = new Map<string, number>();
+  const parts = {
+    clock,
+    logger,
+    store,
+    random: getMiddle,
+    self: {instance: 'c', startedAtMs},
+  };
+  const writer = new CheckpointWriter({...parts, listHeld: () => held});
+  const releaser = new OrphanReleaser({
+    ...parts,
+    isCoordinator: () => true,
+    listStarts: () => starts,
+    releaseResults: results =>
+      released.push(...results.map(({handle}) => handle)),
+  });
+  const start = () => {
+    void writer.start();
+    void releaser.start();
+  };
+  const stop = () => {
+    writer.stop();
+    releaser.stop();
+  };
+  return {logger, held, released, starts, start, stop};
+}
+
+/** Has a coordinator hold results of two instances and lose its process. */
+async function runUntilLost(store: KeyStore, clock: ManualClock) {
+  const lost = createCoordinator(store, clock, 1000);
+  lost.held.push(createResult('h1', 'x', 1000), createResult('h2', 'y', 1000));
+  lost.start();
+  await clock.advance(1000);
+  lost.stop();
+  return lost;
+}
+
+test('what is held for instances that have started again is an orphan, and nothing else', () => {
+  const results = [
+    createResult('again', 'x', 1000),
+    createResult('lives', 'y', 1000),
+    createResult('unknown', 'z', 1000),
+    createResult('list-behind', 'w', 5000),
+  ];
+  const starts = new Map([
+    ['x', 2000],
+    ['y', 1000],
+    ['w', 1000],
+  ]);
+  const {orphans, others} = assembleOrphanPlan(results, starts);
+  assert.deepEqual(
+    orphans.map(({handle}) => handle),
+    ['again'],
+  );
+  assert.deepEqual(
+    others.map(({handle}) => handle),
+    ['lives', 'unknown', 'list-behind'],
+  );
+});
+
+test('a checkpoint reads back as what was held, and is bounded', () => {
+  const results = [createResult('h1', 'x', 1), createResult('h2', 'y', 2)];
+  assert.deepEqual(decodeCheckpoint(encodeCheckpoint(results)), results);
+  const many = Array.from({length: MAX_CHECKPOINT_HANDLES + 5}, (_, index) =>
+    createResult(`10.64.128.200:8080/${index}`.padEnd(40, '0'), 'x', 1),
+  );
+  const text = encodeCheckpoint(many);
+  assert.equal(decodeCheckpoint(text).length, MAX_CHECKPOINT_HANDLES);
+  assert.ok(text.length < 400_000, `${text.length} bytes`);
+});
+
+test('after the loss of all, results are given back as their instances start again', async () => {
+  const [store, clock] = [new KeyStore(), new ManualClock(0)];
+  await runUntilLost(store, clock);
+  const next = createCoordinator(store, clock, 3000);
+  next.starts.set('x', 3000);
+  next.start();
+  await clock.advance(300);
+  assert.deepEqual(next.released, ['h1']);
+  next.starts.set('y', 3300);
+  await clock.advance(300);
+  assert.deepEqual(next.released, ['h1', 'h2']);
+  assert.deepEqual([...store.values.keys()], []);
+  next.stop();
+});
+
+test('results of instances that live are left to them, whoever coordinates', async () => {
+  const [store, clock] = [new KeyStore(), new ManualClock(0)];
+  await runUntilLost(store, clock);
+  const next = createCoordinator(store, clock, 3000);
+  next.starts.set('x', 1000).set('y', 1000);
+  next.start();
+  await clock.advance(20_000);
+  assert.deepEqual(next.released, []);
+  next.stop();
+});
+
+test('a store that is away as the next one starts is asked again', async () => {
+  const [store, clock] = [new KeyStore(), new ManualClock(0)];
+  await runUntilLost(store, clock);
+  store.isAway = true;
+  const next = createCoordinator(store, clock, 3000);
+  next.starts.set('x', 3000).set('y', 3000);
+  next.start();
+  await clock.advance(1000);
+  assert.deepEqual(next.released, []);
+  store.isAway = false;
+  await clock.advance(300);
+  assert.deepEqual(next.released, ['h1', 'h2']);
+  next.stop();
+});
+
+test('a checkpoint that cannot be read is logged and costs the others nothing', async () => {
+  const [store, clock] = [new KeyStore(), new ManualClock(0)];
+  await runUntilLost(store, clock);
+  store.values.set('hollowstack/results/d/1', 'no checkpoint');
+  store.values.set('hollowstack/results/e/1', '{"groups":[{"owner":7}]}');
+  const next = createCoordinator(store, clock, 3000);
+  next.starts.set('x', 3000).set('y', 3000);
+  next.start();
+  await clock.advance(300);
+  assert.deepEqual(next.released, ['h1', 'h2']);
+  const names = next.logger.lines.map(([name]) => name);
+  assert.deepEqual(names, [
+    'results.checkpoint-unread',
+    'results.checkpoint-unread',
+    'results.orphaned',
+  ]);
+  next.stop();
+});
+
+test('nothing is written while nothing changes, and a store that is away is logged once', async () => {
+  const [store, clock] = [new KeyStore(), new ManualClock(0)];
+  const writer = createCoordinator(store, clock, 1000);
+  writer.start();
+  await clock.advance(5000);
+  assert.equal(store.writeCount, 0);
+  store.isAway = true;
+  writer.held.push(createResult('h1', 'x', 1000));
+  await clock.advance(5000);
+  store.isAway = false;
+  await clock.advance(5000);
+  assert.equal(store.writeCount, 1);
+  const failures = writer.logger.lines.filter(
+    ([name]) => name === 'results.checkpoint-failed',
+  );
+  assert.equal(failures.length, 1);
+  writer.stop();
+});
--- a/packages/stages/src/batch-runner.ts
+++ b/packages/stages/src/batch-runner.ts
@@ -205,6 +205,9 @@
       const result: StageResult = {handle, address, failureDomain};
       this.parts.fleet.recordResult(handle, {
         upstreamId: id,
+        address,
+        failureDomain,
+        owner: job.owner,
         service: job.service,
         bytes: job.resultBytes,
         sinceMs: startedAtMs,
--- a/packages/stages/src/result-room.ts
+++ b/packages/stages/src/result-room.ts
@@ -1,6 +1,13 @@
+import type {OwnedResult, ResultOwner} from '@hollowstack/types';
+
 /** A result that its upstream holds. */
 export interface HeldResult {
   readonly upstreamId: string;
+  /** Address of that upstream. */
+  readonly address: string;
+  readonly failureDomain: string;
+  /** Who reads it; undefined where the job did not say. */
+  readonly owner: ResultOwner | undefined;
   readonly service: string;
   readonly bytes: number;
   /** When its call began: from then on it takes room. */
@@ -51,6 +58,14 @@
     return this.held.get(handle)?.upstreamId;
   }
 
+  /** Lists the results of which is known who reads them, the oldest first. */
+  listOwned(): OwnedResult[] {
+    return [...this.held].flatMap(([handle, held]) => {
+      const {owner, address, failureDomain} = held;
+      return owner ? [{handle, address, failureDomain, owner}] : [];
+    });
+  }
+
   /** Notes that a result was released; returns it if it was held. */
   release(handle: string): HeldResult | undefined {
     const result = this.held.get(handle);
--- a/packages/stages/src/stage-coordinator.ts
+++ b/packages/stages/src/stage-coordinator.ts
@@ -7,6 +7,7 @@
   StageCapacity,
 } from '@hollowstack/routes';
 import type {
+  OwnedResult,
   StageAdmissionRequest,
   StageJob,
   StageOutcome,
@@ -158,6 +159,20 @@
     this.releaser.addResults(results);
   }
 
+  /** Lists the results that are held, and who reads them. */
+  listOwnedResults(): OwnedResult[] {
+    return this.fleet.listOwnedResults();
+  }
+
+  /**
+   * Gives results back that a coordinator before this one held for instances that are
+   * gone. Addresses that no upstream of stages has any more are left alone.
+   */
+  releaseOrphans(results: readonly OwnedResult[]): void {
+    const known = results.filter(({address}) => this.fleet.hasAddress(address));
+    this.releaseResults(known);
+  }
+
   /** Fails all jobs: after a pause their submitters have gone elsewhere. */
   failAllJobs(message: string): void {
     this.jobs.failAll(message);
--- a/packages/stages/src/stage-dispatcher.ts
+++ b/packages/stages/src/stage-dispatcher.ts
@@ -30,8 +30,8 @@
   readonly local: StageCoordinator;
 }
 
-/** A job without the name that each submission gets. */
-export type UnsentStageJob = Omit<StageJob, 'jobId'>;
+/** A job without what each submission adds: its name, and who submits it. */
+export type UnsentStageJob = Omit<StageJob, 'jobId' | 'owner'>;
 
 /** Times a job may be submitted: each one that follows finds its coordinator gone. */
 const MAX_SUBMISSIONS = 2;
@@ -126,9 +126,15 @@
   }
 
   private createJob(unsent: UnsentStageJob, startedAtMs: number): StageJob {
-    const passedMs = this.parts.clock.getNow() - startedAtMs;
+    const {clock, membership} = this.parts;
+    const passedMs = clock.getNow() - startedAtMs;
+    const self = membership.getSelf();
     return {
       ...unsent,
+      owner:
+        self.startedAtMs === undefined
+          ? undefined
+          : {instance: self.id, startedAtMs: self.startedAtMs},
       jobId: randomBytes(JOB_ID_BYTES).toString('hex'),
       dueInMs: unsent.dueInMs - passedMs,
       remainingMs: unsent.remainingMs - passedMs,
--- a/packages/stages/src/stage-fleet.ts
+++ b/packages/stages/src/stage-fleet.ts
@@ -7,7 +7,7 @@
   type Shortage,
   type StageCapacity,
 } from '@hollowstack/routes';
-import type {StageResult} from '@hollowstack/types';
+import type {OwnedResult, StageResult} from '@hollowstack/types';
 import type {BackOffTable} from '@hollowstack/upstream-signals';
 import {ResultRoom, type HeldResult} from './result-room.ts';
 import type {ServiceTimes} from './service-times.ts';
@@ -208,6 +208,18 @@
     return {upstreamId: id, result: {handle, address, failureDomain}};
   }
 
+  /** Lists the held results of which is known who reads them, the oldest first. */
+  listOwnedResults(): OwnedResult[] {
+    return this.room.listOwned();
+  }
+
+  /** Returns whether an upstream of stages is registered at an address. */
+  hasAddress(address: string): boolean {
+    return [...this.upstreams.values()].some(
+      ({record}) => record.address === address,
+    );
+  }
+
   /** Returns whether the result memory of an upstream is short. */
   isShortOfMemory(upstreamId: string): boolean {
     const record = this.upstreams.get(upstreamId)?.record;
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -49,12 +49,15 @@
 export {addressSchema, splitAddress} from './address.ts';
 export {
   STAGE_FAILURES,
+  resultOwnerSchema,
   stageAdmissionRequestSchema,
   stageJobSchema,
   stageOutcomeSchema,
   stageResultSchema,
   stageStepSchema,
   storeCopySchema,
+  type OwnedResult,
+  type ResultOwner,
   type StageAdmissionRequest,
   type StageFailure,
   type StageJob,
--- a/packages/types/src/stage-job.ts
+++ b/packages/types/src/stage-job.ts
@@ -1,10 +1,22 @@
 import {z} from 'zod';
 
+/** One life of an instance; a later start under the same id is another one. */
+export const resultOwnerSchema = z.object({
+  /** Id of the instance. */
+  instance: z.string(),
+  /** When it started, in Unix milliseconds of its own clock. */
+  startedAtMs: z.number(),
+});
+/** One life of an instance, which alone reads the results that it has asked for. */
+export type ResultOwner = z.infer<typeof resultOwnerSchema>;
+
 /** The pieces of one stage of one request, to be made together. */
 export const stageJobSchema = z.object({
   /** Names this submission; a job that is submitted again gets a new one. */
   jobId: z.string(),
   requestId: z.string(),
+  /** Who reads the results; absent where an instance of an older version asks. */
+  owner: resultOwnerSchema.optional(),
   service: z.string(),
   /** Index of the stage in its route. */
   stage: z.number().int().nonnegative(),
@@ -47,6 +59,8 @@
 });
 /** A result that an upstream keeps until it is released. */
 export type StageResult = z.infer<typeof stageResultSchema>;
+/** A result of which is known who reads it. */
+export type OwnedResult = StageResult & {readonly owner: ResultOwner};
 
 /** Why a job has no results. */
 export const STAGE_FAILURES = [
