Read registrations of upstreams apart from keeping them

Change: EntryReader parses an entry and logs each one that cannot be read once; the registry keeps what was read. Code moved, nothing decided otherwise. Ruled out: a change of behaviour, by the gateway's 42 tests.

--- a/packages/gateway/src/upstream-registry.ts
+++ b/packages/gateway/src/upstream-registry.ts
@@ -5,11 +5,9 @@
 import type {KeyValue, WatchEvent} from '@hollowstack/store';
 import type {StoreCopy} from '@hollowstack/types';
 import type {EvacuatedDomains, EvacuationChange} from './evacuated-domains.ts';
+import {EntryReader} from './entry-reader.ts';
 import {LeavingIds} from './leaving-ids.ts';
-import {
-  UnreadableEntryError,
-  type RequestProtocol,
-} from './request-protocol.ts';
+import type {RequestProtocol} from './request-protocol.ts';
 
 /** What an instance goes by when it chooses an upstream, for the log. */
 export interface RegistryState {
@@ -42,8 +40,6 @@
  * may come back; work still goes to their upstreams until then.
  */
 const LAPSE_GRACE_MS = 2200;
-/** Entries kept that could not be read. */
-const MAX_UNREADABLE = 1000;
 /**
  * Ids told to a peer of upstreams whose leaving only answers told of; 8 KB of a
  * message. More at once means that the store's word is on its way as well.
@@ -52,12 +48,10 @@
 
 /** The upstreams as they stand registered in the store, at a store revision. */
 export class UpstreamRegistry {
-  private readonly protocol: RequestProtocol;
   private readonly logger: EventLogger;
   private readonly entries = new Map<string, Entry>();
   private readonly leavingIds = new LeavingIds();
-  /** Entries that could not be read, so that each is logged once. */
-  private readonly unreadable = new Map<string, string>();
+  private readonly reader: EntryReader;
   private readonly listeners: Array<
     (upstreams: readonly RegisteredUpstream[]) => void
   > = [];
@@ -83,7 +77,7 @@
     clock: Clock,
     evacuated: Pick<EvacuatedDomains, 'isEvacuated' | 'getEndedAtMs'>,
   ) {
-    this.protocol = protocol;
+    this.reader = new EntryReader(protocol, logger);
     this.logger = logger;
     this.clock = clock;
     this.evacuated = evacuated;
@@ -314,9 +308,13 @@
     isListedAlone = true,
   ): void {
     this.digest = undefined;
-    const parsed = this.parseEntry(key, text, source);
-    if (!parsed) return;
+    const parsed = this.reader.parseEntry(key, text, source);
     this.missing.delete(key);
+    if (!parsed) {
+      // It names no upstream, whatever it named before; the next one under its key may.
+      this.entries.delete(key);
+      return;
+    }
     // An upstream that was leaving never comes back under the same id.
     const isLeaving = parsed.isLeaving || this.leavingIds.has(parsed.id);
     const known = this.entries.get(key);
@@ -343,39 +341,9 @@
     this.logUpstream(listed, parsed, {source});
   }
 
-  // An entry that cannot be read names no upstream, whatever it named before; the next
-  // one under its key may.
-  private parseEntry(
-    key: string,
-    text: string,
-    source: string,
-  ): RegisteredUpstream | undefined {
-    try {
-      const parsed = this.protocol.parseUpstream(key, text);
-      this.unreadable.delete(key);
-      return parsed;
-    } catch (error) {
-      if (!(error instanceof UnreadableEntryError)) throw error;
-      this.missing.delete(key);
-      this.entries.delete(key);
-      if (this.unreadable.get(key) === text) return undefined;
-      this.recordUnreadable(key, text);
-      const reason = error.message;
-      this.logger.logEvent('upstream.unreadable', {key, reason, source});
-      return undefined;
-    }
-  }
-
-  private recordUnreadable(key: string, text: string): void {
-    this.unreadable.set(key, text);
-    if (this.unreadable.size <= MAX_UNREADABLE) return;
-    const [oldest] = this.unreadable.keys();
-    this.unreadable.delete(oldest);
-  }
-
   private removeEntry(key: string, source: string): void {
     this.digest = undefined;
-    this.unreadable.delete(key);
+    this.reader.removeEntry(key);
     const entry = this.entries.get(key);
     if (!entry || this.missing.has(key)) return;
     const mayComeBack = this.grace !== undefined && !entry.upstream.isLeaving;
