Take out no more checkpoints at once than a transaction bears

Cause: found by reading: the store refuses transactions of more than 32 steps, so that 33 left checkpoints would never have been taken out. Change: 30 at a time. Ruled out: that coordinators leave many (each takes out those before it). Test: 40 checkpoints are gone after two coordinators.

--- a/packages/result-checkpoint/src/orphan-releaser.ts
+++ b/packages/result-checkpoint/src/orphan-releaser.ts
@@ -28,6 +28,12 @@
   readonly releaseResults: (results: readonly OwnedResult[]) => void;
 }
 
+/**
+ * Checkpoints taken out at once, at most: stores bound the steps of a transaction, the
+ * strictest seen to 32. What is left is taken out by the next coordinator.
+ */
+const MAX_REMOVALS = 30;
+
 /** The checkpoints of other lives. */
 interface ReadCheckpoints {
   readonly keys: readonly string[];
@@ -133,7 +139,7 @@
 
   private async removeKeys(keys: readonly string[]): Promise<void> {
     if (keys.length === 0) return;
-    const onSuccess = keys.map(key => ({
+    const onSuccess = keys.slice(0, MAX_REMOVALS).map(key => ({
       type: 'delete' as const,
       range: {start: key},
     }));
--- a/packages/result-checkpoint/src/result-checkpoint.test.ts
+++ b/packages/result-checkpoint/src/result-checkpoint.test.ts
@@ -217,6 +217,22 @@
   next.stop();
 });
 
+test('more checkpoints than a transaction takes are taken out by several coordinators', async () => {
+  const [store, clock] = [new KeyStore(), new ManualClock(0)];
+  for (let life = 1; life <= 40; life++) {
+    store.values.set(`hollowstack/results/d/${life}`, '{"groups":[]}');
+  }
+  const counts: number[] = [];
+  for (const startedAtMs of [1000, 2000]) {
+    const next = createCoordinator(store, clock, startedAtMs);
+    next.start();
+    await clock.advance(300);
+    next.stop();
+    counts.push(store.values.size);
+  }
+  assert.deepEqual(counts, [10, 0]);
+});
+
 test('nothing is written while nothing changes, and a store that is away is logged once', async () => {
   const [store, clock] = [new KeyStore(), new ManualClock(0)];
   const writer = createCoordinator(store, clock, 1000);
