End a process once its command has ended, whatever is still open

Cause: a process ended only when nothing was open any more. What was open is not known: the finding stays open. Change: the command line ends the process with the command's exit code after the last lines have left, bounded by 1 s; entry.ending (108) counts what is open then. Ruled out: kept connections to the store (idle ones do not hold a process), callers' connections (all are closed). Test: end-process.test.ts, a process with a listening socket and a timer ends with its exit code (without the call it never does), and 2,000 lines before it are all there.

--- a/packages/cli/src/commands/gateway/index.ts
+++ b/packages/cli/src/commands/gateway/index.ts
@@ -21,6 +21,7 @@
 import {NodeHttpClient} from '@hollowstack/transport';
 import {Command, Option} from 'clipanion';
 import {stringify} from 'smol-toml';
+import {formatOpenResources} from '../../end-process.ts';
 import {toListenError} from '../../listen-error.ts';
 import {readTextFile} from '../../read-text-file.ts';
 import {ReportingCommand} from '../../reporting-command.ts';
@@ -112,6 +113,7 @@
     await stopAsked;
     await gateway.drain();
     client.close();
+    logger.logEvent('entry.ending', {open: formatOpenResources()});
     return 0;
   }
 }
--- a/packages/cli/src/snapshot-main.ts
+++ b/packages/cli/src/snapshot-main.ts
@@ -11,13 +11,12 @@
 import '@hollowstack/platform';
 import '@hollowstack/transport';
 import {startupSnapshot} from 'node:v8';
+import {endProcess} from './end-process.ts';
 import {runWarmUp} from './warm-up.ts';
 
 runWarmUp();
 startupSnapshot.setDeserializeMainFunction(() => {
   void import('./run-command-line.ts')
     .then(({runCommandLine}) => runCommandLine(process.argv.slice(2)))
-    .then(exitCode => {
-      process.exitCode = exitCode;
-    });
+    .then(endProcess);
 });
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -32,6 +32,11 @@
     level: 'warn',
     text: 'the process stood still; what it knew is read again',
   },
+  'entry.ending': {
+    number: 108,
+    level: 'info',
+    text: 'the process ends; what is still open is counted by kind',
+  },
   'log.omitted': {
     number: 107,
     level: 'warn',
