Share the set-up of two tests of stages

Cause: the same upstream and job stood in two test files. Change: one of each in the tests' utilities; figures and checks as they were. Ruled out: a change of what is checked, all tests of the package pass.

--- a/packages/stages/src/learnt-calls.test.ts
+++ b/packages/stages/src/learnt-calls.test.ts
@@ -11,14 +11,14 @@
 } from '@hollowstack/logger';
 import {createSeededRandom} from '@hollowstack/local-system';
 import {MetricsRegistry} from '@hollowstack/metrics';
-import type {RegisteredUpstream, RouteTable} from '@hollowstack/routes';
-import type {StageJob} from '@hollowstack/types';
+import type {RouteTable} from '@hollowstack/routes';
 import {BackOffTable} from '@hollowstack/upstream-signals';
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {StageCoordinator} from './stage-coordinator.ts';
 import type {StagePiece} from './stage-protocol.ts';
 import {getMiddle} from './test-utils/get-middle.ts';
+import {createRankJob, createRankUpstream} from './test-utils/rank-service.ts';
 
 const SERVICE = {
   name: 'rank',
@@ -34,6 +34,8 @@
 };
 const UPSTREAMS = ['a', 'b', 'c', 'd', 'e'];
 const SECONDS = 40;
+/** Milliseconds that the jobs have, so that all of them are called for. */
+const DUE_MS = 1500;
 
 class CallLogger extends EventLogger {
   readonly calls: EventFields[] = [];
@@ -43,35 +45,6 @@
   }
 }
 
-function createUpstream(id: string): RegisteredUpstream {
-  return {
-    id,
-    service: 'rank',
-    address: id,
-    failureDomain: 'a',
-    capacity: 1,
-    isLeaving: false,
-  };
-}
-
-function createJob(jobId: string, pieceCount: number): StageJob {
-  return {
-    jobId,
-    requestId: jobId,
-    service: 'rank',
-    stage: 0,
-    stageKey: 'r/0',
-    pieceCount,
-    key: 'k',
-    inputs: [],
-    resultBytes: 1,
-    dueInMs: 1500,
-    remainingMs: 8000,
-    priority: 1,
-    crossingBytes: 0,
-  };
-}
-
 /** How long calls really take. */
 interface Truth {
   /** Milliseconds of a call beside its items. */
@@ -110,12 +83,14 @@
   });
   const table = {configuration: {services: [SERVICE]}};
   coordinator.setConfiguration(table as unknown as RouteTable);
-  coordinator.setUpstreams(UPSTREAMS.map(createUpstream));
+  coordinator.setUpstreams(UPSTREAMS.map(createRankUpstream));
   for (let atMs = 0; atMs < SECONDS * 1000; atMs += 20) {
     // Little for five seconds, then more than the upstreams can do in small calls.
     const jobs = Math.floor(atMs / 5000) % 2 === 0 ? 0.3 : 2;
     for (let count = jobs * 2 * random(); count > random(); count--) {
-      void coordinator.runJob(createJob(`${atMs}/${count}`, 4));
+      void coordinator.runJob(
+        createRankJob(`${atMs}/${count}`, {pieceCount: 4, dueInMs: DUE_MS}),
+      );
     }
     await clock.advance(20);
   }
--- a/packages/stages/src/stage-back-off.test.ts
+++ b/packages/stages/src/stage-back-off.test.ts
@@ -3,14 +3,15 @@
 import {ManualClock} from '@hollowstack/clock';
 import {SilentEventLogger} from '@hollowstack/logger';
 import {MetricsRegistry} from '@hollowstack/metrics';
-import type {RegisteredUpstream, RouteTable} from '@hollowstack/routes';
-import type {StageJob, StageOutcome} from '@hollowstack/types';
+import type {RouteTable} from '@hollowstack/routes';
+import type {StageOutcome} from '@hollowstack/types';
 import {BackOffTable} from '@hollowstack/upstream-signals';
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {StageCoordinator} from './stage-coordinator.ts';
 import type {StagePiece} from './stage-protocol.ts';
 import {getMiddle} from './test-utils/get-middle.ts';
+import {createRankJob, createRankUpstream} from './test-utils/rank-service.ts';
 
 const CALL_MS = 100;
 const SERVICE = {
@@ -26,35 +27,6 @@
   },
 };
 
-function createUpstream(id: string): RegisteredUpstream {
-  return {
-    id,
-    service: 'rank',
-    address: id,
-    failureDomain: 'a',
-    capacity: 1,
-    isLeaving: false,
-  };
-}
-
-function createJob(jobId: string, dueInMs: number): StageJob {
-  return {
-    jobId,
-    requestId: jobId,
-    service: 'rank',
-    stage: 0,
-    stageKey: 'r/0',
-    pieceCount: 1,
-    key: 'k',
-    inputs: [],
-    resultBytes: 1,
-    dueInMs,
-    remainingMs: 8000,
-    priority: 1,
-    crossingBytes: 0,
-  };
-}
-
 /** A coordinator of upstreams `a` and `b`; `turnAway` says how often they do so first. */
 function createCoordinator(turnAway: {count: number; forMs: number}) {
   const clock = new ManualClock(0);
@@ -97,12 +69,14 @@
   });
   const table = {configuration: {services: [SERVICE]}};
   coordinator.setConfiguration(table as unknown as RouteTable);
-  coordinator.setUpstreams([createUpstream('a'), createUpstream('b')]);
+  coordinator.setUpstreams([createRankUpstream('a'), createRankUpstream('b')]);
   const run = (jobId: string, dueInMs: number) => {
     const ended: {outcome?: StageOutcome; atMs?: number} = {};
-    void coordinator.runJob(createJob(jobId, dueInMs)).then(outcome => {
-      Object.assign(ended, {outcome, atMs: clock.getNow()});
-    });
+    void coordinator
+      .runJob(createRankJob(jobId, {pieceCount: 1, dueInMs}))
+      .then(outcome => {
+        Object.assign(ended, {outcome, atMs: clock.getNow()});
+      });
     return ended;
   };
   return {clock, backOffs, coordinator, callsAtMs, run};
