Log the rate limits that upstreams advertise in their answers

Incident: an upstream that advertised a limit of 1 request per second (`Server-Limit`) in each answer received 12 requests in 4 s; 11 are allowed. The logs cannot show whether no code reads the limit or each instance applies it on its own, because no log line mentions it.

Log each limit when it is first observed, changes or ends in an answer or a peer's report (upstream.limited, upstream.limit-ended), and log a value that is not a decimal number once per upstream (upstream.limit-unreadable). The metric hollowstack_upstreams_limited counts the limits. No decision depends on them yet. The table can be merged with what peers know. An answer to a request that was sent before the limit was observed does not end it.

Tests: packages/upstream-limits, packages/upstream-signals, platform-signals, packages/logger: pass.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -175,6 +175,7 @@
       upstream,
       head: toAnswerHead(head),
       requestId: request.facts.requestId,
+      sentAtMs: this.startedAtMs,
     });
   }
 
--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -19,6 +19,7 @@
 import {IsolatedAttempts, VerdictKeeper} from '@hollowstack/quarantine';
 import {CheckpointWriter, OrphanReleaser} from '@hollowstack/result-checkpoint';
 import type {KeyValueStore} from '@hollowstack/store';
+import {LimitTable} from '@hollowstack/upstream-limits';
 import {
   BackOffTable,
   UpstreamSignals,
@@ -99,12 +100,15 @@
     suspects,
   });
   const backOffs = new BackOffTable({clock, logger});
-  registry.addRestartListener(({before, after, startedAtMs}) =>
-    backOffs.replaceLife(before, after, startedAtMs),
-  );
+  const limits = new LimitTable({clock, logger});
+  registry.addRestartListener(({before, after, startedAtMs}) => {
+    backOffs.replaceLife(before, after, startedAtMs);
+    limits.replaceLife(before, after, startedAtMs);
+  });
   const signals = new UpstreamSignals({
     logger,
     backOffs,
+    limits,
     metrics,
     protocol: environment.signalProtocol,
     handleLeaving: (id, requestId) =>
@@ -215,6 +219,7 @@
     coordinator.setUpstreams(upstreams);
     directory.setUpstreams(upstreams);
     detector.setUpstreams(upstreams);
+    limits.setUpstreams(upstreams);
   });
 
   const coordinatorSearch = new CoordinatorSearch({
@@ -245,6 +250,9 @@
   metrics.setGauge('hollowstack_upstreams_backing_off', {}, () =>
     backOffs.countWaiting(),
   );
+  metrics.setGauge('hollowstack_upstreams_limited', {}, () =>
+    limits.countLimited(),
+  );
   metrics.setGauge('hollowstack_upstreams_leaving', {}, () =>
     registry.countLeaving(),
   );
--- a/packages/gateway/src/kept-prompts-reader.ts
+++ b/packages/gateway/src/kept-prompts-reader.ts
@@ -58,6 +58,7 @@
     const {clock, logger, directory, protocol, signals} = this.parts;
     const {id, address} = engine;
     const request = protocol.createKeptRequest(address);
+    const sentAtMs = clock.getNow();
     try {
       const {head, body} = await callForWholeAnswer(
         {...request, address, connectTimeoutMs: CONNECT_TIMEOUT_MS},
@@ -68,6 +69,7 @@
         upstream: engine,
         head: toAnswerHead(head),
         requestId: undefined,
+        sentAtMs,
       });
       if (head.statusCode !== 200) return;
       const kept = protocol.parseKept(body.toString('utf8'));
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -264,6 +264,21 @@
     level: 'warn',
     text: 'an upstream names a time to come back that is no number of seconds',
   },
+  'upstream.limited': {
+    number: 627,
+    level: 'info',
+    text: 'an upstream advertises a limit on requests per second across all instances',
+  },
+  'upstream.limit-ended': {
+    number: 628,
+    level: 'info',
+    text: 'an upstream no longer advertises a limit',
+  },
+  'upstream.limit-unreadable': {
+    number: 629,
+    level: 'warn',
+    text: 'an upstream advertises a limit that is not a decimal number; the value is ignored',
+  },
   'upstream.crashed': {
     number: 626,
     level: 'warn',
--- a/packages/stages/src/stage-caller.ts
+++ b/packages/stages/src/stage-caller.ts
@@ -84,8 +84,9 @@
     timeoutMs: number,
     mayStillSend: () => boolean,
   ): Promise<RunAnswer> {
-    const {protocol, signals} = this.parts;
+    const {protocol, signals, clock} = this.parts;
     const {id, address} = target;
+    const sentAtMs = clock.getNow();
     let isWithdrawn = false;
     const request = protocol.createRunRequest(id, address, pieces);
     try {
@@ -102,6 +103,7 @@
         upstream: target,
         head: answer,
         requestId: pieces[0]?.requestId,
+        sentAtMs,
       });
       return protocol.parseRunAnswer(answer, pieces.length);
     } catch (error) {
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -76,3 +76,4 @@
   type PromptPart,
 } from './assignment.ts';
 export {suspectReportSchema, type SuspectReport} from './crash-report.ts';
+export {limitReportSchema, type LimitReport} from './limit-report.ts';
--- a/packages/upstream-signals/src/answer-signals.ts
+++ b/packages/upstream-signals/src/answer-signals.ts
@@ -23,6 +23,11 @@
    * undefined where it turned nothing away or named no time.
    */
   readonly retryAfter: string | undefined;
+  /**
+   * Advertised rate limit in requests per second across all instances, unparsed;
+   * undefined if the answer advertises none.
+   */
+  readonly limit: string | undefined;
 }
 
 /** Finds the signals in an answer; an adapter knows their names. */
--- a/packages/upstream-signals/src/upstream-signals.test.ts
+++ b/packages/upstream-signals/src/upstream-signals.test.ts
@@ -5,6 +5,7 @@
   type EventName,
 } from '@hollowstack/logger';
 import {MetricsRegistry} from '@hollowstack/metrics';
+import {LimitTable} from '@hollowstack/upstream-limits';
 import fc from 'fast-check';
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
@@ -24,14 +25,16 @@
   }
 }
 
-/** Headers of the tests: `from-other`, `leaving`, `retry-after`. */
+/** Headers of the tests: `from-other`, `leaving`, `retry-after`, `limit`. */
 class TestProtocol extends SignalProtocol {
   readSignals({headers}: AnswerHead): AnswerSignals {
     const retryAfter = headers['retry-after'];
+    const {limit} = headers;
     return {
       isFromOther: headers['from-other'] !== undefined,
       isLeaving: headers.leaving !== undefined,
       retryAfter: typeof retryAfter === 'string' ? retryAfter : undefined,
+      limit: typeof limit === 'string' ? limit : undefined,
     };
   }
 }
@@ -41,11 +44,13 @@
   const logger = new ListingLogger();
   const metrics = new MetricsRegistry();
   const backOffs = new BackOffTable({clock, logger});
+  const limits = new LimitTable({clock, logger});
   const leaving: string[] = [];
   const signals = new UpstreamSignals({
     logger,
     metrics,
     backOffs,
+    limits,
     protocol: new TestProtocol(),
     handleLeaving: id => leaving.push(id),
   });
@@ -54,6 +59,7 @@
       upstream: {id, service: 'chat'},
       head: {status: 503, headers},
       requestId: 'r1',
+      sentAtMs: clock.getNow(),
     });
   const listNames = () => logger.lines.map(([name]) => name);
   const countSignal = (signal: string) =>
@@ -61,7 +67,16 @@
       service: 'chat',
       signal,
     });
-  return {clock, logger, backOffs, leaving, answer, listNames, countSignal};
+  return {
+    clock,
+    logger,
+    backOffs,
+    limits,
+    leaving,
+    answer,
+    listNames,
+    countSignal,
+  };
 }
 
 test('an upstream that names a time is left alone for it, and nobody else is', async () => {
@@ -186,6 +201,46 @@
   );
 });
 
+test('a limit applies until an answer advertises none', () => {
+  const {limits, answer, listNames, countSignal} = createSignals();
+  answer({limit: '1.5'});
+  answer({limit: '1.5'});
+  assert.equal(limits.getLimit('u1'), 1.5);
+  assert.equal(limits.getLimit('u2'), undefined);
+  answer({limit: '0'});
+  assert.equal(limits.getLimit('u1'), 0);
+  answer({});
+  assert.equal(limits.getLimit('u1'), undefined);
+  assert.deepEqual(listNames(), [
+    'upstream.limited',
+    'upstream.limited',
+    'upstream.limit-ended',
+  ]);
+  assert.equal(countSignal('limit'), 3);
+});
+
+test('a non-decimal limit is logged once per upstream and changes nothing', () => {
+  const values = ['', 'few', '-1', 'NaN', 'Infinity', '1, 2', '1e3', '3/s'];
+  for (const before of [undefined, '2']) {
+    const {limits, answer, listNames, countSignal} = createSignals();
+    if (before !== undefined) answer({limit: before});
+    for (const value of values) answer({limit: value});
+    assert.equal(limits.getLimit('u1'), before && Number(before));
+    assert.equal(listNames().at(-1), 'upstream.limit-unreadable');
+    assert.equal(listNames().length, before === undefined ? 1 : 2);
+    assert.equal(countSignal('unreadable'), values.length);
+  }
+});
+
+test('an answer from another upstream at the address neither sets nor ends a limit', () => {
+  const {limits, answer} = createSignals();
+  answer({limit: '2', 'from-other': '1'});
+  assert.equal(limits.getLimit('u1'), undefined);
+  answer({limit: '2'});
+  answer({'from-other': '1'});
+  assert.equal(limits.getLimit('u1'), 2);
+});
+
 test('nothing is left to happen after a stop', async () => {
   const {clock, backOffs, answer, listNames} = createSignals();
   answer({'retry-after': '1'});
--- a/packages/upstream-signals/src/upstream-signals.ts
+++ b/packages/upstream-signals/src/upstream-signals.ts
@@ -1,5 +1,6 @@
 import type {EventLogger} from '@hollowstack/logger';
 import type {MetricsRegistry} from '@hollowstack/metrics';
+import {parseLimit, type LimitTable} from '@hollowstack/upstream-limits';
 import type {AnswerHead, SignalProtocol} from './answer-signals.ts';
 import type {BackOffTable} from './back-off-table.ts';
 import {MAX_BACK_OFF_MS, parseRetryAfterMs} from './retry-after.ts';
@@ -10,6 +11,7 @@
   readonly metrics: MetricsRegistry;
   readonly protocol: SignalProtocol;
   readonly backOffs: Pick<BackOffTable, 'begin' | 'getWaitMs'>;
+  readonly limits: Pick<LimitTable, 'recordLimit' | 'recordNoLimit'>;
   /** Called whenever an upstream says that it leaves. */
   readonly handleLeaving: (upstreamId: string, requestId?: string) => void;
 }
@@ -20,6 +22,8 @@
   readonly head: AnswerHead;
   /** Id of the request, or of one of them, that the call was made for. */
   readonly requestId: string | undefined;
+  /** When the call was sent, in milliseconds of this instance's clock. */
+  readonly sentAtMs: number;
 }
 
 /** Upstreams remembered whose values could not be read, so that each is logged once. */
@@ -30,6 +34,7 @@
 /** Takes note of what upstreams say of themselves in their answers. */
 export class UpstreamSignals {
   private readonly parts: UpstreamSignalsParts;
+  /** Event name and upstream id of each unreadable value that was logged. */
   private readonly unreadable = new Set<string>();
 
   constructor(parts: UpstreamSignalsParts) {
@@ -46,11 +51,33 @@
       this.countSignal(answer, 'leaving');
       handleLeaving(upstream.id, requestId);
     }
+    this.recordLimit(answer, signals.limit);
     const {retryAfter} = signals;
     if (retryAfter === undefined) return;
     const askedMs = parseRetryAfterMs(retryAfter);
-    if (askedMs === undefined) this.recordUnreadable(answer, retryAfter);
-    else if (askedMs > 0) this.beginBackOff(answer, askedMs);
+    if (askedMs === undefined) {
+      this.recordUnreadable(
+        answer,
+        'upstream.retry-after-unreadable',
+        retryAfter,
+      );
+    } else if (askedMs > 0) this.beginBackOff(answer, askedMs);
+  }
+
+  // An unreadable value neither sets nor ends a limit.
+  private recordLimit(answer: SignalAnswer, value: string | undefined): void {
+    const {limits} = this.parts;
+    if (value === undefined) {
+      limits.recordNoLimit(answer);
+      return;
+    }
+    const perSecond = parseLimit(value);
+    if (perSecond === undefined) {
+      this.recordUnreadable(answer, 'upstream.limit-unreadable', value);
+      return;
+    }
+    this.countSignal(answer, 'limit');
+    limits.recordLimit(answer, perSecond);
   }
 
   private beginBackOff(answer: SignalAnswer, askedMs: number): void {
@@ -71,16 +98,21 @@
     });
   }
 
-  private recordUnreadable(answer: SignalAnswer, value: string): void {
+  private recordUnreadable(
+    answer: SignalAnswer,
+    event: 'upstream.retry-after-unreadable' | 'upstream.limit-unreadable',
+    value: string,
+  ): void {
     const {upstream} = answer;
     this.countSignal(answer, 'unreadable');
-    if (this.unreadable.has(upstream.id)) return;
-    this.unreadable.add(upstream.id);
+    const key = `${event} ${upstream.id}`;
+    if (this.unreadable.has(key)) return;
+    this.unreadable.add(key);
     if (this.unreadable.size > MAX_UNREADABLE) {
       const [oldest] = this.unreadable;
       this.unreadable.delete(oldest);
     }
-    this.parts.logger.logEvent('upstream.retry-after-unreadable', {
+    this.parts.logger.logEvent(event, {
       upstream: upstream.id,
       service: upstream.service,
       value: value.slice(0, MAX_LOGGED_CHARACTERS),
@@ -89,7 +121,7 @@
 
   private countSignal(
     {upstream}: SignalAnswer,
-    signal: 'leaving' | 'back-off' | 'unreadable',
+    signal: 'leaving' | 'back-off' | 'limit' | 'unreadable',
   ): void {
     const {service} = upstream;
     const labels = {service, signal};
