Keep sends to upstreams within their advertised rate limits

Callers noticed nothing, but upstreams that had asked for less load received more than they had advertised: 12 to 14 requests in 4 s for a limit of 1 per second across all instances, where 11 are allowed.

Cause: nothing read the advertised limits, and no decision that an instance makes alone can bound the total over all instances.

The coordinator now grants sends to limited upstreams one at a time, at 0.8 of the limit and evenly spaced. Requests are queued by priority, then by the fewest recent grants of their workspace. A request that cannot be granted in time is refused at once with a retry time at which there is capacity. Unlimited upstreams are used first; limited ones then receive just enough requests to detect the end of a limit. Instances that cannot reach a coordinator share 0.2 of the limit and send at random times. A request whose service has only limited upstreams acquires a grant before its stages run. Stage calls, stage admission and releases of results respect the limit; kept prompts of limited upstreams are not read. Limits spread between instances with the comparison of copies. They end with the first answer without a limit or with the life of the upstream.

Why it works: one instance decides for all, and every send is checked again immediately before its first byte.

--- a/packages/assignment/src/engine-directory.ts
+++ b/packages/assignment/src/engine-directory.ts
@@ -79,6 +79,7 @@
 /** What the coordinator knows of all engines: what was assigned to them and what they keep. */
 export class EngineDirectory {
   private readonly getNow: () => number;
+  private readonly isLimited: (id: string) => boolean;
   private readonly engines = new Map<string, Engine>();
   private readonly assigned = new Map<string, AssignedRequest>();
   private readonly readingSpeed = new ReadingSpeed();
@@ -87,8 +88,13 @@
   private cacheTokens = new Map<string, number>();
   private warmUps = new Map<string, WarmUp>();
 
-  constructor(getNow: () => number) {
+  /** @param isLimited Returns whether an engine advertises a rate limit. */
+  constructor(
+    getNow: () => number,
+    isLimited: (id: string) => boolean = () => false,
+  ) {
     this.getNow = getNow;
+    this.isLimited = isLimited;
   }
 
   /** Takes the services of a newer configuration. */
@@ -280,7 +286,8 @@
         !excluded.has(record.id) &&
         isCandidate(health, nowMs),
     );
-    const bearing = usable.filter(
+    const unlimited = usable.filter(({record}) => !this.isLimited(record.id));
+    const bearing = (unlimited.length > 0 ? unlimited : usable).filter(
       engine => !this.isCold(engine) || engine.coldPacer.isDue(nowMs),
     );
     const key = shared.map(({id}) => id).join(',');
--- a/packages/entry/src/peer-requests.ts
+++ b/packages/entry/src/peer-requests.ts
@@ -51,6 +51,7 @@
         {type: 'notes'},
         {type: 'copy'},
         {type: 'assign'},
+        {type: 'limited-send'},
         {type: 'relay-watch'},
         {type: 'relay-read'},
         (): PeerReply => ({
--- a/packages/gateway/src/attempt-runner.ts
+++ b/packages/gateway/src/attempt-runner.ts
@@ -11,14 +11,12 @@
 import {Attempt, type AttemptOutcome} from './attempt.ts';
 import type {CrashSigns} from './crash-signs.ts';
 import type {EngineAssignment} from './engine-assigner.ts';
-import {
-  InputsLostError,
-  RETRY_AFTER_MS,
-  type ReleasableInputs,
-} from './releasable-inputs.ts';
+import type {LimitedSends} from './limited-sends.ts';
+import {InputsLostError, type ReleasableInputs} from './releasable-inputs.ts';
 import type {PolicySettings} from './gateway-settings.ts';
 import type {RequestProtocol} from './request-protocol.ts';
 import type {RoutedRequest} from './routed-request.ts';
+import {createUnavailable} from './unavailable.ts';
 import type {UpstreamChooser} from './upstream-chooser.ts';
 import type {UpstreamPool} from './upstream-pool.ts';
 import type {UpstreamRegistry} from './upstream-registry.ts';
@@ -33,6 +31,7 @@
   readonly registry: Pick<UpstreamRegistry, 'getState'>;
   readonly signals: Pick<UpstreamSignals, 'recordAnswer'>;
   readonly chooser: UpstreamChooser;
+  readonly limitedSends: LimitedSends;
   readonly retryBudget: WindowRetryBudget;
   readonly quarantine: RequestQuarantine;
   readonly isolated: IsolatedAttempts;
@@ -107,7 +106,7 @@
     for (;;) {
       request.signal.throwIfAborted();
       const upstream =
-        this.findOnlyUpstream(request) ??
+        (await this.acquireOnlyUpstream(request)) ??
         (await this.chooseUpstream(request, needs));
       request.signal.throwIfAborted();
       quarantine.checkRequest(request);
@@ -162,6 +161,17 @@
     );
   }
 
+  private async acquireOnlyUpstream(
+    request: RoutedRequest,
+  ): Promise<{id: string} | undefined> {
+    const upstream = this.findOnlyUpstream(request);
+    const {limitedSends} = this.parts;
+    if (upstream && limitedSends.isLimited(upstream.id)) {
+      await limitedSends.acquireGrant(request, [upstream.id]);
+    }
+    return upstream;
+  }
+
   // A request that may go to no further upstream goes to the same one again,
   // once its lost inputs are made.
   private findOnlyUpstream(request: RoutedRequest): {id: string} | undefined {
@@ -187,7 +197,7 @@
   ): Promise<AttemptOutcome> {
     const {clock, protocol, pool, registry, signals, chooser, policy} =
       this.parts;
-    const {quarantine, crashSigns} = this.parts;
+    const {quarantine, crashSigns, limitedSends} = this.parts;
     const upstream = pool.getRecord(upstreamId);
     request.registryState = registry.getState();
     if (!upstream || !pool.maySend(upstreamId)) {
@@ -201,7 +211,9 @@
       upstream,
       signals,
       acquireSend: () =>
-        !quarantine.isQuarantined(request) && pool.acquireSend(upstreamId),
+        !quarantine.isQuarantined(request) &&
+        limitedSends.takeGrant(request, upstreamId) &&
+        pool.acquireSend(upstreamId),
       inputs,
       releasesAtFirst: policy.earlyRelease || !request.facts.route.isResumable,
       handleFirst: firstMs => {
@@ -293,16 +305,3 @@
     (outcome.type === 'not-run' && outcome.isOtherUpstream)
   );
 }
-
-function createUnavailable(
-  request: RoutedRequest,
-  reason: string,
-  retryAfterMs = RETRY_AFTER_MS,
-): HollowstackError {
-  const ran = request.getRan();
-  return new HollowstackError(
-    ran === 'no' ? 'upstream-unavailable' : 'upstream-failed',
-    reason,
-    {ran, retryAfterMs: ran === 'no' ? retryAfterMs : undefined},
-  );
-}
--- a/packages/gateway/src/copy-exchange.test.ts
+++ b/packages/gateway/src/copy-exchange.test.ts
@@ -1,3 +1,4 @@
+import {LimitTable} from '@hollowstack/upstream-limits';
 import assert from 'node:assert/strict';
 import {test, type TestContext} from 'node:test';
 import {ManualClock} from '@hollowstack/clock';
@@ -59,6 +60,7 @@
     logger,
     random: Math.random,
     suspects: new SuspectTable({clock, logger}),
+    limits: new LimitTable({clock, logger}),
     seeds: [],
     holder: new RouteHolder(protocol, logger),
     registry,
--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -28,6 +28,7 @@
 import {AttemptRunner} from './attempt-runner.ts';
 import {CoordinatorSearch} from './coordinator-search.ts';
 import {CrashSigns} from './crash-signs.ts';
+import {createLimits} from './create-limits.ts';
 import {createQuarantine} from './create-quarantine.ts';
 import {createStoreView} from './create-store-view.ts';
 import {EngineAssigner} from './engine-assigner.ts';
@@ -40,6 +41,7 @@
 import type {GatewaySettings} from './gateway-settings.ts';
 import {Gateway} from './gateway.ts';
 import {KeptPromptsReader} from './kept-prompts-reader.ts';
+import {LimitedSends} from './limited-sends.ts';
 import {OperatorEndpoint} from './operator-endpoint.ts';
 import type {RequestProtocol} from './request-protocol.ts';
 import {RequestRunner} from './request-runner.ts';
@@ -90,6 +92,7 @@
     metrics,
   });
   const {suspects, detector, quarantine} = createQuarantine(environment);
+  const limits = new LimitTable({clock, logger});
   const {membership, exchange, relay, watchHub, followers} = createStoreView({
     settings,
     environment,
@@ -98,9 +101,15 @@
     registry,
     evacuated,
     suspects,
+    limits,
   });
+  const {granter, limiter} = createLimits(
+    environment,
+    limits,
+    link,
+    membership,
+  );
   const backOffs = new BackOffTable({clock, logger});
-  const limits = new LimitTable({clock, logger});
   registry.addRestartListener(({before, after, startedAtMs}) => {
     backOffs.replaceLife(before, after, startedAtMs);
     limits.replaceLife(before, after, startedAtMs);
@@ -124,6 +133,7 @@
       signals,
     }),
     backOffs,
+    limiter,
     random,
     releasesRead: settings.policy.readRelease,
   });
@@ -136,14 +146,14 @@
     membership,
     local: coordinator,
   });
-  const directory = new EngineDirectory(getNow);
+  const directory = new EngineDirectory(getNow, id => limiter.isLimited(id));
   const keptPrompts = new KeptPromptsReader({
     clock,
     logger,
     directory,
     protocol: environment.engineProtocol,
     signals,
-    mayAsk: id => pool.maySend(id),
+    mayAsk: id => pool.maySend(id) && !limiter.isLimited(id),
   });
   const pool: UpstreamPool = new UpstreamPool({
     getNow,
@@ -151,8 +161,10 @@
     getInstanceCount: () => membership.getLiveCount(),
     backOffs,
   });
+  const limitedSends = new LimitedSends({clock, limiter, pool});
   const chooser = new UpstreamChooser({
     pool,
+    limitedSends,
     assigner: new EngineAssigner({
       link,
       notes,
@@ -174,6 +186,7 @@
     protocol,
     pool,
     chooser,
+    limitedSends,
     dispatcher,
     retryBudget,
     quarantine,
@@ -187,6 +200,7 @@
       registry,
       signals,
       chooser,
+      limitedSends,
       retryBudget,
       quarantine,
       isolated: new IsolatedAttempts(clock),
@@ -220,6 +234,7 @@
     directory.setUpstreams(upstreams);
     detector.setUpstreams(upstreams);
     limits.setUpstreams(upstreams);
+    limiter.setUpstreams(upstreams);
   });
 
   const coordinatorSearch = new CoordinatorSearch({
@@ -235,6 +250,8 @@
     exchange,
     lifecycle,
     relay,
+    limits,
+    granter,
   });
   link.setRequestHandler(request => peerRequests.answerRequest(request));
 
@@ -250,9 +267,6 @@
   metrics.setGauge('hollowstack_upstreams_backing_off', {}, () =>
     backOffs.countWaiting(),
   );
-  metrics.setGauge('hollowstack_upstreams_limited', {}, () =>
-    limits.countLimited(),
-  );
   metrics.setGauge('hollowstack_upstreams_leaving', {}, () =>
     registry.countLeaving(),
   );
@@ -304,6 +318,7 @@
     coordinatorSearch,
     registry,
     backOffs,
+    granter,
     coordinator,
     coordinatorTasks: settings.policy.resultCheckpoints
       ? [verdictKeeper, ...checkpointTasks]
--- a/packages/gateway/src/create-store-view.ts
+++ b/packages/gateway/src/create-store-view.ts
@@ -2,6 +2,7 @@
 import {Membership, PEER_PREFIX, type PeerLink} from '@hollowstack/peers';
 import {WatchHub, createPrefixRange, type WatchPace} from '@hollowstack/store';
 import {RelayServer, RelayedStore} from '@hollowstack/store-relay';
+import type {LimitTable} from '@hollowstack/upstream-limits';
 import {CopyExchange} from './copy-exchange.ts';
 import type {EvacuatedDomains} from './evacuated-domains.ts';
 import type {GatewayEnvironment} from './create-gateway.ts';
@@ -42,6 +43,7 @@
   readonly evacuated: EvacuatedDomains;
   /** Takes what peers know of requests that crash upstreams. */
   readonly suspects: SuspectTable;
+  readonly limits: LimitTable;
 }
 
 /**
@@ -61,7 +63,7 @@
 /** Wires what follows the store: the watch, its relay, and the exchange with peers. */
 export function createStoreView(parts: StoreViewParts): StoreView {
   const {settings, environment, link, holder, registry, evacuated} = parts;
-  const {suspects} = parts;
+  const {suspects, limits} = parts;
   const {clock, logger, random} = environment;
   const {id, failureDomain, cpuShare, cpuSpeed} = settings.instance;
   const {peerAddress, advertisedPeerAddress} = settings.listen;
@@ -131,11 +133,13 @@
     registry,
     evacuated,
     suspects,
+    limits,
     followWithinMs,
   });
   registry.addMissingListener(() => void exchange.runRound());
   registry.addToldListener(() => exchange.scheduleTelling());
   suspects.addNewsListener(() => exchange.scheduleTelling());
+  limits.addNewsListener(() => exchange.scheduleTelling());
   const relay = new RelayServer({clock, store});
   return {membership, watchHub, followers, exchange, relay};
 }
--- a/packages/gateway/src/gateway-peer-requests.ts
+++ b/packages/gateway/src/gateway-peer-requests.ts
@@ -2,6 +2,7 @@
 import type {PeerNote, PeerReply, PeerRequest} from '@hollowstack/peers';
 import type {StageCoordinator} from '@hollowstack/stages';
 import type {RelayServer} from '@hollowstack/store-relay';
+import type {LimitTable, SendGranter} from '@hollowstack/upstream-limits';
 import {match} from 'ts-pattern';
 import type {CopyExchange} from './copy-exchange.ts';
 import type {KeptPromptsReader} from './kept-prompts-reader.ts';
@@ -15,6 +16,8 @@
   readonly exchange: CopyExchange;
   readonly lifecycle: GatewayLifecycle;
   readonly relay: RelayServer;
+  readonly limits: Pick<LimitTable, 'applyReports'>;
+  readonly granter: Pick<SendGranter, 'acquireGrant'>;
 }
 
 const STOPPING: PeerReply = {
@@ -67,6 +70,12 @@
           failureDomain: choice?.failureDomain,
         };
       })
+      .with({type: 'limited-send'}, async ({ask, limits}) => {
+        if (lifecycle.isStopping()) return STOPPING;
+        this.parts.limits.applyReports(limits, 'grant-request');
+        const decision = await this.parts.granter.acquireGrant(ask);
+        return {type: 'limited-send', decision};
+      })
       .with({type: 'notes'}, ({notes}) => {
         for (const note of notes) this.applyNote(note);
         return {type: 'done'};
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,6 +5,7 @@
 import type {StageCoordinator} from '@hollowstack/stages';
 import type {WatchHub} from '@hollowstack/store';
 import {splitAddress} from '@hollowstack/types';
+import type {SendGranter} from '@hollowstack/upstream-limits';
 import type {BackOffTable} from '@hollowstack/upstream-signals';
 import {createServer, type IncomingHttpHeaders, type Server} from 'node:http';
 import type {CoordinatorSearch} from './coordinator-search.ts';
@@ -46,6 +47,7 @@
   readonly coordinatorSearch: CoordinatorSearch;
   readonly registry: UpstreamRegistry;
   readonly backOffs: BackOffTable;
+  readonly granter: SendGranter;
   readonly coordinator: StageCoordinator;
   /** What a coordinator does for all; run from the end of the start on. */
   readonly coordinatorTasks: readonly CoordinatorTask[];
@@ -169,6 +171,7 @@
     parts.coordinatorSearch.stop();
     parts.registry.stop();
     parts.backOffs.stop();
+    parts.granter.stop();
     parts.watchHub.stop();
     for (const follower of parts.followers) follower.stop();
     parts.coordinator.stop();
--- a/packages/gateway/src/request-runner.ts
+++ b/packages/gateway/src/request-runner.ts
@@ -15,6 +15,7 @@
 import type {PromptPart} from '@hollowstack/types';
 import type {AttemptRunner} from './attempt-runner.ts';
 import type {PolicySettings} from './gateway-settings.ts';
+import type {LimitedSends} from './limited-sends.ts';
 import {InputsLostError, ReleasableInputs} from './releasable-inputs.ts';
 import type {RequestProtocol} from './request-protocol.ts';
 import type {RoutedRequest} from './routed-request.ts';
@@ -29,6 +30,7 @@
   readonly pool: UpstreamPool;
   readonly chooser: UpstreamChooser;
   readonly attempts: AttemptRunner;
+  readonly limitedSends: Pick<LimitedSends, 'reserveSend'>;
   readonly dispatcher: StageDispatcher;
   readonly retryBudget: WindowRetryBudget;
   readonly quarantine: RequestQuarantine;
@@ -69,6 +71,7 @@
     retryBudget.recordRequest(request.facts.service);
     this.parts.quarantine.admitRequest(request);
     this.checkShortage(request);
+    await this.parts.limitedSends.reserveSend(request);
     if (request.facts.route.stages.length === 0 || counts === undefined) {
       await this.parts.attempts.run(request, {
         parts,
--- a/packages/gateway/src/routed-request.ts
+++ b/packages/gateway/src/routed-request.ts
@@ -4,6 +4,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {computeFingerprint} from '@hollowstack/quarantine';
 import type {PromptPart} from '@hollowstack/types';
+import type {SendGrant} from '@hollowstack/upstream-limits';
 import type {RequestProtocol} from './request-protocol.ts';
 import type {RegistryState} from './upstream-registry.ts';
 
@@ -41,6 +42,8 @@
   predictedMs: number | undefined;
   /** What this instance knew of upstreams when it last chose one. */
   registryState: RegistryState | undefined;
+  /** Unused grant to send this request to a limited upstream. */
+  grant: SendGrant | undefined;
   /** Id of the last event that the caller was sent. */
   lastEventId: string | undefined;
   private ran: Ran = 'no';
--- a/packages/gateway/src/shared-knowledge.ts
+++ b/packages/gateway/src/shared-knowledge.ts
@@ -1,5 +1,6 @@
 import type {Membership, PeerReply} from '@hollowstack/peers';
 import type {SuspectTable} from '@hollowstack/quarantine';
+import type {LimitTable} from '@hollowstack/upstream-limits';
 import type {EvacuatedDomains} from './evacuated-domains.ts';
 import type {RouteHolder} from './route-holder.ts';
 import type {UpstreamRegistry} from './upstream-registry.ts';
@@ -11,6 +12,7 @@
   readonly registry: UpstreamRegistry;
   readonly evacuated: EvacuatedDomains;
   readonly suspects: Pick<SuspectTable, 'applyReports' | 'listReports'>;
+  readonly limits: Pick<LimitTable, 'applyReports' | 'listReports'>;
 }
 
 /** What instances tell each other in every comparison, whoever asks. */
@@ -24,6 +26,7 @@
   | 'evacuations'
   | 'leavingUpstreams'
   | 'suspects'
+  | 'limits'
 >;
 
 /** The small part of an instance's knowledge that goes with every question and answer. */
@@ -35,7 +38,8 @@
   }
 
   createMessage(): KnowledgeMessage {
-    const {membership, holder, registry, evacuated, suspects} = this.parts;
+    const {membership, holder, registry, evacuated, suspects, limits} =
+      this.parts;
     return {
       self: membership.getSelf(),
       isLeaving: membership.isLeaving(),
@@ -45,25 +49,29 @@
       evacuations: evacuated.getState(),
       leavingUpstreams: registry.listToldLeaving(),
       suspects: suspects.listReports(),
+      limits: limits.listReports(),
     };
   }
 
   /** Takes what a peer tells. */
   recordMessage(message: KnowledgeMessage, address: string): void {
-    const {registry, evacuated, suspects} = this.parts;
+    const {registry, evacuated, suspects, limits} = this.parts;
     const source = `peer ${address}`;
     this.recordPeer(message);
     const {evacuations, leavingUpstreams = []} = message;
     if (evacuations) evacuated.replaceState(evacuations, source);
     for (const id of leavingUpstreams) registry.recordLeaving(id, {source});
     suspects.applyReports(message.suspects ?? [], source);
+    limits.applyReports(message.limits ?? [], source);
   }
 
   /** Returns whether there is anything that only instances tell each other. */
   hasUnstored(): boolean {
-    const {registry, suspects} = this.parts;
+    const {registry, suspects, limits} = this.parts;
     return (
-      registry.listToldLeaving().length > 0 || suspects.listReports().length > 0
+      registry.listToldLeaving().length > 0 ||
+      suspects.listReports().length > 0 ||
+      limits.listReports().length > 0
     );
   }
 
--- a/packages/gateway/src/test-utils/view-fleet.ts
+++ b/packages/gateway/src/test-utils/view-fleet.ts
@@ -9,6 +9,7 @@
   type PeerSocket,
 } from '@hollowstack/peers';
 import {SuspectTable} from '@hollowstack/quarantine';
+import {LimitTable} from '@hollowstack/upstream-limits';
 import {
   isTakingWork,
   type RegisteredUpstream,
@@ -64,6 +65,7 @@
   readonly registry: UpstreamRegistry;
   readonly holder: RouteHolder;
   readonly suspects: SuspectTable;
+  readonly limits: LimitTable;
 }
 
 /** How a fleet is started. */
@@ -132,6 +134,7 @@
     const registry = new UpstreamRegistry(protocol, logger, clock, evacuated);
     evacuated.addListener(change => registry.applyEvacuations(change));
     const suspects = new SuspectTable({clock, logger});
+    const limits = new LimitTable({clock, logger});
     const view = createStoreView({
       settings: {
         instance: {...identity, cpuShare: 1, cpuSpeed: 1},
@@ -157,13 +160,22 @@
       registry,
       evacuated,
       suspects,
+      limits,
     });
     link.setRequestHandler(request => answerPeer(request, view));
     await link.listen(id);
     void view.watchHub.start();
     void view.membership.start();
     void view.exchange.start();
-    this.instances.push({id, client, network, registry, holder, suspects});
+    this.instances.push({
+      id,
+      client,
+      network,
+      registry,
+      holder,
+      suspects,
+      limits,
+    });
     this.ends.push(() => {
       view.watchHub.stop();
       void view.membership.stop();
--- /dev/null
+++ b/packages/gateway/src/unavailable.ts
@@ -0,0 +1,21 @@
+import {HollowstackError} from '@hollowstack/errors';
+import {RETRY_AFTER_MS} from './releasable-inputs.ts';
+import type {RoutedRequest} from './routed-request.ts';
+
+/**
+ * Creates the error of a request for which no upstream is available.
+ *
+ * @param retryAfterMs Milliseconds after which the caller may retry.
+ */
+export function createUnavailable(
+  request: RoutedRequest,
+  reason: string,
+  retryAfterMs = RETRY_AFTER_MS,
+): HollowstackError {
+  const ran = request.getRan();
+  return new HollowstackError(
+    ran === 'no' ? 'upstream-unavailable' : 'upstream-failed',
+    reason,
+    {ran, retryAfterMs: ran === 'no' ? retryAfterMs : undefined},
+  );
+}
--- a/packages/gateway/src/upstream-chooser.ts
+++ b/packages/gateway/src/upstream-chooser.ts
@@ -1,14 +1,19 @@
 import type {AssignmentProgress, PromptPart} from '@hollowstack/types';
 import type {AttemptOutcome} from './attempt.ts';
 import type {EngineAssigner, EngineAssignment} from './engine-assigner.ts';
+import type {LimitedSends} from './limited-sends.ts';
 import type {RoutedRequest} from './routed-request.ts';
-import {chooseRequestUpstream} from './upstream-choice.ts';
+import {
+  chooseRequestUpstream,
+  type RequestCandidate,
+} from './upstream-choice.ts';
 import type {UpstreamPool} from './upstream-pool.ts';
 
 /** What the chooser works with. */
 export interface UpstreamChooserParts {
   readonly pool: UpstreamPool;
   readonly assigner: EngineAssigner;
+  readonly limitedSends: LimitedSends;
   readonly random: () => number;
   readonly getNow: () => number;
   /** Whether engines are chosen by the time that a request can spare. */
@@ -41,7 +46,10 @@
     need: ChoiceNeed,
   ): Promise<EngineAssignment | undefined> {
     const {service} = request.facts;
-    const candidates = this.parts.pool.listCandidates(service, need.excluded);
+    const listed = this.parts.pool.listCandidates(service, need.excluded);
+    const limited = await this.chooseLimited(request, need, listed);
+    if (limited) return limited;
+    const candidates = this.listPreferred(listed);
     if (need.parts.length > 0) {
       const assigned = await this.parts.assigner.askForEngine({
         requestId: request.facts.requestId,
@@ -51,7 +59,7 @@
           failureDomain,
           bytes,
         })),
-        excluded: this.listExcluded(service, need),
+        excluded: this.listExcluded(service, need, candidates),
         isFinal: need.isFinal,
         dueInMs: this.computeDueInMs(request, need),
       });
@@ -69,11 +77,49 @@
     return chosen;
   }
 
+  // While unlimited upstreams are available, limited ones get only probes, which detect
+  // the end of their limits. Otherwise they are used up to their limits.
+  private async chooseLimited(
+    request: RoutedRequest,
+    {isFinal}: ChoiceNeed,
+    candidates: readonly RequestCandidate[],
+  ): Promise<EngineAssignment | undefined> {
+    const {limitedSends, pool} = this.parts;
+    const limited = candidates.filter(({id}) => limitedSends.isLimited(id));
+    if (!isFinal || limited.length === 0) return undefined;
+    const ids = limited.filter(({hasShare}) => hasShare).map(({id}) => id);
+    if (ids.length === 0) return undefined;
+    const id =
+      limited.length === candidates.length
+        ? await limitedSends.acquireGrant(request, ids)
+        : await limitedSends.acquireProbeGrant(request, ids);
+    const chosen = limited.find(candidate => candidate.id === id);
+    if (chosen) pool.recordOwnChoice(chosen.id);
+    return chosen;
+  }
+
+  private listPreferred(
+    candidates: readonly RequestCandidate[],
+  ): readonly RequestCandidate[] {
+    const {limitedSends} = this.parts;
+    const unlimited = candidates.filter(({id}) => !limitedSends.isLimited(id));
+    return unlimited.length > 0 ? unlimited : candidates;
+  }
+
   // The coordinator decides for all instances, and may not know what upstreams have told
   // this one: a place that it took for nothing would stay taken until it hears of it.
-  private listExcluded(service: string, {excluded}: ChoiceNeed): string[] {
-    const closed = this.parts.pool.listClosed(service);
-    return [...new Set([...excluded, ...closed])];
+  private listExcluded(
+    service: string,
+    {excluded}: ChoiceNeed,
+    preferred: readonly RequestCandidate[],
+  ): string[] {
+    const {pool, limitedSends} = this.parts;
+    const closed = pool.listClosed(service);
+    const limited = pool
+      .listIds(service)
+      .filter(id => limitedSends.isLimited(id))
+      .filter(id => !preferred.some(candidate => candidate.id === id));
+    return [...new Set([...excluded, ...closed, ...limited])];
   }
 
   // A forecast for stages that are still to run knows no time yet.
--- a/packages/gateway/src/upstream-pool.ts
+++ b/packages/gateway/src/upstream-pool.ts
@@ -138,10 +138,14 @@
     return findShortage(service, records, id => this.getWaitMs(id));
   }
 
+  /** Lists the upstreams of a service. */
+  listIds(service: string): string[] {
+    return this.listRecords(service).map(({id}) => id);
+  }
+
   /** Lists the upstreams of a service to which this instance may send nothing now. */
   listClosed(service: string): string[] {
-    const ids = this.listRecords(service).map(({id}) => id);
-    return ids.filter(id => !this.maySend(id));
+    return this.listIds(service).filter(id => !this.maySend(id));
   }
 
   /** Lists the upstreams of a service that new work may go to. */
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -279,6 +279,11 @@
     level: 'warn',
     text: 'an upstream advertises a limit that is not a decimal number; the value is ignored',
   },
+  'limit.refused': {
+    number: 630,
+    level: 'info',
+    text: 'a request was refused because the limits of its upstreams are used up',
+  },
   'upstream.crashed': {
     number: 626,
     level: 'warn',
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -4,6 +4,9 @@
   callOutcomeSchema,
   configurationSnapshotSchema,
   decisionSchema,
+  grantDecisionSchema,
+  grantRequestSchema,
+  limitReportSchema,
   stageAdmissionRequestSchema,
   stageJobSchema,
   stageOutcomeSchema,
@@ -73,6 +76,9 @@
 /** Requests that crash upstreams. Peers of older versions leave it out and pass it over. */
 const suspectsSchema = z.array(suspectReportSchema).optional();
 
+/** Rate limits of upstreams. Peers of older versions neither send nor read them. */
+const limitsSchema = z.array(limitReportSchema).optional();
+
 /** What a peer is only told. */
 const peerNoteSchema = z.discriminatedUnion('type', [
   z.object({type: z.literal('stage-end'), requestId: z.string()}),
@@ -121,6 +127,12 @@
   }),
   z.object({type: z.literal('stage-cancel'), jobId: z.string()}),
   z.object({type: z.literal('assign'), request: assignmentRequestSchema}),
+  z.object({
+    type: z.literal('limited-send'),
+    ask: grantRequestSchema,
+    /** The sender's reports on the limits of these upstreams. */
+    limits: z.array(limitReportSchema),
+  }),
   z.object({type: z.literal('notes'), notes: z.array(peerNoteSchema)}),
   z.object({
     type: z.literal('copy'),
@@ -140,6 +152,7 @@
     evacuations: evacuationStateSchema.optional(),
     leavingUpstreams: leavingUpstreamsSchema,
     suspects: suspectsSchema,
+    limits: limitsSchema,
     /** What the answer should carry beside the revisions, where it is newer. */
     wishes: copyWishesSchema,
   }),
@@ -210,6 +223,10 @@
     upstreamId: z.string().optional(),
     failureDomain: z.string().optional(),
   }),
+  z.object({
+    type: z.literal('limited-send'),
+    decision: grantDecisionSchema,
+  }),
   z.object({
     type: z.literal('stage-admission'),
     isAdmitted: z.boolean(),
@@ -233,6 +250,7 @@
     evacuations: evacuationStateSchema.optional(),
     leavingUpstreams: leavingUpstreamsSchema,
     suspects: suspectsSchema,
+    limits: limitsSchema,
     /** The stored text of a configuration newer than the asker's. */
     configurationText: packedTextSchema.optional(),
     /** What is known of the upstreams, where it is newer than the asker's. */
--- a/packages/stages/src/input-reads.test.ts
+++ b/packages/stages/src/input-reads.test.ts
@@ -14,6 +14,7 @@
 import type {StagePiece} from './stage-protocol.ts';
 import {createTestUpstream} from './test-utils/create-coordinator.ts';
 import {getMiddle} from './test-utils/get-middle.ts';
+import {NO_LIMITS} from './test-utils/no-limits.ts';
 
 const CALL_MS = 200;
 const RESULT_BYTES = 1000;
@@ -87,6 +88,7 @@
       close: () => {},
     },
     backOffs: new BackOffTable({clock, logger}),
+    limiter: NO_LIMITS,
     random: getMiddle,
     releasesRead: options.releasesRead ?? true,
   });
--- a/packages/stages/src/learnt-calls.test.ts
+++ b/packages/stages/src/learnt-calls.test.ts
@@ -19,6 +19,7 @@
 import type {StagePiece} from './stage-protocol.ts';
 import {getMiddle} from './test-utils/get-middle.ts';
 import {createRankJob, createRankUpstream} from './test-utils/rank-service.ts';
+import {NO_LIMITS} from './test-utils/no-limits.ts';
 
 const SERVICE = {
   name: 'rank',
@@ -78,6 +79,7 @@
     metrics: new MetricsRegistry(),
     caller: {runPieces, releaseResults: async () => {}, close: () => {}},
     backOffs: new BackOffTable({clock, logger}),
+    limiter: NO_LIMITS,
     random: getMiddle,
     releasesRead: true,
   });
--- a/packages/stages/src/result-releaser.ts
+++ b/packages/stages/src/result-releaser.ts
@@ -11,6 +11,11 @@
    * it may be called; undefined where it leaves with all that it keeps.
    */
   readonly getWaitMs: (address: string) => number | undefined;
+  /**
+   * Returns the milliseconds over which releases at an address are gathered; undefined
+   * if its upstream advertises no limit.
+   */
+  readonly getGatherMs?: (address: string) => number | undefined;
   /** Called once an upstream has given the room up, or takes its results along. */
   readonly handleReleased: (handles: readonly string[]) => void;
 }
@@ -35,7 +40,8 @@
         continue;
       }
       this.pending.set(address, [handle]);
-      this.scheduleRelease(address, GATHER_MS);
+      const gatherMs = this.parts.getGatherMs?.(address) ?? GATHER_MS;
+      this.scheduleRelease(address, gatherMs);
     }
   }
 
--- a/packages/stages/src/stage-admission.ts
+++ b/packages/stages/src/stage-admission.ts
@@ -268,7 +268,7 @@
       priority,
       phase,
     );
-    const callsMs = workMs / Math.max(1, this.parts.fleet.countPlaces(service));
+    const callsMs = workMs / this.parts.fleet.countPlaces(service);
     return Math.max(callsMs, this.computeMemoryWaitMs(service, resultBytes));
   }
 
--- a/packages/stages/src/stage-back-off.test.ts
+++ b/packages/stages/src/stage-back-off.test.ts
@@ -12,6 +12,7 @@
 import type {StagePiece} from './stage-protocol.ts';
 import {getMiddle} from './test-utils/get-middle.ts';
 import {createRankJob, createRankUpstream} from './test-utils/rank-service.ts';
+import {NO_LIMITS} from './test-utils/no-limits.ts';
 
 const CALL_MS = 100;
 const SERVICE = {
@@ -64,6 +65,7 @@
     metrics: new MetricsRegistry(),
     caller,
     backOffs,
+    limiter: NO_LIMITS,
     random: getMiddle,
     releasesRead: true,
   });
--- a/packages/stages/src/stage-coordinator.ts
+++ b/packages/stages/src/stage-coordinator.ts
@@ -25,7 +25,12 @@
   type StageAdmissionDecision,
 } from './stage-admission.ts';
 import type {StageCaller} from './stage-caller.ts';
-import {StageFleet, type StageBackOffs} from './stage-fleet.ts';
+import type {StageUpstream} from './stage-upstreams.ts';
+import {
+  StageFleet,
+  type StageBackOffs,
+  type StageLimiter,
+} from './stage-fleet.ts';
 
 /** What the coordinator works with. */
 export interface StageCoordinatorParts {
@@ -35,6 +40,7 @@
   readonly caller: Pick<StageCaller, 'runPieces' | 'releaseResults' | 'close'>;
   /** The upstreams that asked this instance for no work. */
   readonly backOffs: StageBackOffs;
+  readonly limiter: StageLimiter;
   /** Draws from 0 to below 1. */
   readonly random: () => number;
   /** Whether inputs are given back while the calls that have read them still work. */
@@ -62,6 +68,7 @@
     this.fleet = new StageFleet({
       clock: parts.clock,
       backOffs: parts.backOffs,
+      limiter: parts.limiter,
       times: this.times,
     });
     this.admission = new StageAdmission({
@@ -74,6 +81,7 @@
       clock: parts.clock,
       caller: parts.caller,
       getWaitMs: address => this.fleet.getReleaseWaitMs(address),
+      getGatherMs: address => this.fleet.getReleaseIntervalMs(address),
       handleReleased: handles => {
         this.fleet.recordReleased(handles);
         this.scheduleCalls();
@@ -216,30 +224,43 @@
       this.jobs.failShort(service, shortage, capacity);
       return;
     }
+    const probe = this.fleet.findDueProbe(service, capacity);
+    let batches = probe ? this.assembleCalls(service, capacity, [probe]) : [];
+    if (batches.length === 0) {
+      const waiting = this.jobs.countWaitingPieces(service);
+      const free = this.fleet.listFree(service, capacity, waiting);
+      batches = this.assembleCalls(service, capacity, free);
+    }
+    const isLoaded = this.hasBatchLeft(service, capacity, batches);
+    for (const batch of batches) {
+      void this.runner.runBatch(batch, {capacity, nowMs, isLoaded});
+    }
+  }
+
+  private assembleCalls(
+    service: string,
+    capacity: StageCapacity,
+    free: readonly StageUpstream[],
+  ): Batch[] {
+    const nowMs = this.parts.clock.getNow();
     const used = this.fleet.listUsed(service);
-    const batches = assembleBatches({
+    return assembleBatches({
       nowMs,
       capacity,
       jobs: this.jobs.listWaiting(service, capacity),
-      free: used
-        .filter(upstream => upstream.isFree(nowMs, capacity))
-        .map(upstream => ({
-          id: upstream.record.id,
-          failureDomain: upstream.record.failureDomain,
-          freeBytes: this.fleet.countFreeBytes(upstream),
-          slowness: upstream.getSlowness(nowMs),
-          idleSinceMs: upstream.idleSinceMs,
-        })),
+      free: free.map(upstream => ({
+        id: upstream.record.id,
+        failureDomain: upstream.record.failureDomain,
+        freeBytes: this.fleet.countFreeBytes(upstream),
+        slowness: upstream.getSlowness(nowMs),
+        idleSinceMs: upstream.idleSinceMs,
+      })),
       domainsInUse: new Set(used.map(({record}) => record.failureDomain)),
       upstreamsInUse: used.length,
       hasUsualUpstream: used.some(
         upstream => upstream.getSlowness(nowMs) < SLOW_FACTOR,
       ),
     });
-    const isLoaded = this.hasBatchLeft(service, capacity, batches);
-    for (const batch of batches) {
-      void this.runner.runBatch(batch, {capacity, nowMs, isLoaded});
-    }
   }
 
   // Calls that leave less than another call's items waiting are as small as the load
--- a/packages/stages/src/stage-fleet.ts
+++ b/packages/stages/src/stage-fleet.ts
@@ -8,6 +8,7 @@
   type StageCapacity,
 } from '@hollowstack/routes';
 import type {OwnedResult, StageResult} from '@hollowstack/types';
+import type {SendLimiter} from '@hollowstack/upstream-limits';
 import type {BackOffTable} from '@hollowstack/upstream-signals';
 import {ResultRoom, type HeldResult} from './result-room.ts';
 import type {ServiceTimes} from './service-times.ts';
@@ -22,10 +23,23 @@
   'maySend' | 'acquireSend' | 'getWaitMs'
 >;
 
+/** The part of the limiter that the fleet uses. */
+export type StageLimiter = Pick<
+  SendLimiter,
+  | 'isLimited'
+  | 'mayCall'
+  | 'acquireCall'
+  | 'getCallRate'
+  | 'getReleaseIntervalMs'
+  | 'isProbeDue'
+  | 'recordProbe'
+>;
+
 /** Dependencies of StageFleet. */
 export interface StageFleetParts {
   readonly clock: Clock;
   readonly backOffs: StageBackOffs;
+  readonly limiter: StageLimiter;
   /** What calls take, as learnt. */
   readonly times: Pick<ServiceTimes, 'getCallMs'>;
 }
@@ -41,20 +55,24 @@
  * fills its batch no longer finds room beside what is kept.
  */
 const SHORT_MEMORY_SHARE = 0.5;
+/** Minimum places of a service whose upstreams are all limited; avoids division by 0. */
+const MIN_LIMITED_PLACES = 0.01;
 
 /** The upstreams of all stage services, and the result memory that is left at each. */
 export class StageFleet {
   private readonly clock: Clock;
   private readonly backOffs: StageBackOffs;
+  private readonly limiter: StageLimiter;
   private readonly times: StageFleetParts['times'];
   private readonly room = new ResultRoom();
   private readonly holdTimes: DurationEstimator;
   private readonly upstreams = new Map<string, StageUpstream>();
   private capacities: ReadonlyMap<string, StageCapacity> = new Map();
 
-  constructor({clock, backOffs, times}: StageFleetParts) {
+  constructor({clock, backOffs, limiter, times}: StageFleetParts) {
     this.clock = clock;
     this.backOffs = backOffs;
+    this.limiter = limiter;
     this.times = times;
     this.holdTimes = new DurationEstimator(clock);
   }
@@ -99,9 +117,45 @@
   acquireSend(id: string): boolean {
     const upstream = this.upstreams.get(id);
     if (!upstream || !isTakingWork(upstream.record)) return false;
+    if (!this.backOffs.maySend(id) || !this.limiter.acquireCall(id)) {
+      return false;
+    }
+    this.limiter.recordProbe(id, 1);
     return this.backOffs.acquireSend(id);
   }
 
+  /**
+   * Lists the upstreams of a service that a call may go to now. Limited upstreams are
+   * included only if the unlimited ones cannot take all waiting pieces.
+   *
+   * @param waitingPieces Number of pieces that wait for a call.
+   */
+  listFree(
+    service: string,
+    capacity: StageCapacity,
+    waitingPieces: number,
+  ): StageUpstream[] {
+    const free = this.listCallable(service, capacity);
+    const unlimited = free.filter(
+      ({record}) => !this.limiter.isLimited(record.id),
+    );
+    const needsLimited = waitingPieces > unlimited.length * capacity.batchSize;
+    return needsLimited ? free : unlimited;
+  }
+
+  /**
+   * Finds a limited upstream of a service that is due a probe, which detects the end of
+   * its limit.
+   */
+  findDueProbe(
+    service: string,
+    capacity: StageCapacity,
+  ): StageUpstream | undefined {
+    return this.listCallable(service, capacity).find(({record}) =>
+      this.limiter.isProbeDue(record.id, 1),
+    );
+  }
+
   /**
    * Returns why no upstream of a service can take work; undefined where one can, or
    * where no registrations are known yet.
@@ -124,6 +178,19 @@
     return 0;
   }
 
+  /**
+   * Returns the milliseconds between releases of results at an address; undefined if its
+   * upstream advertises no limit.
+   */
+  getReleaseIntervalMs(address: string): number | undefined {
+    for (const {record} of this.upstreams.values()) {
+      if (record.address === address) {
+        return this.limiter.getReleaseIntervalMs(record.id);
+      }
+    }
+    return undefined;
+  }
+
   /** Lists the upstreams of a service that take calls or are at work on one. */
   listUsed(service: string): StageUpstream[] {
     const nowMs = this.clock.getNow();
@@ -141,14 +208,29 @@
     return values[Math.floor(values.length / 2)] ?? 1;
   }
 
-  /** Counts the calls that a service works on at a time, slow upstreams in part. */
+  /**
+   * Counts the calls that a service works on at a time, slow and limited upstreams in
+   * part. The minimum is 1 unless all upstreams advertise a limit.
+   */
   countPlaces(service: string): number {
-    const nowMs = this.clock.getNow();
-    const concurrency = this.getCapacity(service)?.concurrency ?? 1;
-    return this.listUsable(service).reduce(
-      (sum, upstream) => sum + concurrency / upstream.getSlowness(nowMs),
+    const usable = this.listUsable(service);
+    const places = usable.reduce(
+      (sum, upstream) => sum + this.countUpstreamPlaces(upstream),
       0,
     );
+    const areAllLimited =
+      usable.length > 0 &&
+      usable.every(({record}) => this.limiter.isLimited(record.id));
+    return Math.max(areAllLimited ? MIN_LIMITED_PLACES : 1, places);
+  }
+
+  private countUpstreamPlaces(upstream: StageUpstream): number {
+    const {id, service} = upstream.record;
+    const {concurrency = 1, callMs = 0} = this.getCapacity(service) ?? {};
+    const places = concurrency / upstream.getSlowness(this.clock.getNow());
+    const perSecond = this.limiter.getCallRate(id);
+    if (perSecond === undefined) return places;
+    return Math.min(places, (perSecond * callMs) / 1000);
   }
 
   /** Counts the bytes of results that the usable upstreams of a service can hold. */
@@ -242,6 +324,18 @@
     this.room.removeExpired(this.clock.getNow());
   }
 
+  private listCallable(
+    service: string,
+    capacity: StageCapacity,
+  ): StageUpstream[] {
+    const nowMs = this.clock.getNow();
+    return this.listOfService(service).filter(
+      upstream =>
+        upstream.isFree(nowMs, capacity) &&
+        this.limiter.mayCall(upstream.record.id),
+    );
+  }
+
   private listUsable(service: string): StageUpstream[] {
     const nowMs = this.clock.getNow();
     return this.listOfService(service).filter(upstream =>
--- a/packages/stages/src/test-utils/create-coordinator.ts
+++ b/packages/stages/src/test-utils/create-coordinator.ts
@@ -6,6 +6,7 @@
 import {StageCoordinator} from '../stage-coordinator.ts';
 import type {RunAnswer, StagePiece} from '../stage-protocol.ts';
 import {getMiddle} from './get-middle.ts';
+import {NO_LIMITS} from './no-limits.ts';
 
 /** Milliseconds of a call and of each piece, and pieces in one, of a test's stages. */
 export interface TestStage {
@@ -35,6 +36,7 @@
       close: () => {},
     },
     backOffs: new BackOffTable({clock, logger}),
+    limiter: NO_LIMITS,
     random: getMiddle,
     releasesRead: true,
   });
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -77,3 +77,9 @@
 } from './assignment.ts';
 export {suspectReportSchema, type SuspectReport} from './crash-report.ts';
 export {limitReportSchema, type LimitReport} from './limit-report.ts';
+export {
+  grantDecisionSchema,
+  grantRequestSchema,
+  type GrantDecision,
+  type GrantRequest,
+} from './limit-send.ts';
--- a/packages/upstream-limits/src/limit-table.ts
+++ b/packages/upstream-limits/src/limit-table.ts
@@ -110,6 +110,11 @@
       .slice(0, MAX_REPORTS);
   }
 
+  /** Lists the reports on the given upstreams, including ended limits. */
+  listReportsOf(ids: readonly string[]): LimitReport[] {
+    return this.listKnown().filter(({upstream}) => ids.includes(upstream));
+  }
+
   /** Lists the reports of limits that have not ended. */
   listLimited(): LimitReport[] {
     return this.listKnown().filter(({perSecond}) => perSecond !== undefined);
--- /dev/null
+++ b/packages/upstream-limits/src/rate-pacer.ts
@@ -0,0 +1,27 @@
+/** Maximum delay of a send that later sends may catch up on, in milliseconds. */
+const MAX_CREDIT_MS = 200;
+
+/** Spaces sends evenly at a rate that may change. */
+export class RatePacer {
+  private lastSendAtMs: number;
+
+  /** @param nowMs Counts as the time of the previous send. */
+  constructor(nowMs: number) {
+    this.lastSendAtMs = nowMs;
+  }
+
+  /** Returns when the next send is due at a rate, in milliseconds. */
+  getNextSendAtMs(perSecond: number): number {
+    return this.lastSendAtMs + 1000 / perSecond;
+  }
+
+  /** Records a send; a short delay does not postpone the sends that follow. */
+  recordSend(nowMs: number, perSecond: number): void {
+    const intervalMs = 1000 / perSecond;
+    const creditMs = Math.min(intervalMs, MAX_CREDIT_MS);
+    this.lastSendAtMs = Math.max(
+      this.lastSendAtMs + intervalMs,
+      nowMs - creditMs,
+    );
+  }
+}
