Apply full reads that arrive after newer watch events

Requests were still routed to an upstream that had registered itself as leaving, on instances whose watch had been restarted. Cause: events from the new watch are applied as they arrive, and the result of the full read a moment later. A read at a revision below that of the newest event was discarded entirely, along with every change made while no watch was active. In a busy registry this order is the usual one. Found with the failing test of restored stores: an instance's log showed that a read at revision 74 was discarded because revision 75 was already known, with no `upstream.leaving` after it. Evacuated failure domains had the same fault.

A read is now discarded only if it is older than the last read or the last state taken from a peer, and newer watch events received in the meantime take precedence for their keys. The test of restored stores still fails, for its other cause.

--- a/packages/gateway/src/evacuated-domains.ts
+++ b/packages/gateway/src/evacuated-domains.ts
@@ -31,6 +31,13 @@
   private readonly endedAtMs = new Map<string, number>();
   private failureDomains: ReadonlySet<string> = new Set();
   private storeRevision = 0;
+  /** Store revision of the last full read that was not stale. */
+  private lastReadRevision = 0;
+  /** Watch events newer than the last full read, by failure domain. */
+  private readonly changesSinceRead = new Map<
+    string,
+    {isEvacuated: boolean; modRevision: number}
+  >();
 
   constructor(parts: EvacuatedDomainsParts) {
     this.parts = parts;
@@ -62,8 +69,25 @@
     keyValues: readonly Pick<KeyValue, 'key'>[],
     storeRevision: number,
   ): void {
-    const failureDomains = keyValues.flatMap(({key}) => this.parseKey(key));
-    this.replaceState({storeRevision, failureDomains}, 'store');
+    if (storeRevision < this.lastReadRevision) return;
+    this.lastReadRevision = storeRevision;
+    const failureDomains = new Set(
+      keyValues.flatMap(({key}) => this.parseKey(key)),
+    );
+    // Watch events may arrive before the result of an older read; they take
+    // precedence for their failure domains.
+    for (const [failureDomain, change] of this.changesSinceRead) {
+      if (change.modRevision <= storeRevision) {
+        this.changesSinceRead.delete(failureDomain);
+      } else if (change.isEvacuated) failureDomains.add(failureDomain);
+      else failureDomains.delete(failureDomain);
+    }
+    const newestRevision = Math.max(storeRevision, this.storeRevision);
+    const state = {
+      storeRevision: newestRevision,
+      failureDomains: [...failureDomains],
+    };
+    this.applyState(state, 'store');
   }
 
   /** Takes the changes of the operators' keys that the watch tells of. */
@@ -75,17 +99,26 @@
       if (modRevision <= this.storeRevision) continue;
       storeRevision = Math.max(storeRevision, modRevision);
       for (const failureDomain of this.parseKey(key)) {
-        if (type === 'put') failureDomains.add(failureDomain);
+        const isEvacuated = type === 'put';
+        if (isEvacuated) failureDomains.add(failureDomain);
         else failureDomains.delete(failureDomain);
+        this.changesSinceRead.set(failureDomain, {isEvacuated, modRevision});
       }
     }
+    if (storeRevision <= this.storeRevision) return;
     const state = {storeRevision, failureDomains: [...failureDomains]};
-    this.replaceState(state, 'watch');
+    this.applyState(state, 'watch');
   }
 
   /** Puts a state in force if it is newer than the one in force. */
   replaceState(state: EvacuationState, source: string): void {
     if (state.storeRevision <= this.storeRevision) return;
+    this.lastReadRevision = state.storeRevision;
+    this.changesSinceRead.clear();
+    this.applyState(state, source);
+  }
+
+  private applyState(state: EvacuationState, source: string): void {
     const before = this.failureDomains;
     const after = new Set(state.failureDomains);
     this.storeRevision = state.storeRevision;
--- a/packages/gateway/src/upstream-registry.test.ts
+++ b/packages/gateway/src/upstream-registry.test.ts
@@ -243,3 +243,25 @@
     assert.deepEqual(restarts, ['a a@2']);
   }
 });
+
+test('a full read applies missed changes and keeps newer watch events', () => {
+  const {registry} = createRegistry();
+  registry.applyEvents([
+    {type: 'put', key: 'c', value: 'ready', modRevision: 9},
+    {type: 'delete', key: 'd', value: '', modRevision: 10},
+  ]);
+  const olderEntries = [
+    {key: 'a', value: 'leaving'},
+    {key: 'c', value: 'leaving'},
+    {key: 'd', value: 'ready'},
+  ];
+  registry.replaceEntries(olderEntries, 8, 'store');
+  assert.deepEqual(
+    registry.listUpstreams().map(({id, isLeaving}) => [id, isLeaving]),
+    [
+      ['a', true],
+      ['c', false],
+    ],
+  );
+  assert.equal(registry.getStoreRevision(), 10);
+});
--- a/packages/gateway/src/upstream-registry.ts
+++ b/packages/gateway/src/upstream-registry.ts
@@ -48,6 +48,8 @@
  * may come back; work still goes to their upstreams until then.
  */
 const LAPSE_GRACE_MS = 2200;
+/** Maximum number of changed keys tracked between full reads; oldest evicted first. */
+const MAX_TRACKED_CHANGES = 10_000;
 /**
  * Ids told to a peer of upstreams whose leaving only answers told of; 8 KB of a
  * message. More at once means that the store's word is on its way as well.
@@ -75,6 +77,10 @@
   private readonly toldListeners: Array<() => void> = [];
   private readonly restartListeners: Array<(restart: Restart) => void> = [];
   private storeRevision = 0;
+  /** Store revision of the last full read that was not stale. */
+  private lastReadRevision = 0;
+  /** Revisions of watch events newer than the last full read, by key. */
+  private readonly changeRevisions = new Map<string, number>();
   private heardAtMs = 0;
   private heardFrom = '';
   /** The digest of the entries; undefined once they have changed. */
@@ -222,23 +228,31 @@
     this.grace = undefined;
   }
 
-  /** Takes a whole reading; what it does not name is gone. */
+  /**
+   * Replaces the entries with the result of a full read, removing those it does not
+   * list. Keys with a newer watch event are left unchanged.
+   */
   replaceEntries(
     keyValues: readonly Pick<KeyValue, 'key' | 'value'>[],
     storeRevision: number,
     source: string,
   ): void {
-    if (storeRevision < this.storeRevision) return;
-    this.storeRevision = storeRevision;
+    if (storeRevision < this.lastReadRevision) return;
+    this.lastReadRevision = storeRevision;
+    this.storeRevision = Math.max(this.storeRevision, storeRevision);
     this.recordHeard(source);
+    const hasNewerChange = (key: string) =>
+      (this.changeRevisions.get(key) ?? 0) > storeRevision;
     const listed = new Set(keyValues.map(({key}) => key));
     for (const key of [...this.entries.keys()]) {
-      if (!listed.has(key)) this.removeEntry(key, source);
+      if (!listed.has(key) && !hasNewerChange(key))
+        this.removeEntry(key, source);
     }
     const before = new Set(this.entries.keys());
     for (const {key, value} of keyValues) {
-      this.setEntry(key, value, source, false);
+      if (!hasNewerChange(key)) this.setEntry(key, value, source, false);
     }
+    this.removeChangesUpTo(storeRevision);
     this.logReading(before, source);
     this.callListeners();
   }
@@ -258,6 +272,7 @@
       // A watch that began before the last whole reading repeats older changes.
       // Those of one transaction share a revision, and all of them count.
       if (event.modRevision <= readRevision) continue;
+      this.recordChange(event);
       this.storeRevision = Math.max(this.storeRevision, event.modRevision);
       if (event.type === 'delete') this.removeEntry(event.key, 'watch');
       else this.setEntry(event.key, event.value, 'watch');
@@ -428,6 +443,20 @@
     ).length;
   }
 
+  private recordChange({key, modRevision}: WatchEvent): void {
+    this.changeRevisions.delete(key);
+    this.changeRevisions.set(key, modRevision);
+    if (this.changeRevisions.size <= MAX_TRACKED_CHANGES) return;
+    const [oldest] = this.changeRevisions.keys();
+    this.changeRevisions.delete(oldest);
+  }
+
+  private removeChangesUpTo(storeRevision: number): void {
+    for (const [key, revision] of this.changeRevisions) {
+      if (revision <= storeRevision) this.changeRevisions.delete(key);
+    }
+  }
+
   private recordHeard(source: string): void {
     this.heardAtMs = this.clock.getNow();
     this.heardFrom = source;
