Detect store restorations by combining era and revision

Cause: a revision was assumed to stay valid although the history it refers to can be replaced. The store was unavailable for about 40 ms between two calls of a watch, was restored from a backup some seconds old, and reused its revisions. By the next call it had passed the revision of the watch, so the watch continued and skipped every change written at a revision that had been seen before. No call fails in this case and nothing is logged. The era that the store sends in each answer (Store-Era) was not read anywhere.

The adapter now combines era and revision into one monotonic number, so that every comparison of revisions (watches, reads, mirrors, copies of peers) tells one history from another. Quarantine verdicts and result checkpoints are written again.

A restoration must not undo what was already known. An upstream that has left stays so. One that has been removed, or an earlier life of one, is withheld until its entry is newer by its own counts or has stayed for 5 s. Evacuations stay in force for the 2.2 s in which operators write them again. A newer configuration was already retained before this change.

This works because a revision identifies a change only together with its era, and the combined number cannot be reused.

--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -317,6 +317,7 @@
     exchange,
     coordinatorSearch,
     registry,
+    evacuated,
     backOffs,
     granter,
     coordinator,
--- a/packages/gateway/src/create-store-view.ts
+++ b/packages/gateway/src/create-store-view.ts
@@ -166,6 +166,7 @@
         if (key === configurationKey) holder.offerText(value, 'store');
       }
     },
+    handleOutageEnd: () => evacuated.beginGrace(),
     handleChanges: events => {
       evacuated.applyEvents(events);
       for (const {type, key, value} of events) {
--- a/packages/gateway/src/evacuated-domains.test.ts
+++ b/packages/gateway/src/evacuated-domains.test.ts
@@ -1,5 +1,6 @@
 import {ManualClock} from '@hollowstack/clock';
 import {SilentEventLogger} from '@hollowstack/logger';
+import {joinEraRevision} from '@hollowstack/store';
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {EvacuatedDomains} from './evacuated-domains.ts';
@@ -42,3 +43,22 @@
   evacuated.applyReading([{key: 'e/a'}], 8);
   assert.deepEqual(evacuated.getState(), {storeRevision: 20, failureDomains});
 });
+
+const NEXT_ERA_REVISION = joinEraRevision(1, 1);
+
+test('an evacuation that a restored store lacks stays in force for the grace period and, if rewritten, after it', async () => {
+  for (const isRewritten of [true, false]) {
+    const {clock, evacuated} = createEvacuatedDomains();
+    evacuated.beginGrace();
+    evacuated.applyReading([], NEXT_ERA_REVISION);
+    assert.equal(evacuated.isEvacuated('a'), true);
+    if (isRewritten) {
+      const modRevision = NEXT_ERA_REVISION + 1;
+      evacuated.applyEvents([
+        {type: 'put', key: 'e/a', value: '', modRevision},
+      ]);
+    }
+    await clock.advance(3000);
+    assert.equal(evacuated.isEvacuated('a'), isRewritten);
+  }
+});
--- a/packages/gateway/src/evacuated-domains.ts
+++ b/packages/gateway/src/evacuated-domains.ts
@@ -1,4 +1,4 @@
-import type {Clock} from '@hollowstack/clock';
+import type {Clock, Timer} from '@hollowstack/clock';
 import type {EventLogger} from '@hollowstack/logger';
 import type {EvacuationState} from '@hollowstack/peers';
 import type {KeyValue, WatchEvent} from '@hollowstack/store';
@@ -20,6 +20,9 @@
   readonly clock: Clock;
 }
 
+/** Milliseconds for which evacuations that a restored store lacks stay in force. */
+const REWRITE_GRACE_MS = 2200;
+
 /**
  * The failure domains that operators have evacuated: their upstreams get nothing
  * new, and what runs there ends in peace. The newest state that is known, by the
@@ -39,10 +42,31 @@
     {isEvacuated: boolean; modRevision: number}
   >();
 
+  /** Evacuated failure domains that the store no longer lists, until the grace period ends. */
+  private readonly lostDomains = new Set<string>();
+  private grace: Timer | undefined;
+
   constructor(parts: EvacuatedDomainsParts) {
     this.parts = parts;
   }
 
+  /**
+   * Begins the grace period after a store outage. The store may have been restored from a
+   * backup, so evacuations that it lacks stay in force until operators can rewrite them.
+   */
+  beginGrace(): void {
+    this.grace?.cancel();
+    this.grace = this.parts.clock.schedule(REWRITE_GRACE_MS, () =>
+      this.endGrace(),
+    );
+  }
+
+  /** Cancels the grace timer, which would otherwise keep a stopping process alive. */
+  stop(): void {
+    this.grace?.cancel();
+    this.grace = undefined;
+  }
+
   isEvacuated(failureDomain: string): boolean {
     return this.failureDomains.has(failureDomain);
   }
@@ -121,14 +145,35 @@
   private applyState(state: EvacuationState, source: string): void {
     const before = this.failureDomains;
     const after = new Set(state.failureDomains);
+    for (const failureDomain of before) {
+      if (!this.grace || after.has(failureDomain)) {
+        this.lostDomains.delete(failureDomain);
+      } else this.lostDomains.add(failureDomain);
+    }
+    for (const failureDomain of this.lostDomains) after.add(failureDomain);
     this.storeRevision = state.storeRevision;
     this.failureDomains = after;
+    this.callListeners(before, source);
+  }
+
+  private endGrace(): void {
+    this.grace = undefined;
+    const before = this.failureDomains;
+    this.failureDomains = new Set(
+      [...before].filter(each => !this.lostDomains.has(each)),
+    );
+    this.lostDomains.clear();
+    this.callListeners(before, 'grace');
+  }
+
+  private callListeners(before: ReadonlySet<string>, source: string): void {
+    const after = this.failureDomains;
+    const {storeRevision} = this;
     const begun = [...after].filter(each => !before.has(each));
     const ended = [...before].filter(each => !after.has(each));
     if (begun.length + ended.length === 0) return;
     const nowMs = this.parts.clock.getNow();
     for (const each of ended) this.endedAtMs.set(each, nowMs);
-    const {storeRevision} = state;
     const change = {begun, ended, source, storeRevision};
     for (const listener of this.listeners) listener(change);
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,6 +10,7 @@
 import {createServer, type IncomingHttpHeaders, type Server} from 'node:http';
 import type {CoordinatorSearch} from './coordinator-search.ts';
 import type {CopyExchange} from './copy-exchange.ts';
+import type {EvacuatedDomains} from './evacuated-domains.ts';
 import type {GatewayLifecycle} from './gateway-lifecycle.ts';
 import type {GatewayServer} from './gateway-server.ts';
 import type {GatewaySettings} from './gateway-settings.ts';
@@ -46,6 +47,7 @@
   readonly exchange: CopyExchange;
   readonly coordinatorSearch: CoordinatorSearch;
   readonly registry: UpstreamRegistry;
+  readonly evacuated: EvacuatedDomains;
   readonly backOffs: BackOffTable;
   readonly granter: SendGranter;
   readonly coordinator: StageCoordinator;
@@ -170,6 +172,7 @@
     parts.exchange.stop();
     parts.coordinatorSearch.stop();
     parts.registry.stop();
+    parts.evacuated.stop();
     parts.backOffs.stop();
     parts.granter.stop();
     parts.watchHub.stop();
--- a/packages/gateway/src/upstream-registry.test.ts
+++ b/packages/gateway/src/upstream-registry.test.ts
@@ -1,6 +1,7 @@
 import {ManualClock} from '@hollowstack/clock';
 import {EventLogger, type EventName} from '@hollowstack/logger';
 import type {RegisteredUpstream} from '@hollowstack/routes';
+import {joinEraRevision} from '@hollowstack/store';
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {EvacuatedDomains} from './evacuated-domains.ts';
@@ -21,7 +22,8 @@
 const protocol = {
   parseUpstream: (key: string, text: string): RegisteredUpstream => {
     if (text === 'unreadable') throw new UnreadableEntryError('no address');
-    const [name, startedAt] = text.split('#');
+    const [lifeText, writeCount] = text.split('*');
+    const [name, startedAt] = lifeText.split('#');
     const [, life] = name.split('@');
     return {
       id: life === undefined ? key : `${key}@${life}`,
@@ -31,6 +33,7 @@
       failureDomain: 'a',
       capacity: 1,
       isLeaving: text.startsWith('leaving'),
+      writeCount: writeCount === undefined ? undefined : Number(writeCount),
     };
   },
 } as unknown as RequestProtocol;
@@ -265,3 +268,67 @@
   );
   assert.equal(registry.getStoreRevision(), 10);
 });
+
+const NEXT_ERA_REVISION = joinEraRevision(1, 1);
+
+function listActiveIds(registry: UpstreamRegistry): string[] {
+  return registry
+    .listUpstreams()
+    .filter(({isLeaving}) => !isLeaving)
+    .map(({id}) => id);
+}
+
+test('a restored store brings back neither a leaving upstream nor a removed one', async () => {
+  const {clock, registry} = createRegistry();
+  registry.applyEvents([
+    {type: 'put', key: 'c', value: 'ready*3', modRevision: 2},
+    {type: 'put', key: 'a', value: 'leaving', modRevision: 3},
+    {type: 'delete', key: 'c', value: '', modRevision: 4},
+  ]);
+  registry.beginGrace();
+  const backupEntries = [
+    {key: 'a', value: 'ready'},
+    {key: 'c', value: 'ready*3'},
+  ];
+  registry.replaceEntries(backupEntries, NEXT_ERA_REVISION, 'store');
+  assert.deepEqual(listActiveIds(registry), []);
+  await clock.advance(4000);
+  assert.deepEqual(listActiveIds(registry), []);
+});
+
+test('a removed upstream in a restored store is listed after a newer write or once its entry has stayed long enough', async () => {
+  for (const isRewritten of [true, false]) {
+    const {clock, registry} = createRegistry();
+    registry.applyEvents([
+      {type: 'put', key: 'c', value: 'ready*3', modRevision: 2},
+      {type: 'delete', key: 'c', value: '', modRevision: 3},
+    ]);
+    registry.beginGrace();
+    const backupEntries = [
+      {key: 'a', value: 'leaving'},
+      {key: 'c', value: 'ready*3'},
+    ];
+    registry.replaceEntries(backupEntries, NEXT_ERA_REVISION, 'store');
+    assert.deepEqual(listActiveIds(registry), []);
+    if (isRewritten) {
+      const value = 'ready*4';
+      const modRevision = NEXT_ERA_REVISION + 1;
+      registry.applyEvents([{type: 'put', key: 'c', value, modRevision}]);
+    } else await clock.advance(6000);
+    assert.deepEqual(listActiveIds(registry), ['c']);
+  }
+});
+
+test('a restored store does not bring back an earlier life of an upstream', () => {
+  const {registry} = createRegistry();
+  registry.applyEvents([
+    {type: 'put', key: 'c', value: 'ready@2#200', modRevision: 2},
+  ]);
+  registry.beginGrace();
+  const backupEntries = [
+    {key: 'a', value: 'leaving'},
+    {key: 'c', value: 'ready@1#100'},
+  ];
+  registry.replaceEntries(backupEntries, NEXT_ERA_REVISION, 'store');
+  assert.deepEqual(listActiveIds(registry), ['c@2']);
+});
--- a/packages/gateway/src/upstream-registry.ts
+++ b/packages/gateway/src/upstream-registry.ts
@@ -2,9 +2,14 @@
 import type {Clock, Timer} from '@hollowstack/clock';
 import type {EventLogger, EventName} from '@hollowstack/logger';
 import type {RegisteredUpstream} from '@hollowstack/routes';
-import type {KeyValue, WatchEvent} from '@hollowstack/store';
+import {
+  splitEraRevision,
+  type KeyValue,
+  type WatchEvent,
+} from '@hollowstack/store';
 import type {StoreCopy} from '@hollowstack/types';
 import type {EvacuatedDomains, EvacuationChange} from './evacuated-domains.ts';
+import {DepartedEntries} from './departed-entries.ts';
 import {EntryReader} from './entry-reader.ts';
 import {LeavingIds} from './leaving-ids.ts';
 import type {RequestProtocol} from './request-protocol.ts';
@@ -50,6 +55,11 @@
 const LAPSE_GRACE_MS = 2200;
 /** Maximum number of changed keys tracked between full reads; oldest evicted first. */
 const MAX_TRACKED_CHANGES = 10_000;
+/**
+ * Milliseconds after which a withheld entry is accepted if the store still has it. Longer
+ * than the time in which the entry of an upstream that is gone expires.
+ */
+const WITHHOLD_MS = 5000;
 /**
  * Ids told to a peer of upstreams whose leaving only answers told of; 8 KB of a
  * message. More at once means that the store's word is on its way as well.
@@ -73,6 +83,10 @@
   /** Entries that were not there after an outage, while they may come back. */
   private readonly missing = new Set<string>();
   private grace: Timer | undefined;
+  private readonly departed = new DepartedEntries();
+  private withheldTimer: Timer | undefined;
+  /** When a revision of a later store era was last detected. */
+  private restoredAtMs = -Infinity;
   private readonly missingListeners: Array<() => void> = [];
   private readonly toldListeners: Array<() => void> = [];
   private readonly restartListeners: Array<(restart: Restart) => void> = [];
@@ -226,6 +240,8 @@
   stop(): void {
     this.grace?.cancel();
     this.grace = undefined;
+    this.withheldTimer?.cancel();
+    this.withheldTimer = undefined;
   }
 
   /**
@@ -239,8 +255,9 @@
   ): void {
     if (storeRevision < this.lastReadRevision) return;
     this.lastReadRevision = storeRevision;
-    this.storeRevision = Math.max(this.storeRevision, storeRevision);
+    this.recordRevision(Math.max(this.storeRevision, storeRevision));
     this.recordHeard(source);
+    this.departed.removeAllWithheld();
     const hasNewerChange = (key: string) =>
       (this.changeRevisions.get(key) ?? 0) > storeRevision;
     const listed = new Set(keyValues.map(({key}) => key));
@@ -273,7 +290,7 @@
       // Those of one transaction share a revision, and all of them count.
       if (event.modRevision <= readRevision) continue;
       this.recordChange(event);
-      this.storeRevision = Math.max(this.storeRevision, event.modRevision);
+      this.recordRevision(Math.max(this.storeRevision, event.modRevision));
       if (event.type === 'delete') this.removeEntry(event.key, 'watch');
       else this.setEntry(event.key, event.value, 'watch');
     }
@@ -338,7 +355,13 @@
   ): void {
     this.digest = undefined;
     const parsed = this.reader.parseEntry(key, text, source);
+    if (parsed && this.isOutdated(key, parsed, isListedAlone)) {
+      this.departed.addWithheld(key, text);
+      this.scheduleAcceptance();
+      return;
+    }
     this.missing.delete(key);
+    this.departed.removeEntry(key);
     if (!parsed) {
       // It names no upstream, whatever it named before; the next one under its key may.
       this.entries.delete(key);
@@ -371,6 +394,35 @@
     this.logUpstream(listed, parsed, {source});
   }
 
+  // A restored store may hold the entry of an upstream that has since been removed, or of
+  // a life earlier than the known one.
+  private isOutdated(
+    key: string,
+    parsed: RegisteredUpstream,
+    isListedAlone: boolean,
+  ): boolean {
+    const sinceMs = this.clock.getNow() - this.restoredAtMs;
+    if (sinceMs >= WITHHOLD_MS) return false;
+    const known = this.entries.get(key)?.upstream;
+    const knownStartMs = known?.startedAtMs ?? -Infinity;
+    if (known && (parsed.startedAtMs ?? Infinity) < knownStartMs) return true;
+    return !known && this.departed.isOutdated(key, parsed, isListedAlone);
+  }
+
+  // Entries of upstreams that are gone expire in the meantime, because nothing renews them.
+  private scheduleAcceptance(): void {
+    this.withheldTimer?.cancel();
+    this.withheldTimer = this.clock.schedule(WITHHOLD_MS, () => {
+      this.withheldTimer = undefined;
+      const withheld = this.departed.removeAllWithheld();
+      for (const [key, text] of withheld) {
+        this.departed.removeEntry(key);
+        this.setEntry(key, text, 'grace');
+      }
+      if (withheld.length > 0) this.callListeners();
+    });
+  }
+
   // The new life may have answered before its registration was heard of here. What it said
   // of itself then was noted of the life that was known.
   private recordRestart(
@@ -390,11 +442,15 @@
   private removeEntry(key: string, source: string): void {
     this.digest = undefined;
     this.reader.removeEntry(key);
+    this.departed.removeWithheld(key);
     const entry = this.entries.get(key);
     if (!entry || this.missing.has(key)) return;
     const mayComeBack = this.grace !== undefined && !entry.upstream.isLeaving;
     if (mayComeBack) this.missing.add(key);
-    else this.entries.delete(key);
+    else {
+      this.entries.delete(key);
+      this.departed.addEntry(key, entry.upstream);
+    }
     const {id, service, address} = entry.upstream;
     this.logger.logEvent(mayComeBack ? 'upstream.missing' : 'upstream.gone', {
       upstream: id,
@@ -457,6 +513,14 @@
     }
   }
 
+  private recordRevision(storeRevision: number): void {
+    const isLaterEra =
+      splitEraRevision(storeRevision).era >
+      splitEraRevision(this.storeRevision).era;
+    if (isLaterEra && this.isLoaded()) this.restoredAtMs = this.clock.getNow();
+    this.storeRevision = storeRevision;
+  }
+
   private recordHeard(source: string): void {
     this.heardAtMs = this.clock.getNow();
     this.heardFrom = source;
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -154,6 +154,11 @@
     level: 'warn',
     text: 'a call of the watch brought no answer; it is made again on another connection',
   },
+  'store.restored': {
+    number: 405,
+    level: 'warn',
+    text: 'the store was restored from an older copy; what it holds is read anew, and what is lost is written again',
+  },
   'peer.refused': {
     number: 500,
     level: 'warn',
--- a/packages/quarantine/src/verdict-keeper.test.ts
+++ b/packages/quarantine/src/verdict-keeper.test.ts
@@ -17,6 +17,13 @@
   isAway = false;
   callCount = 0;
 
+  /** Changes when the store is restored from a backup. */
+  historyId = '1';
+
+  getHistoryId(): string {
+    return this.historyId;
+  }
+
   async readRange({start}: KeyRange): Promise<RangeResult> {
     this.countCall();
     const keyValues = [...this.values]
@@ -159,3 +166,17 @@
   assert.equal(reader.table.isQuarantined('poison'), true);
   reader.keeper.stop();
 });
+
+test('a verdict that a restored store lacks is written again', async () => {
+  const clock = new ManualClock();
+  const store = new KeyStore();
+  const {table, keeper} = startInstance(clock, store);
+  recordThreeCrashes(table);
+  await clock.advance(2000);
+  assert.equal(store.values.size, 1);
+  store.values.clear();
+  store.historyId = '2';
+  await clock.advance(2000);
+  assert.equal(store.values.size, 1);
+  keeper.stop();
+});
--- a/packages/quarantine/src/verdict-keeper.ts
+++ b/packages/quarantine/src/verdict-keeper.ts
@@ -20,7 +20,7 @@
   readonly random: () => number;
   readonly store: Pick<
     KeyValueStore,
-    'readRange' | 'runTransaction' | 'grantLease'
+    'readRange' | 'runTransaction' | 'grantLease' | 'getHistoryId'
   >;
   readonly table: Pick<SuspectTable, 'listVerdicts' | 'applyReports'>;
   /** Returns whether this instance coordinates, and so writes for all. */
@@ -39,6 +39,8 @@
   private readonly task: RepeatingTask;
   /** When each verdict was written or read; undefined while another instance writes. */
   private written: Map<string, number> | undefined;
+  /** Store history to which `written` applies. */
+  private historyId = '';
   private hasFailed = false;
 
   constructor(parts: VerdictKeeperParts) {
@@ -63,6 +65,9 @@
       this.written = undefined;
       return;
     }
+    const historyId = this.parts.store.getHistoryId();
+    if (historyId !== this.historyId) this.written = undefined;
+    this.historyId = historyId;
     try {
       this.written ??= await this.readVerdicts();
       await this.writeChanges(this.written);
--- a/packages/result-checkpoint/src/checkpoint-writer.ts
+++ b/packages/result-checkpoint/src/checkpoint-writer.ts
@@ -10,7 +10,7 @@
   readonly logger: EventLogger;
   /** Returns numbers from 0 to below 1. */
   readonly random: () => number;
-  readonly store: Pick<KeyValueStore, 'runTransaction'>;
+  readonly store: Pick<KeyValueStore, 'runTransaction' | 'getHistoryId'>;
   /** This life of this instance. */
   readonly self: ResultOwner;
   /** Lists the results that this instance holds as a coordinator, the oldest first. */
@@ -28,6 +28,8 @@
   private readonly parts: CheckpointWriterParts;
   private readonly task: RepeatingTask;
   private written = encodeCheckpoint([]);
+  /** Store history to which `written` applies. */
+  private historyId = '';
   private hasFailed = false;
 
   constructor(parts: CheckpointWriterParts) {
@@ -50,13 +52,15 @@
   private async writeChanges(): Promise<void> {
     const {store, self, listHeld, logger} = this.parts;
     const text = encodeCheckpoint(listHeld());
-    if (text === this.written) return;
+    const historyId = store.getHistoryId();
+    if (text === this.written && historyId === this.historyId) return;
     try {
       await store.runTransaction({
         comparisons: [],
         onSuccess: [{type: 'put', key: getCheckpointKey(self), value: text}],
       });
       this.written = text;
+      this.historyId = historyId;
       this.hasFailed = false;
     } catch (error) {
       // The next round writes what is held by then.
--- a/packages/result-checkpoint/src/result-checkpoint.test.ts
+++ b/packages/result-checkpoint/src/result-checkpoint.test.ts
@@ -40,6 +40,10 @@
   isAway = false;
   writeCount = 0;
 
+  getHistoryId(): string {
+    return '';
+  }
+
   async readRange({start}: KeyRange): Promise<RangeResult> {
     this.checkAway();
     const keyValues = [...this.values]
--- a/packages/routes/src/routed-configuration.ts
+++ b/packages/routes/src/routed-configuration.ts
@@ -147,6 +147,8 @@
   isLeaving: z.boolean(),
   /** Milliseconds for which it was still cold when it wrote its registration. */
   coldMs: z.number().nonnegative().optional(),
+  /** Rises with each write of its registration in one life; absent if not reported. */
+  writeCount: z.number().nonnegative().optional(),
   /** Whether operators have evacuated its failure domain. */
   isEvacuated: z.boolean().optional(),
   /** Until when it is cold by its registration; milliseconds of the steady clock. */
--- a/packages/store-relay/src/relayed-store.ts
+++ b/packages/store-relay/src/relayed-store.ts
@@ -75,6 +75,9 @@
   /** Failures of the store's watch, or to begin it, since it last stood. */
   private breaks = 0;
   private beganAfterOutage = false;
+  /** Whether the store was restored between the previous watch and the current one. */
+  private isRestored = false;
+  private storeId: string | undefined;
   private hasOutageEnded = false;
   private outageEndedAtMs = -Infinity;
 
@@ -96,7 +99,11 @@
   }
 
   override isAfterOutage(): boolean {
-    return this.hasOutageEnded;
+    return this.hasOutageEnded || this.isRestored;
+  }
+
+  override getHistoryId(): string {
+    return this.parts.store.getHistoryId();
   }
 
   /** Returns whether the watch that peers are told from began after an outage. */
@@ -185,15 +192,19 @@
   // Has the ranges from a peer, or finds out that the store answers.
   private async begin(): Promise<boolean> {
     const {store, memberRange, getMembers} = this.parts;
+    this.isRestored = false;
     if (!this.role.isWatcher() && (await this.client.readAll())) return true;
     const list = await store.readRange(memberRange);
     this.mirrors.applyReading(memberRange.start, list);
     await getMembers().refresh();
     this.startRevision = list.storeRevision;
+    this.isRestored =
+      this.storeId !== undefined && this.storeId !== list.storeId;
+    this.storeId = list.storeId;
     if (!this.role.isWatcher() && (await this.client.readAll())) return true;
     this.setFeed('store');
     this.state = 'watching';
-    this.beganAfterOutage = this.breaks > 1;
+    this.beganAfterOutage = this.breaks > 1 || this.isRestored;
     this.breaks = 0;
     return false;
   }
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -38,3 +38,10 @@
   getInstanceKey,
 } from './instance-list.ts';
 export {STORE_IDENTITY_KEY, StoreIdentity} from './store-identity.ts';
+export {
+  StoreEra,
+  joinEraRevision,
+  parseEra,
+  splitEraRevision,
+  type StoreEraParts,
+} from './store-era.ts';
--- a/packages/store/src/key-value-store.ts
+++ b/packages/store/src/key-value-store.ts
@@ -148,6 +148,14 @@
   isAfterOutage(): boolean {
     return false;
   }
+
+  /**
+   * Returns an identifier, as of the latest answer, that changes when the store is restored
+   * from a backup. Writes made since the backup are lost then and have to be repeated.
+   */
+  getHistoryId(): string {
+    return '';
+  }
 }
 
 /** Creates the range of all keys that begin with a prefix. */
