List the rate limits that upstreams advertise

`hollowstack limits list` queries any gateway at its metrics address (GET /v1/operator/limits, with an operator key).

The command itself was not run against a gateway.

--- /dev/null
+++ b/packages/cli/src/commands/limits/index.ts
@@ -0,0 +1,1 @@
+export {LimitsListCommand} from './list.ts';
--- a/packages/cli/src/run-command-line.ts
+++ b/packages/cli/src/run-command-line.ts
@@ -7,6 +7,7 @@
 import {DemoCommand} from './commands/demo/index.ts';
 import {EntryCommand} from './commands/entry/index.ts';
 import {GatewayCommand} from './commands/gateway/index.ts';
+import {LimitsListCommand} from './commands/limits/index.ts';
 import {LoadCommand} from './commands/load/index.ts';
 import {
   QuarantineListCommand,
@@ -42,6 +43,7 @@
     ConfigRestoreCommand,
     WhyCommand,
     StatusCommand,
+    LimitsListCommand,
     QuarantineListCommand,
     QuarantineReleaseCommand,
     ReportCommand,
--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -327,6 +327,7 @@
     server,
     operatorEndpoint: new OperatorEndpoint({
       suspects,
+      limits,
       keys: settings.operators.keys,
     }),
     probePath: protocol.probePath,
--- a/packages/gateway/src/operator-endpoint.test.ts
+++ b/packages/gateway/src/operator-endpoint.test.ts
@@ -1,6 +1,7 @@
 import {ManualClock} from '@hollowstack/clock';
 import {SilentEventLogger} from '@hollowstack/logger';
 import {SuspectTable} from '@hollowstack/quarantine';
+import {LimitTable} from '@hollowstack/upstream-limits';
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {OperatorEndpoint} from './operator-endpoint.ts';
@@ -20,7 +21,10 @@
       isRefuted: false,
     });
   }
-  const endpoint = new OperatorEndpoint({suspects, keys});
+  const limits = new LimitTable({clock, logger: new SilentEventLogger()});
+  const upstream = {id: 'u4', service: 'chat'};
+  limits.recordLimit({upstream, requestId: 'r1', sentAtMs: 0}, 1.5);
+  const endpoint = new OperatorEndpoint({suspects, limits, keys});
   const call = (method: string, path: string, key = KEY) => {
     const authorization = `Bearer ${key}`;
     const {status, text} = endpoint.answerCall({method, path, authorization});
@@ -34,6 +38,15 @@
   t.assert.snapshot(call('GET', PATH));
 });
 
+test('rate limits that upstreams advertise are listed', () => {
+  const {call} = createEndpoint();
+  const {status, answer} = call('GET', '/v1/operator/limits');
+  assert.equal(status, 200);
+  assert.deepEqual(answer.limits, [
+    {upstream: 'u4', service: 'chat', perSecond: 1.5, ageMs: 0},
+  ]);
+});
+
 test('a release names its request, and a second one finds none', () => {
   const {suspects, call} = createEndpoint();
   assert.equal(call('DELETE', `${PATH}/f1`).status, 200);
--- a/packages/gateway/src/operator-endpoint.ts
+++ b/packages/gateway/src/operator-endpoint.ts
@@ -1,6 +1,7 @@
 import {HollowstackError, createProblem} from '@hollowstack/errors';
 import type {SuspectTable} from '@hollowstack/quarantine';
 import {hasBearerKey} from '@hollowstack/transport';
+import type {LimitTable} from '@hollowstack/upstream-limits';
 
 /** Path below which operators' calls are served. */
 export const OPERATOR_PATH = '/v1/operator/';
@@ -22,11 +23,13 @@
 /** Dependencies of OperatorEndpoint. */
 export interface OperatorEndpointParts {
   readonly suspects: Pick<SuspectTable, 'listVerdicts' | 'releaseRequest'>;
+  readonly limits: Pick<LimitTable, 'listLimited'>;
   /** Bearer tokens that are taken; without any, no call is. */
   readonly keys: readonly string[];
 }
 
 const QUARANTINE = 'quarantine';
+const LIMITS = 'limits';
 /** HTTP status. */
 const OK = 200;
 
@@ -62,11 +65,14 @@
   }
 
   private runCall({method, path}: OperatorCall): object {
-    const {suspects} = this.parts;
+    const {suspects, limits} = this.parts;
     const [name, fingerprint] = path.slice(OPERATOR_PATH.length).split('/');
     if (name === QUARANTINE && fingerprint === undefined && method === 'GET') {
       return {requests: suspects.listVerdicts()};
     }
+    if (name === LIMITS && fingerprint === undefined && method === 'GET') {
+      return {limits: limits.listLimited()};
+    }
     if (name === QUARANTINE && fingerprint && method === 'DELETE') {
       if (suspects.releaseRequest(fingerprint)) return {released: fingerprint};
       throw new HollowstackError(
