Accept store eras that begin at any number

An era of 4,096 or more was treated as none, so that a store whose count starts that high would have had its restorations passed over silently. Eras now wrap around at 4,096, which passes over the one restoration at the wrap.

--- a/packages/store/src/store-era.ts
+++ b/packages/store/src/store-era.ts
@@ -6,8 +6,8 @@
  * begins a new era and reuses revisions; era and revision together are monotonic.
  */
 const REVISIONS_PER_ERA = 2 ** 40;
-/** Exclusive upper bound of eras, which keeps joined revisions within the safe integers. */
-const ERA_LIMIT = 2 ** 12;
+/** Number of distinct eras, which keeps joined revisions within the safe integers. */
+const ERA_COUNT = 2 ** 12;
 
 /** Combines an era and a revision in it into one monotonic number. */
 export function joinEraRevision(era: number, revision: number): number {
@@ -23,11 +23,14 @@
   return {era, revision: joined - era * REVISIONS_PER_ERA};
 }
 
-/** Parses the text of an era; returns undefined unless it is a decimal integer in range. */
+/**
+ * Parses the text of an era; returns undefined unless it is a decimal integer. Eras wrap
+ * around at `ERA_COUNT`, so that stores may begin to count anywhere.
+ */
 export function parseEra(text: string | undefined): number | undefined {
   if (text === undefined || !/^\d+$/.test(text.trim())) return undefined;
   const era = Number(text);
-  return era < ERA_LIMIT ? era : undefined;
+  return Number.isSafeInteger(era) ? era % ERA_COUNT : undefined;
 }
 
 /** Dependencies of StoreEra. */
