Log by which configuration a request was refused, and what readings of the store were

The record of a refusal by an older configuration cannot tell whether content stood under a newer label or the instance was behind: request.refused names the revision in its text only. It now has the revision, who offered it and for how long it has been in force; store.range-read (406) has a reading's own revision beside the one from which the watch goes on.

--- a/packages/gateway/src/copy-exchange.test.ts
+++ b/packages/gateway/src/copy-exchange.test.ts
@@ -62,7 +62,7 @@
     suspects: new SuspectTable({clock, logger}),
     limits: new LimitTable({clock, logger}),
     seeds: [],
-    holder: new RouteHolder(protocol, logger),
+    holder: new RouteHolder(protocol, logger, clock),
     registry,
     evacuated: new EvacuatedDomains({protocol, logger, clock}),
     followWithinMs: 2000,
--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -79,7 +79,7 @@
   const {id, failureDomain} = settings.instance;
   const getNow = () => clock.getNow();
   const lifecycle = new GatewayLifecycle();
-  const holder = new RouteHolder(protocol, logger);
+  const holder = new RouteHolder(protocol, logger, clock);
   const evacuated = new EvacuatedDomains({protocol, logger, clock});
   const registry = new UpstreamRegistry(protocol, logger, clock, evacuated);
 
--- a/packages/gateway/src/gateway-front.ts
+++ b/packages/gateway/src/gateway-front.ts
@@ -247,7 +247,8 @@
     requestId: string | undefined,
     outgoing: ServerResponse,
   ): void {
-    const {logger, protocol} = this.parts;
+    const {logger, protocol, holder} = this.parts;
+    const routes = holder.getState();
     const event =
       error.kind === 'internal' ? 'request.internal' : 'request.refused';
     logger.logEvent(event, {
@@ -255,6 +256,9 @@
       kind: error.kind,
       ran: error.ran,
       reason: error.message,
+      revision: routes.revision,
+      routesFrom: routes.source,
+      routesInForceMs: routes.inForceMs,
       stack: error.kind === 'internal' ? error.stack : undefined,
     });
     writeError(outgoing, error, requestId, protocol);
--- a/packages/gateway/src/route-holder.ts
+++ b/packages/gateway/src/route-holder.ts
@@ -1,19 +1,35 @@
+import type {Clock} from '@hollowstack/clock';
 import type {EventLogger} from '@hollowstack/logger';
 import {RouteTable} from '@hollowstack/routes';
 import type {RequestProtocol} from './request-protocol.ts';
 
+/** The configuration in force and where it is from, for the log. */
+export interface RouteState {
+  /** 0 before the first one. */
+  readonly revision: number;
+  /** Who offered it: `watch`, `store` or a peer; empty before the first one. */
+  readonly source: string;
+  /** Milliseconds for which it has been in force. */
+  readonly inForceMs: number;
+}
+
 /** Holds the routed configuration in force on one instance; its revision only rises. */
 export class RouteHolder {
   private readonly protocol: RequestProtocol;
   private readonly logger: EventLogger;
+  private readonly clock: Clock;
   private readonly listeners: Array<(table: RouteTable) => void> = [];
   private current: RouteTable | undefined;
   private text = '';
   private unreadableText = '';
+  private source = '';
+  private inForceAtMs: number;
 
-  constructor(protocol: RequestProtocol, logger: EventLogger) {
+  constructor(protocol: RequestProtocol, logger: EventLogger, clock: Clock) {
     this.protocol = protocol;
     this.logger = logger;
+    this.clock = clock;
+    this.inForceAtMs = clock.getNow();
   }
 
   getCurrent(): RouteTable | undefined {
@@ -25,6 +41,11 @@
     return this.current?.revision ?? 0;
   }
 
+  getState(): RouteState {
+    const inForceMs = Math.round(this.clock.getNow() - this.inForceAtMs);
+    return {revision: this.getRevision(), source: this.source, inForceMs};
+  }
+
   /** Returns the stored text of the configuration in force. */
   getText(): string {
     return this.text;
@@ -47,6 +68,8 @@
     }
     this.current = table;
     this.text = text;
+    this.source = source;
+    this.inForceAtMs = this.clock.getNow();
     this.logger.logEvent('routes.in-force', {
       source,
       revision,
--- a/packages/gateway/src/test-utils/view-fleet.ts
+++ b/packages/gateway/src/test-utils/view-fleet.ts
@@ -129,7 +129,7 @@
       logger,
       metrics: new MetricsRegistry(),
     });
-    const holder = new RouteHolder(protocol, logger);
+    const holder = new RouteHolder(protocol, logger, clock);
     const evacuated = new EvacuatedDomains({protocol, logger, clock});
     const registry = new UpstreamRegistry(protocol, logger, clock, evacuated);
     evacuated.addListener(change => registry.applyEvacuations(change));
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -159,6 +159,11 @@
     level: 'warn',
     text: 'the store was restored from an older copy; what it holds is read anew, and what is lost is written again',
   },
+  'store.range-read': {
+    number: 406,
+    level: 'info',
+    text: 'a range of the store was read whole',
+  },
   'peer.refused': {
     number: 500,
     level: 'warn',
--- a/packages/store-relay/src/relayed-store.ts
+++ b/packages/store-relay/src/relayed-store.ts
@@ -147,8 +147,13 @@
       );
       return {...known, keyValues};
     }
-    const reading = await this.parts.store.readRange(range, minModRevision);
-    if (minModRevision === 0) this.applyFirstReading(range.start, reading);
+    const {clock, store} = this.parts;
+    const sentAtMs = clock.getNow();
+    const reading = await store.readRange(range, minModRevision);
+    if (minModRevision === 0) {
+      this.logReading(range, reading, sentAtMs);
+      this.applyFirstReading(range.start, reading);
+    }
     return reading;
   }
 
@@ -301,6 +306,21 @@
     this.mirrors.applyReading(start, {...reading, storeRevision});
   }
 
+  private logReading(
+    range: KeyRange,
+    {storeRevision, keyValues}: RangeResult,
+    sentAtMs: number,
+  ): void {
+    const {clock, logger} = this.parts;
+    logger.logEvent('store.range-read', {
+      range: range.start,
+      storeRevision,
+      watchRevision: this.startRevision,
+      keys: keyValues.length,
+      tookMs: Math.round(clock.getNow() - sentAtMs),
+    });
+  }
+
   private recordBreak(): void {
     this.breaks += 1;
     this.state = 'away';
