--- /dev/null
+++ b/packages/gateway/src/late-reading.test.ts
@@ -0,0 +1,65 @@
+// Guards against a range's content standing under a store revision newer than itself.
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {ManualClock} from '@hollowstack/clock';
+import {createSeededRandom} from '@hollowstack/local-system';
+import {ViewFleet} from './test-utils/view-fleet.ts';
+import {OPERATOR_PREFIX, UPSTREAM_PREFIX} from './test-utils/view-store.ts';
+
+const FOLLOW_WITHIN_MS = 2000;
+/** Milliseconds after which an instance has its watch. */
+const START_MS = 3000;
+/** Longer than a new watch takes to begin, backoff included. */
+const LATE_MS = 700;
+/** Milliseconds after which a broken watch has begun again and reads. */
+const RESYNC_MS = 450;
+/** Milliseconds after the end of trouble in which an instance must be up to date. */
+const RECOVERY_MS = 3000;
+const SEEDS = [1, 2, 3, 4, 5];
+
+interface Outcome {
+  readonly behind: string[];
+  readonly sending: string[];
+}
+
+async function runLateReading(seed: number): Promise<Outcome> {
+  const clock = new ManualClock();
+  const fleet = new ViewFleet({
+    clock,
+    random: createSeededRandom(seed),
+    count: 1,
+    domainCount: 1,
+    followWithinMs: FOLLOW_WITHIN_MS,
+  });
+  const {store} = fleet;
+  for (const id of ['a', 'b']) store.putUpstream(id, 'ready');
+  store.putConfiguration(1);
+  await fleet.start();
+  await clock.advance(START_MS);
+  const [{client}] = fleet.instances;
+  for (const start of [OPERATOR_PREFIX, UPSTREAM_PREFIX]) {
+    client.readDelaysMs.set(start, LATE_MS);
+  }
+  client.endWatches();
+  await clock.advance(RESYNC_MS);
+  store.putConfiguration(2);
+  store.putUpstream('b', 'leaving');
+  client.endWatches();
+  await clock.advance(RESYNC_MS);
+  client.readDelaysMs.clear();
+  await clock.advance(RECOVERY_MS);
+  const outcome = {
+    behind: fleet.listBehind(2).map(({id}) => `${id}, seed ${seed}`),
+    sending: fleet.listSending('b').map(({id}) => `${id}, seed ${seed}`),
+  };
+  fleet.stop();
+  await clock.advance(1);
+  return outcome;
+}
+
+test('a reading that was sent before a watch began leaves no change unknown', async () => {
+  const outcomes = await Promise.all(SEEDS.map(seed => runLateReading(seed)));
+  const behind = outcomes.flatMap(outcome => outcome.behind);
+  const sending = outcomes.flatMap(outcome => outcome.sending);
+  assert.deepEqual({behind, sending}, {behind: [], sending: []});
+});
--- a/packages/gateway/src/test-utils/view-store-client.ts
+++ b/packages/gateway/src/test-utils/view-store-client.ts
@@ -4,6 +4,7 @@
   KeyValueStore,
   PolledWatch,
   StoreError,
+  StoreRefusalError,
   type KeyRange,
   type Lease,
   type RangeResult,
@@ -23,11 +24,14 @@
 export class ViewStoreClient extends KeyValueStore {
   /** Whether the store refuses every call of this instance. */
   isRefused = false;
+  /** Milliseconds by which whole readings are answered late, by the range's first key. */
+  readonly readDelaysMs = new Map<string, number>();
   private readonly clock: ManualClock;
   private readonly store: ViewStore;
   private readonly watch: PolledWatch;
   private readonly open = new Set<Connection>();
   private idle: Connection[] = [];
+  private history = new AbortController();
 
   constructor(clock: ManualClock, store: ViewStore) {
     super();
@@ -46,8 +50,20 @@
     }
   }
 
+  /** Ends the calls of watches that wait now, as a store that forgets its history does. */
+  endWatches(): void {
+    const error = new StoreRefusalError('the history is gone', 'none');
+    this.history.abort(error);
+    this.history = new AbortController();
+  }
+
   async readRange(range: KeyRange): Promise<RangeResult> {
-    return this.call(async () => this.store.read(range));
+    return this.call(async () => {
+      const reading = this.store.read(range);
+      const delayMs = this.readDelaysMs.get(range.start) ?? 0;
+      if (delayMs > 0) await waitFor(this.clock, delayMs);
+      return reading;
+    });
   }
 
   async runTransaction({onSuccess}: Transaction): Promise<TransactionResult> {
@@ -79,9 +95,15 @@
   }
 
   private async callWatch(call: WatchCall): Promise<WatchCallAnswer> {
+    const history = this.history.signal;
     return this.send(async () => {
-      const waiting = AbortSignal.any([call.signal, this.createEnd(call)]);
+      const waiting = AbortSignal.any([
+        call.signal,
+        history,
+        this.createEnd(call),
+      ]);
       for (;;) {
+        history.throwIfAborted();
         const answer = this.store.listChanges(call);
         if (answer.events.length > 0 || waiting.aborted) return answer;
         await this.store.waitForChange(waiting);
