Keep readings that were sent before a watch began out of that watch

Callers got 404 and 401 by an older configuration, and an upstream that had left got work, for as long as the key was not written again: a reading that was sent before the watch began was labelled with the watch's start, so what had changed between was never told.

Cause: the label of a first reading was the higher of its own revision and the list's that was read last, whenever the reading had been sent. Now a reading counts for the watch in whose time it was sent; one that is late is read again, and one that is older than the watch's start is an error that is tried again. The label is the reading's own; where the store tells none, the list that was read before it gives it.

Readers of a followed range get what is known of it, changes that came during the reading included.

--- a/packages/store-relay/src/relayed-store.ts
+++ b/packages/store-relay/src/relayed-store.ts
@@ -3,6 +3,7 @@
 import type {PeerLink} from '@hollowstack/peers';
 import {
   KeyValueStore,
+  StoreError,
   type KeyRange,
   type Lease,
   type RangeResult,
@@ -72,6 +73,8 @@
   private isFirstStart = true;
   /** Revision from which the store's changes are still to be told. */
   private startRevision = 0;
+  /** Counts the beginnings of watches, by which late readings are told apart. */
+  private generation = 0;
   /** Failures of the store's watch, or to begin it, since it last stood. */
   private breaks = 0;
   private beganAfterOutage = false;
@@ -140,21 +143,15 @@
 
   /** Reads a range; one that is followed is at hand. */
   async readRange(range: KeyRange, minModRevision = 0): Promise<RangeResult> {
-    const known = this.createReading(range.start);
-    if (known) {
-      const keyValues = known.keyValues.filter(
-        ({modRevision}) => modRevision >= minModRevision,
-      );
-      return {...known, keyValues};
+    if (!this.mirrors.findMirror(range.start)) {
+      return this.parts.store.readRange(range, minModRevision);
     }
-    const {clock, store} = this.parts;
-    const sentAtMs = clock.getNow();
-    const reading = await store.readRange(range, minModRevision);
-    if (minModRevision === 0) {
-      this.logReading(range, reading, sentAtMs);
-      this.applyFirstReading(range.start, reading);
-    }
-    return reading;
+    const known =
+      this.createReading(range.start) ?? (await this.readFollowed(range));
+    const keyValues = known.keyValues.filter(
+      ({modRevision}) => modRevision >= minModRevision,
+    );
+    return {...known, keyValues};
   }
 
   runTransaction(transaction: Transaction): Promise<TransactionResult> {
@@ -179,6 +176,7 @@
     signal: AbortSignal,
   ): AsyncIterable<readonly WatchEvent[]> {
     this.mirrors.replaceRanges(ranges);
+    this.generation += 1;
     try {
       const isFromPeers = await this.begin();
       yield [];
@@ -203,6 +201,7 @@
     this.mirrors.applyReading(memberRange.start, list);
     await getMembers().refresh();
     this.startRevision = list.storeRevision;
+    this.generation += 1;
     this.isRestored =
       this.storeId !== undefined && this.storeId !== list.storeId;
     this.storeId = list.storeId;
@@ -299,10 +298,28 @@
     );
   }
 
-  // A store may tell no revision with a key that is not there; the reading is
-  // still newer than the list that was read before it.
+  // A reading that was sent before the current watch began may lack changes from before
+  // the watch's start, which the watch does not tell either.
+  private async readFollowed(range: KeyRange): Promise<RangeResult> {
+    const {clock, store} = this.parts;
+    for (;;) {
+      const {generation} = this;
+      const sentAtMs = clock.getNow();
+      const reading = await store.readRange(range);
+      this.logReading(range, reading, sentAtMs);
+      if (generation === this.generation) {
+        this.applyFirstReading(range.start, reading);
+        return this.createReading(range.start) ?? reading;
+      }
+    }
+  }
+
   private applyFirstReading(start: string, reading: RangeResult): void {
-    const storeRevision = Math.max(reading.storeRevision, this.startRevision);
+    // A store may tell no revision with a key that is not there.
+    const storeRevision = reading.storeRevision || this.startRevision;
+    if (storeRevision < this.startRevision) {
+      throw new StoreError('the reading is older than the watch', 'none');
+    }
     this.mirrors.applyReading(start, {...reading, storeRevision});
   }
 
