Claim no revision of content that may lack earlier changes

After a watch began anew, changes arrive while those before its start are not read yet. The registrations and evacuations then stood under the newest change's revision: a peer that was behind it took them for complete and lost what it knew (an upstream listed again, an evacuation ended), until the key was written again. The same class as a late reading under a newer label.

Now an instance claims the revision up to which its content is complete (ContentRevision), takes copies by it, and keeps newer changes when a copy comes. An instance counts as loaded by a reading, no longer by a first change.

--- a/packages/gateway/src/create-store-view.ts
+++ b/packages/gateway/src/create-store-view.ts
@@ -166,6 +166,7 @@
         if (key === configurationKey) holder.offerText(value, 'store');
       }
     },
+    handleMissedChanges: () => evacuated.recordMissedChanges(),
     handleOutageEnd: () => evacuated.beginGrace(),
     handleChanges: events => {
       evacuated.applyEvents(events);
@@ -189,6 +190,7 @@
     handleReading: ({keyValues, storeRevision}) =>
       registry.replaceEntries(keyValues, storeRevision, 'store'),
     handleChanges: events => registry.applyEvents(events),
+    handleMissedChanges: () => registry.recordMissedChanges(),
     handleOutageEnd: () => registry.beginGrace(),
   });
 }
--- a/packages/gateway/src/evacuated-domains.test.ts
+++ b/packages/gateway/src/evacuated-domains.test.ts
@@ -44,6 +44,20 @@
   assert.deepEqual(evacuated.getState(), {storeRevision: 20, failureDomains});
 });
 
+test('a state told while changes may be missing ends no evacuation that a peer knows', () => {
+  const {evacuated} = createEvacuatedDomains();
+  const peer = createEvacuatedDomains().evacuated;
+  peer.applyEvents([{type: 'put', key: 'e/b', value: '', modRevision: 6}]);
+  evacuated.recordMissedChanges();
+  evacuated.applyEvents([
+    {type: 'put', key: 'other', value: '', modRevision: 9},
+  ]);
+  peer.replaceState(evacuated.getState(), 'peer p');
+  assert.equal(peer.isEvacuated('b'), true);
+  evacuated.replaceState(peer.getState(), 'peer q');
+  assert.equal(evacuated.isEvacuated('b'), true);
+});
+
 const NEXT_ERA_REVISION = joinEraRevision(1, 1);
 
 test('an evacuation that a restored store lacks stays in force for the grace period and, if rewritten, after it', async () => {
--- a/packages/gateway/src/evacuated-domains.ts
+++ b/packages/gateway/src/evacuated-domains.ts
@@ -2,6 +2,7 @@
 import type {EventLogger} from '@hollowstack/logger';
 import type {EvacuationState} from '@hollowstack/peers';
 import type {KeyValue, WatchEvent} from '@hollowstack/store';
+import {ContentRevision} from './content-revision.ts';
 import type {RequestProtocol} from './request-protocol.ts';
 
 /** How the evacuated failure domains changed. */
@@ -33,7 +34,7 @@
   private readonly listeners: Array<(change: EvacuationChange) => void> = [];
   private readonly endedAtMs = new Map<string, number>();
   private failureDomains: ReadonlySet<string> = new Set();
-  private storeRevision = 0;
+  private readonly revision = new ContentRevision();
   /** Store revision of the last full read that was not stale. */
   private lastReadRevision = 0;
   /** Watch events newer than the last full read, by failure domain. */
@@ -76,10 +77,15 @@
     return this.endedAtMs.get(failureDomain);
   }
 
+  /** Notes that changes may have been missed, which the next reading brings. */
+  recordMissedChanges(): void {
+    this.revision.beginGap();
+  }
+
   /** Returns what peers are told. */
   getState(): EvacuationState {
     return {
-      storeRevision: this.storeRevision,
+      storeRevision: this.revision.getComplete(),
       failureDomains: [...this.failureDomains].sort(),
     };
   }
@@ -94,34 +100,19 @@
     storeRevision: number,
   ): void {
     if (storeRevision < this.lastReadRevision) return;
-    this.lastReadRevision = storeRevision;
-    const failureDomains = new Set(
-      keyValues.flatMap(({key}) => this.parseKey(key)),
-    );
-    // Watch events may arrive before the result of an older read; they take
-    // precedence for their failure domains.
-    for (const [failureDomain, change] of this.changesSinceRead) {
-      if (change.modRevision <= storeRevision) {
-        this.changesSinceRead.delete(failureDomain);
-      } else if (change.isEvacuated) failureDomains.add(failureDomain);
-      else failureDomains.delete(failureDomain);
-    }
-    const newestRevision = Math.max(storeRevision, this.storeRevision);
-    const state = {
-      storeRevision: newestRevision,
-      failureDomains: [...failureDomains],
-    };
-    this.applyState(state, 'store');
+    const failureDomains = keyValues.flatMap(({key}) => this.parseKey(key));
+    this.revision.recordReading(storeRevision);
+    this.applyState({storeRevision, failureDomains}, 'store');
   }
 
   /** Takes the changes of the operators' keys that the watch tells of. */
   applyEvents(events: readonly WatchEvent[]): void {
     const failureDomains = new Set(this.failureDomains);
-    let {storeRevision} = this;
+    const before = this.revision.getNewest();
     for (const {type, key, modRevision} of events) {
       // A watch that began before the last reading repeats older changes.
-      if (modRevision <= this.storeRevision) continue;
-      storeRevision = Math.max(storeRevision, modRevision);
+      if (modRevision <= before) continue;
+      this.revision.recordChange(modRevision);
       for (const failureDomain of this.parseKey(key)) {
         const isEvacuated = type === 'put';
         if (isEvacuated) failureDomains.add(failureDomain);
@@ -129,29 +120,40 @@
         this.changesSinceRead.set(failureDomain, {isEvacuated, modRevision});
       }
     }
-    if (storeRevision <= this.storeRevision) return;
-    const state = {storeRevision, failureDomains: [...failureDomains]};
-    this.applyState(state, 'watch');
+    if (this.revision.getNewest() === before) return;
+    this.applyDomains(failureDomains, 'watch');
   }
 
-  /** Puts a state in force if it is newer than the one in force. */
+  /** Puts a state in force if it is newer than what is known without gaps. */
   replaceState(state: EvacuationState, source: string): void {
-    if (state.storeRevision <= this.storeRevision) return;
-    this.lastReadRevision = state.storeRevision;
-    this.changesSinceRead.clear();
+    if (state.storeRevision <= this.revision.getComplete()) return;
+    this.revision.recordCopy(state.storeRevision);
     this.applyState(state, source);
   }
 
+  // Watch events may arrive before the result of an older read; they take precedence for
+  // their failure domains.
   private applyState(state: EvacuationState, source: string): void {
+    const failureDomains = new Set(state.failureDomains);
+    this.lastReadRevision = state.storeRevision;
+    for (const [failureDomain, change] of this.changesSinceRead) {
+      if (change.modRevision <= state.storeRevision) {
+        this.changesSinceRead.delete(failureDomain);
+      } else if (change.isEvacuated) failureDomains.add(failureDomain);
+      else failureDomains.delete(failureDomain);
+    }
+    this.applyDomains(failureDomains, source);
+  }
+
+  private applyDomains(domains: ReadonlySet<string>, source: string): void {
     const before = this.failureDomains;
-    const after = new Set(state.failureDomains);
+    const after = new Set(domains);
     for (const failureDomain of before) {
       if (!this.grace || after.has(failureDomain)) {
         this.lostDomains.delete(failureDomain);
       } else this.lostDomains.add(failureDomain);
     }
     for (const failureDomain of this.lostDomains) after.add(failureDomain);
-    this.storeRevision = state.storeRevision;
     this.failureDomains = after;
     this.callListeners(before, source);
   }
@@ -168,7 +170,7 @@
 
   private callListeners(before: ReadonlySet<string>, source: string): void {
     const after = this.failureDomains;
-    const {storeRevision} = this;
+    const storeRevision = this.revision.getNewest();
     const begun = [...after].filter(each => !before.has(each));
     const ended = [...before].filter(each => !after.has(each));
     if (begun.length + ended.length === 0) return;
--- a/packages/gateway/src/store-follower.ts
+++ b/packages/gateway/src/store-follower.ts
@@ -24,6 +24,8 @@
   readonly logger: EventLogger;
   readonly range: KeyRange;
   readonly handleReading: (reading: RangeResult) => void;
+  /** Called when changes may have been missed, which the next reading brings. */
+  readonly handleMissedChanges: () => void;
   /** Called before the first reading after the store was away. */
   readonly handleOutageEnd?: () => void;
   readonly handleChanges: (events: readonly WatchEvent[]) => void;
@@ -48,6 +50,7 @@
   }
 
   handleResync(isAfterOutage: boolean): void {
+    this.parts.handleMissedChanges();
     if (isAfterOutage) this.parts.handleOutageEnd?.();
     void this.refresh();
   }
--- a/packages/gateway/src/upstream-registry.test.ts
+++ b/packages/gateway/src/upstream-registry.test.ts
@@ -278,6 +278,47 @@
     .map(({id}) => id);
 }
 
+test('a copy made while changes may be missing takes nothing from a peer that knows them', () => {
+  const {registry} = createRegistry();
+  const peer = createRegistry().registry;
+  const ready = (key: string) => ({
+    type: 'put' as const,
+    key,
+    value: 'ready',
+  });
+  peer.applyEvents([{...ready('c'), modRevision: 2}]);
+  registry.recordMissedChanges();
+  registry.applyEvents([{...ready('d'), modRevision: 3}]);
+  assert.equal(registry.getStoreRevision(), 1);
+  peer.applyCopy(registry.createCopy()!, 'peer 10.0.0.2:1');
+  assert.deepEqual(
+    peer.listUpstreams().map(({id}) => id),
+    ['a', 'b', 'c'],
+  );
+  registry.applyCopy(peer.createCopy()!, 'peer 10.0.0.3:1');
+  assert.deepEqual(
+    registry.listUpstreams().map(({id}) => id),
+    ['a', 'b', 'd', 'c'],
+  );
+});
+
+test('an instance is not loaded by a change before its first reading', () => {
+  const clock = new ManualClock();
+  const logger = new ListingLogger();
+  const registry = new UpstreamRegistry(
+    protocol,
+    logger,
+    clock,
+    new EvacuatedDomains({protocol, logger, clock}),
+  );
+  registry.applyEvents([
+    {type: 'put', key: 'a', value: 'ready', modRevision: 2},
+  ]);
+  assert.equal(registry.isLoaded(), false);
+  registry.replaceEntries([{key: 'a', value: 'ready'}], 1, 'store');
+  assert.equal(registry.isLoaded(), true);
+});
+
 test('a restored store brings back neither a leaving upstream nor a removed one', async () => {
   const {clock, registry} = createRegistry();
   registry.applyEvents([
--- a/packages/gateway/src/upstream-registry.ts
+++ b/packages/gateway/src/upstream-registry.ts
@@ -8,6 +8,7 @@
   type WatchEvent,
 } from '@hollowstack/store';
 import type {StoreCopy} from '@hollowstack/types';
+import {ContentRevision} from './content-revision.ts';
 import type {EvacuatedDomains, EvacuationChange} from './evacuated-domains.ts';
 import {DepartedEntries} from './departed-entries.ts';
 import {EntryReader} from './entry-reader.ts';
@@ -90,7 +91,7 @@
   private readonly missingListeners: Array<() => void> = [];
   private readonly toldListeners: Array<() => void> = [];
   private readonly restartListeners: Array<(restart: Restart) => void> = [];
-  private storeRevision = 0;
+  private readonly revision = new ContentRevision();
   /** Store revision of the last full read that was not stale. */
   private lastReadRevision = 0;
   /** Revisions of watch events newer than the last full read, by key. */
@@ -112,14 +113,20 @@
     this.evacuated = evacuated;
   }
 
+  /** Returns the store revision up to which every change is known. */
   getStoreRevision(): number {
-    return this.storeRevision;
+    return this.revision.getComplete();
+  }
+
+  /** Notes that changes may have been missed, which the next full read brings. */
+  recordMissedChanges(): void {
+    this.revision.beginGap();
   }
 
   /** Returns how old this instance's knowledge is and where it is from. */
   getState(): RegistryState {
     return {
-      storeRevision: this.storeRevision,
+      storeRevision: this.revision.getNewest(),
       ageMs: Math.round(this.clock.getNow() - this.heardAtMs),
       source: this.heardFrom,
     };
@@ -127,7 +134,7 @@
 
   /** Returns whether the registrations have been read, from the store or a peer. */
   isLoaded(): boolean {
-    return this.storeRevision > 0;
+    return this.revision.getComplete() > 0;
   }
 
   listUpstreams(): RegisteredUpstream[] {
@@ -166,7 +173,7 @@
     );
     this.logger.logEvent('upstream.grace', {
       forMs: LAPSE_GRACE_MS,
-      storeRevision: this.storeRevision,
+      storeRevision: this.revision.getNewest(),
     });
   }
 
@@ -254,8 +261,28 @@
     source: string,
   ): void {
     if (storeRevision < this.lastReadRevision) return;
+    this.recordEra(storeRevision);
+    this.revision.recordReading(storeRevision);
+    this.applyEntries(keyValues, storeRevision, source);
+  }
+
+  /** Takes the copy of a peer, which sends none while it is in its own grace. */
+  applyCopy({entries, storeRevision}: StoreCopy, source: string): void {
+    if (storeRevision < this.getStoreRevision()) return;
+    if (storeRevision >= this.lastReadRevision) {
+      this.recordEra(storeRevision);
+      this.revision.recordCopy(storeRevision);
+      this.applyEntries(entries, storeRevision, source);
+    }
+    this.endGraceOfMissing(source);
+  }
+
+  private applyEntries(
+    keyValues: readonly Pick<KeyValue, 'key' | 'value'>[],
+    storeRevision: number,
+    source: string,
+  ): void {
     this.lastReadRevision = storeRevision;
-    this.recordRevision(Math.max(this.storeRevision, storeRevision));
     this.recordHeard(source);
     this.departed.removeAllWithheld();
     const hasNewerChange = (key: string) =>
@@ -274,23 +301,17 @@
     this.callListeners();
   }
 
-  /** Takes the copy of a peer, which sends none while it is in its own grace. */
-  applyCopy({entries, storeRevision}: StoreCopy, source: string): void {
-    if (storeRevision < this.storeRevision) return;
-    this.replaceEntries(entries, storeRevision, source);
-    this.endGraceOfMissing(source);
-  }
-
   /** Takes the changes that the watch tells of. */
   applyEvents(events: readonly WatchEvent[]): void {
     this.recordHeard('watch');
-    const readRevision = this.storeRevision;
+    const readRevision = this.revision.getNewest();
     for (const event of events) {
       // A watch that began before the last whole reading repeats older changes.
       // Those of one transaction share a revision, and all of them count.
       if (event.modRevision <= readRevision) continue;
       this.recordChange(event);
-      this.recordRevision(Math.max(this.storeRevision, event.modRevision));
+      this.recordEra(event.modRevision);
+      this.revision.recordChange(event.modRevision);
       if (event.type === 'delete') this.removeEntry(event.key, 'watch');
       else this.setEntry(event.key, event.value, 'watch');
     }
@@ -307,7 +328,7 @@
       key,
       value: text,
     }));
-    return {storeRevision: this.storeRevision, entries};
+    return {storeRevision: this.getStoreRevision(), entries};
   }
 
   /** Returns a text that is equal where two instances know the same upstreams. */
@@ -343,7 +364,7 @@
       upstreams: this.entries.size,
       new: services.join(' '),
       source,
-      storeRevision: this.storeRevision,
+      storeRevision: this.revision.getNewest(),
     });
   }
 
@@ -457,7 +478,7 @@
       service,
       address,
       source,
-      storeRevision: this.storeRevision,
+      storeRevision: this.revision.getNewest(),
     });
   }
 
@@ -488,7 +509,7 @@
       address,
       failureDomain,
       ...heard,
-      storeRevision: this.storeRevision,
+      storeRevision: this.revision.getNewest(),
     });
   }
 
@@ -513,12 +534,11 @@
     }
   }
 
-  private recordRevision(storeRevision: number): void {
+  private recordEra(storeRevision: number): void {
     const isLaterEra =
       splitEraRevision(storeRevision).era >
-      splitEraRevision(this.storeRevision).era;
+      splitEraRevision(this.revision.getNewest()).era;
     if (isLaterEra && this.isLoaded()) this.restoredAtMs = this.clock.getNow();
-    this.storeRevision = storeRevision;
   }
 
   private recordHeard(source: string): void {
