Begin a new reading at once when the watch begins anew

An instance whose reading got no answer was behind for the reading's whole time-out after its watch stood again, since the next reading waited for it. Now the next one takes its place; readers of a range share one reading of a watch.

--- a/packages/gateway/src/late-reading.test.ts
+++ b/packages/gateway/src/late-reading.test.ts
@@ -22,15 +22,19 @@
   readonly sending: string[];
 }
 
-async function runLateReading(seed: number): Promise<Outcome> {
-  const clock = new ManualClock();
-  const fleet = new ViewFleet({
+function createFleet(clock: ManualClock, seed: number): ViewFleet {
+  return new ViewFleet({
     clock,
     random: createSeededRandom(seed),
     count: 1,
     domainCount: 1,
     followWithinMs: FOLLOW_WITHIN_MS,
   });
+}
+
+async function runLateReading(seed: number): Promise<Outcome> {
+  const clock = new ManualClock();
+  const fleet = createFleet(clock, seed);
   const {store} = fleet;
   for (const id of ['a', 'b']) store.putUpstream(id, 'ready');
   store.putConfiguration(1);
@@ -57,6 +61,29 @@
   return outcome;
 }
 
+test('a reading that gets no answer does not hold up the one of the next watch', async () => {
+  const clock = new ManualClock();
+  const fleet = createFleet(clock, 1);
+  const {store} = fleet;
+  store.putConfiguration(1);
+  await fleet.start();
+  await clock.advance(START_MS);
+  const [{client}] = fleet.instances;
+  client.readDelaysMs.set(OPERATOR_PREFIX, 2 * FOLLOW_WITHIN_MS);
+  client.endWatches();
+  await clock.advance(RESYNC_MS);
+  client.readDelaysMs.clear();
+  store.putConfiguration(2);
+  client.endWatches();
+  await clock.advance(RESYNC_MS);
+  assert.deepEqual(
+    fleet.listBehind(2).map(({id}) => id),
+    [],
+  );
+  fleet.stop();
+  await clock.advance(2 * FOLLOW_WITHIN_MS);
+});
+
 test('a reading that was sent before a watch began leaves no change unknown', async () => {
   const outcomes = await Promise.all(SEEDS.map(seed => runLateReading(seed)));
   const behind = outcomes.flatMap(outcome => outcome.behind);
--- a/packages/gateway/src/store-follower.ts
+++ b/packages/gateway/src/store-follower.ts
@@ -36,8 +36,7 @@
   readonly range: KeyRange;
   private readonly parts: StoreFollowerParts;
   private readonly controller = new AbortController();
-  private reading: Promise<void> | undefined;
-  private isReadDue = false;
+  private current = new AbortController();
   private isDown = false;
 
   constructor(parts: StoreFollowerParts) {
@@ -59,38 +58,38 @@
     this.controller.abort(new Error('stopped'));
   }
 
-  /** Reads the range, again and again until the store answers. */
+  /**
+   * Reads the range, again and again until the store answers. Takes the place of a reading
+   * that is under way.
+   */
   refresh(): Promise<void> {
-    this.isReadDue = true;
-    this.reading ??= this.readUntilAnswered().finally(() => {
-      this.reading = undefined;
-    });
-    return this.reading;
+    this.current.abort(new Error('another reading takes its place'));
+    this.current = new AbortController();
+    const {signal} = this.current;
+    return this.readUntilAnswered(
+      AbortSignal.any([this.controller.signal, signal]),
+    );
   }
 
-  private async readUntilAnswered(): Promise<void> {
+  private async readUntilAnswered(signal: AbortSignal): Promise<void> {
     const {clock, random} = this.parts;
     let retryMs = MIN_RETRY_MS;
-    while (this.isReadDue && !this.controller.signal.aborted) {
-      this.isReadDue = false;
-      if (await this.readOnce()) {
-        retryMs = MIN_RETRY_MS;
-        continue;
-      }
-      this.isReadDue = true;
+    while (!signal.aborted && !(await this.readOnce(signal))) {
       const pauseMs = retryMs * (0.5 + random());
-      await waitFor(clock, pauseMs, this.controller.signal).catch(() => {});
+      await waitFor(clock, pauseMs, signal).catch(() => {});
       retryMs = Math.min(MAX_RETRY_MS, retryMs * 2);
     }
   }
 
-  private async readOnce(): Promise<boolean> {
+  private async readOnce(signal: AbortSignal): Promise<boolean> {
     try {
       const reading = await this.parts.store.readRange(this.range);
+      if (signal.aborted) return false;
       this.recordState(false, undefined);
       this.parts.handleReading(reading);
       return true;
     } catch (error) {
+      if (signal.aborted) return false;
       const reason = error instanceof Error ? error.message : String(error);
       this.recordState(true, reason);
       return false;
--- a/packages/store-relay/src/relayed-store.ts
+++ b/packages/store-relay/src/relayed-store.ts
@@ -37,6 +37,13 @@
  */
 export type RelayState = 'watching' | 'away' | 'following';
 
+/** A reading under way of a range that is followed. */
+interface PendingReading {
+  /** Watch in whose time it was sent. */
+  readonly generation: number;
+  readonly reading: Promise<RangeResult>;
+}
+
 /** Where the changes come from, for the log. */
 type FeedSource = 'store' | 'peers';
 
@@ -75,6 +82,8 @@
   private startRevision = 0;
   /** Counts the beginnings of watches, by which late readings are told apart. */
   private generation = 0;
+  /** Readings under way, by the range's first key. */
+  private readonly pending = new Map<string, PendingReading>();
   /** Failures of the store's watch, or to begin it, since it last stood. */
   private breaks = 0;
   private beganAfterOutage = false;
@@ -298,20 +307,33 @@
     );
   }
 
+  // Readers of one range share a reading.
+  private readFollowed(range: KeyRange): Promise<RangeResult> {
+    const {generation, pending} = this;
+    const shared = pending.get(range.start);
+    if (shared?.generation === generation) return shared.reading;
+    const reading = this.readForWatch(range, generation).finally(() => {
+      if (pending.get(range.start)?.reading === reading) {
+        pending.delete(range.start);
+      }
+    });
+    pending.set(range.start, {generation, reading});
+    return reading;
+  }
+
   // A reading that was sent before the current watch began may lack changes from before
   // the watch's start, which the watch does not tell either.
-  private async readFollowed(range: KeyRange): Promise<RangeResult> {
+  private async readForWatch(
+    range: KeyRange,
+    generation: number,
+  ): Promise<RangeResult> {
     const {clock, store} = this.parts;
-    for (;;) {
-      const {generation} = this;
-      const sentAtMs = clock.getNow();
-      const reading = await store.readRange(range);
-      this.logReading(range, reading, sentAtMs);
-      if (generation === this.generation) {
-        this.applyFirstReading(range.start, reading);
-        return this.createReading(range.start) ?? reading;
-      }
-    }
+    const sentAtMs = clock.getNow();
+    const reading = await store.readRange(range);
+    this.logReading(range, reading, sentAtMs);
+    if (generation !== this.generation) return this.readRange(range);
+    this.applyFirstReading(range.start, reading);
+    return this.createReading(range.start) ?? reading;
   }
 
   private applyFirstReading(start: string, reading: RangeResult): void {
