--- a/packages/stages/src/test-utils/create-coordinator.ts
+++ b/packages/stages/src/test-utils/create-coordinator.ts
@@ -3,7 +3,10 @@
 import {MetricsRegistry} from '@hollowstack/metrics';
 import type {RegisteredUpstream, RouteTable} from '@hollowstack/routes';
 import {BackOffTable} from '@hollowstack/upstream-signals';
-import {StageCoordinator} from '../stage-coordinator.ts';
+import {
+  StageCoordinator,
+  type StageCoordinatorParts,
+} from '../stage-coordinator.ts';
 import type {RunAnswer, StagePiece} from '../stage-protocol.ts';
 import {getMiddle} from './get-middle.ts';
 import {NO_LIMITS} from './no-limits.ts';
@@ -22,10 +25,11 @@
   clock: ManualClock,
   stages: readonly TestStage[],
   runPieces: (id: string, pieces: readonly StagePiece[]) => Promise<RunAnswer>,
+  freshnessGuard: StageCoordinatorParts['freshnessGuard'] = ALWAYS_FRESH,
 ): StageCoordinator {
   const logger = new SilentEventLogger();
   const coordinator = new StageCoordinator({
-    freshnessGuard: ALWAYS_FRESH,
+    freshnessGuard,
     clock,
     logger,
     metrics: new MetricsRegistry(),
