Undo no newer change by a reading that is answered late

The entry daemon's list of instances, and the list of peers, took a reading whole: one that was sent before a change and answered after it brought back an instance that had left, until the next poll (15 s) or reading. The registrations' guard against it is now shared (ChangeRevisions).

--- a/packages/gateway/src/upstream-registry.ts
+++ b/packages/gateway/src/upstream-registry.ts
@@ -3,6 +3,7 @@
 import type {EventLogger, EventName} from '@hollowstack/logger';
 import type {RegisteredUpstream} from '@hollowstack/routes';
 import {
+  ChangeRevisions,
   splitEraRevision,
   type KeyValue,
   type WatchEvent,
@@ -54,8 +55,6 @@
  * may come back; work still goes to their upstreams until then.
  */
 const LAPSE_GRACE_MS = 2200;
-/** Maximum number of changed keys tracked between full reads; oldest evicted first. */
-const MAX_TRACKED_CHANGES = 10_000;
 /**
  * Milliseconds after which a withheld entry is accepted if the store still has it. Longer
  * than the time in which the entry of an upstream that is gone expires.
@@ -94,8 +93,7 @@
   private readonly revision = new ContentRevision();
   /** Store revision of the last full read that was not stale. */
   private lastReadRevision = 0;
-  /** Revisions of watch events newer than the last full read, by key. */
-  private readonly changeRevisions = new Map<string, number>();
+  private readonly changes = new ChangeRevisions();
   private heardAtMs = 0;
   private heardFrom = '';
   /** The digest of the entries; undefined once they have changed. */
@@ -286,7 +284,7 @@
     this.recordHeard(source);
     this.departed.removeAllWithheld();
     const hasNewerChange = (key: string) =>
-      (this.changeRevisions.get(key) ?? 0) > storeRevision;
+      this.changes.hasNewerChange(key, storeRevision);
     const listed = new Set(keyValues.map(({key}) => key));
     for (const key of [...this.entries.keys()]) {
       if (!listed.has(key) && !hasNewerChange(key))
@@ -296,7 +294,7 @@
     for (const {key, value} of keyValues) {
       if (!hasNewerChange(key)) this.setEntry(key, value, source, false);
     }
-    this.removeChangesUpTo(storeRevision);
+    this.changes.removeUpTo(storeRevision);
     this.logReading(before, source);
     this.callListeners();
   }
@@ -309,7 +307,7 @@
       // A watch that began before the last whole reading repeats older changes.
       // Those of one transaction share a revision, and all of them count.
       if (event.modRevision <= readRevision) continue;
-      this.recordChange(event);
+      this.changes.recordChange(event);
       this.recordEra(event.modRevision);
       this.revision.recordChange(event.modRevision);
       if (event.type === 'delete') this.removeEntry(event.key, 'watch');
@@ -520,20 +518,6 @@
     ).length;
   }
 
-  private recordChange({key, modRevision}: WatchEvent): void {
-    this.changeRevisions.delete(key);
-    this.changeRevisions.set(key, modRevision);
-    if (this.changeRevisions.size <= MAX_TRACKED_CHANGES) return;
-    const [oldest] = this.changeRevisions.keys();
-    this.changeRevisions.delete(oldest);
-  }
-
-  private removeChangesUpTo(storeRevision: number): void {
-    for (const [key, revision] of this.changeRevisions) {
-      if (revision <= storeRevision) this.changeRevisions.delete(key);
-    }
-  }
-
   private recordEra(storeRevision: number): void {
     const isLaterEra =
       splitEraRevision(storeRevision).era >
--- a/packages/peers/src/membership.ts
+++ b/packages/peers/src/membership.ts
@@ -1,8 +1,10 @@
 import {RepeatingTask, type Clock} from '@hollowstack/clock';
 import {
+  ChangeRevisions,
   createPrefixRange,
   type KeyRange,
   type KeyValueStore,
+  type RangeResult,
   type WatchEvent,
   type WatchPace,
   type WatchSubscription,
@@ -61,6 +63,7 @@
   };
   private readonly parts: MembershipParts;
   private readonly registered = new Map<string, PeerRecord>();
+  private readonly changes = new ChangeRevisions();
   private readonly heard = new Map<
     string,
     {record: PeerRecord; atMs: number}
@@ -226,6 +229,7 @@
   handleEvents(events: readonly WatchEvent[]): void {
     for (const event of events) {
       const id = event.key.slice(PEER_PREFIX.length);
+      this.changes.recordChange(event);
       if (event.type === 'delete') this.removeRegistered(id);
       else {
         // Who registers anew has just started.
@@ -247,14 +251,24 @@
       .readRange(this.range)
       .catch(() => undefined);
     if (!found) return;
-    this.registered.clear();
-    for (const {key, value} of found.keyValues) {
-      this.setRegistered(key.slice(PEER_PREFIX.length), value);
-    }
+    this.replaceRegistered(found);
     this.callListeners();
     await this.renewIfMissing();
   }
 
+  private replaceRegistered({keyValues, storeRevision}: RangeResult): void {
+    const hasNewerChange = (key: string) =>
+      this.changes.hasNewerChange(key, storeRevision);
+    for (const id of [...this.registered.keys()]) {
+      if (!hasNewerChange(PEER_PREFIX + id)) this.registered.delete(id);
+    }
+    for (const {key, value} of keyValues) {
+      if (hasNewerChange(key)) continue;
+      this.setRegistered(key.slice(PEER_PREFIX.length), value);
+    }
+    this.changes.removeUpTo(storeRevision);
+  }
+
   // A store that was restored from a backup has lost our key, though the lease
   // may still be renewed.
   private async renewIfMissing(): Promise<void> {
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -20,6 +20,7 @@
   type WatchProgress,
 } from './key-value-store.ts';
 export {GatewayStore, type GatewayStoreOptions} from './gateway-store.ts';
+export {ChangeRevisions} from './change-revisions.ts';
 export {BudgetedStore, type CallBudgetOptions} from './budgeted-store.ts';
 export {
   PolledWatch,
--- a/packages/store/src/instance-list.ts
+++ b/packages/store/src/instance-list.ts
@@ -1,10 +1,11 @@
 import {RepeatingTask, type Clock} from '@hollowstack/clock';
 import {instanceRecordSchema, type InstanceRecord} from '@hollowstack/types';
+import {ChangeRevisions} from './change-revisions.ts';
 import {
   createPrefixRange,
   type KeyRange,
-  type KeyValue,
   type KeyValueStore,
+  type RangeResult,
   type WatchEvent,
 } from './key-value-store.ts';
 import type {WatchSubscription} from './watch-hub.ts';
@@ -30,6 +31,7 @@
   readonly range: KeyRange = createPrefixRange(INSTANCE_LIST_PREFIX);
   private readonly store: KeyValueStore;
   private readonly records = new Map<string, InstanceRecord>();
+  private readonly changes = new ChangeRevisions();
   private readonly listeners: Array<() => void> = [];
   private readonly task: RepeatingTask;
   private isLoaded = false;
@@ -83,6 +85,7 @@
 
   handleEvents(events: readonly WatchEvent[]): void {
     for (const event of events) {
+      this.changes.recordChange(event);
       if (event.type === 'delete') this.records.delete(event.key);
       else this.setRecord(event.key, event.value);
     }
@@ -97,14 +100,21 @@
   async refresh(): Promise<void> {
     const found = await this.store.readRange(this.range).catch(() => undefined);
     if (!found) return;
-    this.replaceRecords(found.keyValues);
+    this.replaceRecords(found);
     this.isLoaded = true;
     this.callListeners();
   }
 
-  private replaceRecords(keyValues: readonly KeyValue[]): void {
-    this.records.clear();
-    for (const {key, value} of keyValues) this.setRecord(key, value);
+  private replaceRecords({keyValues, storeRevision}: RangeResult): void {
+    const hasNewerChange = (key: string) =>
+      this.changes.hasNewerChange(key, storeRevision);
+    for (const key of [...this.records.keys()]) {
+      if (!hasNewerChange(key)) this.records.delete(key);
+    }
+    for (const {key, value} of keyValues) {
+      if (!hasNewerChange(key)) this.setRecord(key, value);
+    }
+    this.changes.removeUpTo(storeRevision);
   }
 
   // The list is the platform's: a row that cannot be read is passed over
