Take no evidence that a peer's revision alone seems to give

A failed refresh is tried again each second by itself, so that a request that comes now and then does not wait for one of its own.

--- a/packages/clock/src/manual-clock.ts
+++ b/packages/clock/src/manual-clock.ts
@@ -44,6 +44,11 @@
     this.nowMs = endMs;
   }
 
+  /** Moves time on as it passes while a process is stopped: nothing runs meanwhile. */
+  pause(durationMs: number): void {
+    this.nowMs += durationMs;
+  }
+
   /** Moves time on until the promise settles, at most `limitMs`; then rejects. */
   async advanceUntil<T>(promise: Promise<T>, limitMs: number): Promise<T> {
     let isSettled = false;
--- a/packages/freshness/src/freshness-guard.ts
+++ b/packages/freshness/src/freshness-guard.ts
@@ -1,4 +1,4 @@
-import {waitFor, type Clock} from '@hollowstack/clock';
+import {waitFor, type Clock, type Timer} from '@hollowstack/clock';
 import type {EventLogger} from '@hollowstack/logger';
 import type {MetricsRegistry} from '@hollowstack/metrics';
 import type {FreshnessTable} from './freshness-table.ts';
@@ -16,8 +16,10 @@
 
 /** Longest milliseconds of a refresh: some answers of a slow peer, a part of any deadline. */
 const REFRESH_LIMIT_MS = 200;
-/** Milliseconds from the beginning of a refresh that failed to the next one. */
+/** Milliseconds from the beginning of a refresh that failed to the next one on demand. */
 const REFRESH_EVERY_MS = 500;
+/** Milliseconds to the next one that nobody asks for. */
+const RETRY_MS = 1000;
 /**
  * Milliseconds after a refresh that failed in which decisions go on without waiting for
  * another one. After longer, the process may have stood still.
@@ -37,6 +39,8 @@
   private running: Promise<void> | undefined;
   private failed: FailedRefresh | undefined;
   private staleAtMs: number | undefined;
+  private retry: Timer | undefined;
+  private isStopped = false;
 
   constructor(parts: FreshnessGuardParts) {
     this.parts = parts;
@@ -73,8 +77,14 @@
     return !this.isStale() || this.failed?.reach === 'far';
   }
 
+  /** Refreshes nothing any more, so that no timer keeps a process that stops. */
+  stop(): void {
+    this.isStopped = true;
+    this.retry?.cancel();
+  }
+
   private startDueRefresh(): void {
-    if (this.running) return;
+    if (this.running || this.isStopped) return;
     const nowMs = this.parts.clock.getNow();
     const {failed} = this;
     if (failed && nowMs - failed.beganAtMs < REFRESH_EVERY_MS) return;
@@ -101,6 +111,16 @@
     metrics.addToCounter('hollowstack_view_refreshes_total', {outcome});
     if (outcome === 'fresh') return;
     this.recordFailed({beganAtMs, endedAtMs: clock.getNow(), reach});
+    this.scheduleRetry();
+  }
+
+  // A decision that comes now and then need not wait for a refresh of its own.
+  private scheduleRetry(): void {
+    this.retry?.cancel();
+    if (this.isStopped) return;
+    this.retry = this.parts.clock.schedule(RETRY_MS, () => {
+      if (this.isStale()) this.startDueRefresh();
+    });
   }
 
   private recordStale(nowMs: number): void {
--- a/packages/gateway/src/copy-exchange.ts
+++ b/packages/gateway/src/copy-exchange.ts
@@ -259,8 +259,10 @@
     if (reply.configurationText !== undefined) {
       this.offerConfiguration(reply.configurationText, source);
     }
-    if (reply.upstreams) registry.applyCopy(reply.upstreams, source);
-    this.knowledge.recordComparison(reply, askedAtMs, source);
+    const isCopied =
+      reply.upstreams !== undefined &&
+      registry.applyCopy(reply.upstreams, source);
+    this.knowledge.recordComparison(reply, {askedAtMs, isCopied, source});
     // Its upstreams are the same without those that are missing here.
     if (!reply.isProvisional && !reply.isDigestOther) {
       registry.endGraceOfMissing(source);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -172,6 +172,7 @@
     this.isStopped = true;
     void parts.membership.stop();
     parts.exchange.stop();
+    parts.freshnessGuard.stop();
     parts.coordinatorSearch.stop();
     parts.registry.stop();
     parts.evacuated.stop();
--- a/packages/gateway/src/shared-knowledge.ts
+++ b/packages/gateway/src/shared-knowledge.ts
@@ -31,6 +31,15 @@
   | 'limits'
 >;
 
+/** How a comparison with a peer was made. */
+export interface ComparisonInput {
+  /** When the question was sent, which is no later than when it arrived. */
+  readonly askedAtMs: number;
+  /** Whether the reply's copy of upstreams was taken. */
+  readonly isCopied: boolean;
+  readonly source: string;
+}
+
 /** The small part of an instance's knowledge that goes with every question and answer. */
 export class SharedKnowledge {
   private readonly parts: SharedKnowledgeParts;
@@ -83,15 +92,12 @@
   /**
    * Takes what a comparison shows: where nothing is missing here that the peer knows, this
    * instance knows every change up to the same time as the peer.
-   *
-   * @param askedAtMs When the question was sent, which is no later than when it arrived.
    */
   recordComparison(
     reply: Extract<PeerReply, {type: 'copy'}>,
-    askedAtMs: number,
-    source: string,
+    {askedAtMs, isCopied, source}: ComparisonInput,
   ): void {
-    const {holder, registry, evacuated, freshness} = this.parts;
+    const {holder, evacuated, freshness} = this.parts;
     const {configuration, upstreams} = reply.viewOffsetsMs ?? {};
     const isConfigurationKnown =
       holder.getRevision() >= reply.configurationRevision &&
@@ -101,9 +107,7 @@
       freshness.recordKnown('configuration', askedAtMs + configuration, source);
     }
     const isSame = !reply.isDigestOther && !reply.isProvisional;
-    const areUpstreamsKnown =
-      isSame || registry.getStoreRevision() >= reply.storeRevision;
-    if (upstreams !== undefined && areUpstreamsKnown) {
+    if (upstreams !== undefined && (isSame || isCopied)) {
       freshness.recordKnown('upstreams', askedAtMs + upstreams, source);
     }
   }
--- a/packages/gateway/src/test-utils/view-fleet.ts
+++ b/packages/gateway/src/test-utils/view-fleet.ts
@@ -186,6 +186,7 @@
       view.watchHub.stop();
       void view.membership.stop();
       view.exchange.stop();
+      view.freshnessGuard.stop();
       registry.stop();
       for (const follower of view.followers) follower.stop();
       link.close();
--- a/packages/gateway/src/upstream-registry.ts
+++ b/packages/gateway/src/upstream-registry.ts
@@ -264,15 +264,22 @@
     this.applyEntries(keyValues, storeRevision, source);
   }
 
-  /** Takes the copy of a peer, which sends none while it is in its own grace. */
-  applyCopy({entries, storeRevision}: StoreCopy, source: string): void {
-    if (storeRevision < this.getStoreRevision()) return;
-    if (storeRevision >= this.lastReadRevision) {
-      this.recordEra(storeRevision);
-      this.revision.recordCopy(storeRevision);
-      this.applyEntries(entries, storeRevision, source);
-    }
+  /**
+   * Takes the copy of a peer, which sends none while it is in its own grace.
+   *
+   * @returns Whether it was taken; an older one than what is known is passed over.
+   */
+  applyCopy({entries, storeRevision}: StoreCopy, source: string): boolean {
+    const knownRevision = Math.max(
+      this.getStoreRevision(),
+      this.lastReadRevision,
+    );
+    if (storeRevision < knownRevision) return false;
+    this.recordEra(storeRevision);
+    this.revision.recordCopy(storeRevision);
+    this.applyEntries(entries, storeRevision, source);
     this.endGraceOfMissing(source);
+    return true;
   }
 
   private applyEntries(
--- a/packages/store/src/polled-watch.ts
+++ b/packages/store/src/polled-watch.ts
@@ -234,7 +234,8 @@
       const lateMs = clock.getNow() - waitedUntilMs;
       this.expectedMarginMs = Math.min(MAX_MARGIN_MS, LATENESS_FACTOR * lateMs);
       // A store that has nothing to tell answers when the wait is over.
-      return {...answer, knownUntilMs: Math.min(clock.getNow(), waitedUntilMs)};
+      const knownUntilMs = lateMs >= 0 ? waitedUntilMs : startedAtMs;
+      return {...answer, knownUntilMs};
     } catch (error) {
       if (controller.signal.aborted) throw controller.signal.reason;
       if (call.signal.aborted || error instanceof StoreRefusalError) {
