--- a/packages/gateway/src/create-store-view.ts
+++ b/packages/gateway/src/create-store-view.ts
@@ -197,6 +197,12 @@
         if (key === configurationKey) routeHolder.offerText(value, 'store');
       }
     },
+    handlePartialRead: keyValues => {
+      evacuated.applyPartialRead(keyValues);
+      for (const {key, value} of keyValues) {
+        if (key === configurationKey) routeHolder.offerText(value, 'store');
+      }
+    },
     handleKnownUntil: untilMs =>
       freshness.recordKnown('configuration', untilMs, 'watch'),
     handleMissedChanges: () => evacuated.recordMissedChanges(),
@@ -225,6 +231,8 @@
     range: {...createPrefixRange(prefix), watchTiming},
     handleFullRead: ({keyValues, storeRevision}) =>
       registry.replaceEntries(keyValues, storeRevision, 'store'),
+    handlePartialRead: keyValues =>
+      registry.applyPartialRead(keyValues, 'store'),
     handleChanges: events => registry.applyEvents(events),
     handleKnownUntil: untilMs =>
       freshness.recordKnown('upstreams', untilMs, 'watch'),
--- a/packages/gateway/src/evacuated-domains.test.ts
+++ b/packages/gateway/src/evacuated-domains.test.ts
@@ -58,6 +58,21 @@
   assert.equal(evacuated.isEvacuated('b'), true);
 });
 
+test('a part of a read begins the evacuations that are newer than the known state', () => {
+  const {evacuated} = createEvacuatedDomains();
+  evacuated.applyEvents([
+    {type: 'delete', key: 'e/b', value: '', modRevision: 9},
+  ]);
+  evacuated.applyPartialRead([
+    {key: 'e/b', modRevision: 8},
+    {key: 'e/c', modRevision: 7},
+    {key: 'e/d', modRevision: 4},
+  ]);
+  assert.deepEqual(evacuated.getState().failureDomains, ['a', 'c']);
+  evacuated.applyFullRead([{key: 'e/a'}], 10);
+  assert.deepEqual(evacuated.getState().failureDomains, ['a']);
+});
+
 const NEXT_ERA_REVISION = joinEraRevision(1, 1);
 
 test('an evacuation that a restored store lacks stays in force for the grace period and, if rewritten, after it', async () => {
--- a/packages/gateway/src/evacuated-domains.ts
+++ b/packages/gateway/src/evacuated-domains.ts
@@ -105,6 +105,30 @@
     this.applyState({storeRevision, failureDomains}, 'store');
   }
 
+  /**
+   * Applies evacuations in the part of a full read that has arrived. Evacuations that it
+   * lacks stay in force until the whole read.
+   */
+  applyPartialRead(
+    keyValues: readonly Pick<KeyValue, 'key' | 'modRevision'>[],
+  ): void {
+    const failureDomains = new Set(this.failureDomains);
+    for (const {key, modRevision} of keyValues) {
+      for (const failureDomain of this.parseKey(key)) {
+        const known = this.changesSinceRead.get(failureDomain)?.modRevision;
+        if (modRevision <= (known ?? this.lastReadRevision)) continue;
+        failureDomains.add(failureDomain);
+        this.changesSinceRead.set(failureDomain, {
+          isEvacuated: true,
+          modRevision,
+        });
+      }
+    }
+    if (failureDomains.size > this.failureDomains.size) {
+      this.applyDomains(failureDomains, 'store');
+    }
+  }
+
   /** Applies changes of the operators' keys that the watch reports. */
   applyEvents(events: readonly WatchEvent[]): void {
     const failureDomains = new Set(this.failureDomains);
--- a/packages/gateway/src/gossip-state.ts
+++ b/packages/gateway/src/gossip-state.ts
@@ -58,7 +58,7 @@
       storeRevision: registry.getStoreRevision(),
       isProvisional: registry.isInGrace(),
       evacuations: evacuated.getState(),
-      leavingUpstreams: registry.listSelfReportedLeaving(),
+      leavingUpstreams: registry.listUnregisteredLeaving(),
       suspects: suspects.listReports(),
       limits: limits.listReports(),
     };
@@ -119,7 +119,7 @@
   hasUnstoredReports(): boolean {
     const {registry, suspects, limits} = this.parts;
     return (
-      registry.listSelfReportedLeaving().length > 0 ||
+      registry.listUnregisteredLeaving().length > 0 ||
       suspects.listReports().length > 0 ||
       limits.listReports().length > 0
     );
--- a/packages/gateway/src/leaving-ids.ts
+++ b/packages/gateway/src/leaving-ids.ts
@@ -14,11 +14,6 @@
     return this.ids.has(id);
   }
 
-  /** Returns whether an answer of the upstream reported, here or to a peer, that it leaves. */
-  isSelfReported(id: string): boolean {
-    return this.selfReportedAtMs.has(id);
-  }
-
   /** Returns when this instance learned of the self-report; undefined if there is none. */
   getSelfReportedAtMs(id: string): number | undefined {
     return this.selfReportedAtMs.get(id);
--- a/packages/gateway/src/store-follower.ts
+++ b/packages/gateway/src/store-follower.ts
@@ -2,7 +2,9 @@
 import type {EventLogger} from '@hollowstack/logger';
 import type {
   KeyRange,
+  KeyValue,
   KeyValueStore,
+  RangePartHandler,
   RangeResult,
   WatchEvent,
   WatchSubscription,
@@ -21,6 +23,11 @@
   readonly logger: EventLogger;
   readonly range: KeyRange;
   readonly handleFullRead: (result: RangeResult) => void;
+  /**
+   * Called with each part of a full read as it arrives. The read may still fail, or be
+   * replaced by a newer one.
+   */
+  readonly handlePartialRead: RangePartHandler;
   /** Called when changes may have been missed; a full read follows. */
   readonly handleMissedChanges: () => void;
   /** Called before the first full read after a store outage. */
@@ -87,7 +94,11 @@
 
   private async readOnce(signal: AbortSignal): Promise<boolean> {
     try {
-      const result = await this.parts.store.readRange(this.range);
+      const result = await this.parts.store.readRange(
+        this.range,
+        0,
+        keyValues => this.handlePartialRead(keyValues),
+      );
       if (signal.aborted) return false;
       this.recordState(false, undefined);
       this.parts.handleFullRead(result);
@@ -102,6 +113,11 @@
     }
   }
 
+  private handlePartialRead(keyValues: readonly KeyValue[]): void {
+    if (this.stopController.signal.aborted) return;
+    this.parts.handlePartialRead(keyValues);
+  }
+
   private recordState(isDown: boolean, reason: string | undefined): void {
     if (isDown === this.isDown) return;
     this.isDown = isDown;
--- a/packages/gateway/src/upstream-registry.test.ts
+++ b/packages/gateway/src/upstream-registry.test.ts
@@ -183,7 +183,7 @@
   registry.recordLeaving('nobody', origin);
   assert.deepEqual(listReady(), []);
   assert.equal(reportCount, 1);
-  assert.deepEqual(registry.listSelfReportedLeaving(), ['a@1']);
+  assert.deepEqual(registry.listUnregisteredLeaving(), ['a@1']);
   const lines = logger.names.filter(name => name === 'upstream.leaving');
   assert.equal(lines.length, 2, 'one line for b, one for a');
 
@@ -198,7 +198,7 @@
     {type: 'put', key: 'a', value: 'leaving@1', modRevision: 5},
   ]);
   assert.deepEqual(
-    registry.listSelfReportedLeaving(),
+    registry.listUnregisteredLeaving(),
     [],
     'the registration marks it now',
   );
@@ -208,6 +208,41 @@
   assert.deepEqual(listReady(), ['a@2']);
 });
 
+test('a part of a read that lists an upstream as leaving ends its work before the whole read arrives', () => {
+  const {logger, registry} = createRegistry();
+  let reportCount = 0;
+  registry.addLeavingReportListener(() => (reportCount += 1));
+  registry.replaceEntries(
+    [
+      {key: 'a', value: 'ready@1'},
+      {key: 'b', value: 'ready@1'},
+    ],
+    2,
+    'store',
+  );
+  const part = [
+    {key: 'a', value: 'leaving@1'},
+    {key: 'unknown', value: 'ready'},
+  ];
+  registry.applyPartialRead(part, 'store');
+  registry.applyPartialRead(part, 'store');
+  const listStates = () =>
+    registry.listUpstreams().map(({id, isLeaving}) => [id, isLeaving]);
+  assert.deepEqual(listStates(), [
+    ['a@1', true],
+    ['b@1', false],
+  ]);
+  assert.deepEqual(registry.listUnregisteredLeaving(), ['a@1']);
+  assert.equal(reportCount, 1, 'peers are notified once');
+  assert.equal(logger.names.at(-1), 'upstream.leaving');
+  registry.replaceEntries(part, 3, 'store');
+  assert.deepEqual(registry.listUnregisteredLeaving(), []);
+  registry.applyEvents([
+    {type: 'put', key: 'a', value: 'ready@2', modRevision: 4},
+  ]);
+  assert.deepEqual(listStates().at(0), ['a@2', false]);
+});
+
 test('an upstream that registers after it reported that it leaves gets no work', () => {
   const {registry} = createRegistry();
   registry.recordLeaving('c', {source: 'answer'});
--- a/packages/gateway/src/upstream-registry.ts
+++ b/packages/gateway/src/upstream-registry.ts
@@ -62,10 +62,10 @@
  */
 const WITHHOLD_MS = 5000;
 /**
- * Maximum number of self-reported leaving upstreams in a message to a peer, about 8 KB.
- * If more leave at once, the store's watch reports the others.
+ * Maximum number of leaving upstreams in a message to a peer, about 8 KB. If more leave at
+ * once, the store's watch reports the others.
  */
-const MAX_SELF_REPORTED_IDS = 256;
+const MAX_UNREGISTERED_IDS = 256;
 
 /** The upstreams registered in the store, at a store revision. */
 export class UpstreamRegistry {
@@ -190,6 +190,28 @@
   recordLeaving(id: string, origin: ReportOrigin): void {
     if (this.leavingIds.has(id)) return;
     this.leavingIds.addSelfReported(id, this.clock.getNow());
+    this.setLeaving(id, origin);
+  }
+
+  /**
+   * Applies the part of a full read that has arrived. Registered upstreams that it lists as
+   * leaving get no more work; everything else waits for the whole read.
+   */
+  applyPartialRead(
+    keyValues: readonly Pick<KeyValue, 'key' | 'value'>[],
+    source: string,
+  ): void {
+    for (const {key, value} of keyValues) {
+      const known = this.entries.get(key);
+      if (!known || known.text === value) continue;
+      const parsed = this.reader.parseEntry(key, value, source);
+      if (!parsed?.isLeaving || this.leavingIds.has(parsed.id)) continue;
+      this.leavingIds.addRegistered(parsed.id);
+      this.setLeaving(parsed.id, {source});
+    }
+  }
+
+  private setLeaving(id: string, origin: ReportOrigin): void {
     const entry = this.findEntry(id);
     if (!entry) return;
     this.entries.set(entry.key, {
@@ -206,7 +228,10 @@
     this.restartListeners.push(listener);
   }
 
-  /** Adds a function that is called when an upstream first reports that it leaves. */
+  /**
+   * Adds a function that is called when an upstream is first known to leave otherwise than by
+   * its whole registration.
+   */
   addLeavingReportListener(listener: () => void): void {
     this.leavingReportListeners.push(listener);
   }
@@ -217,13 +242,13 @@
     return entries.filter(({upstream}) => upstream.isLeaving).length;
   }
 
-  /** Lists the ids of upstreams that reported leaving but are not yet registered as leaving. */
-  listSelfReportedLeaving(): string[] {
+  /** Lists the ids of upstreams that leave although their registration here does not say so. */
+  listUnregisteredLeaving(): string[] {
     const ids = [...this.entries.values()]
       .filter(({isRegisteredLeaving}) => !isRegisteredLeaving)
       .map(({upstream}) => upstream.id)
-      .filter(id => this.leavingIds.isSelfReported(id));
-    return ids.slice(-MAX_SELF_REPORTED_IDS);
+      .filter(id => this.leavingIds.has(id));
+    return ids.slice(-MAX_UNREGISTERED_IDS);
   }
 
   /** Returns whether the grace period after a store outage is running. */
--- a/packages/store-relay/src/relayed-store.ts
+++ b/packages/store-relay/src/relayed-store.ts
@@ -6,6 +6,7 @@
   StoreError,
   type KeyRange,
   type Lease,
+  type RangePartHandler,
   type RangeResult,
   type Transaction,
   type TransactionResult,
@@ -44,6 +45,7 @@
   /** Generation of the watch during which the read was sent. */
   readonly generation: number;
   readonly result: Promise<RangeResult>;
+  readonly partHandlers: Set<RangePartHandler>;
 }
 
 /** Source of the changes, for the log. */
@@ -173,13 +175,17 @@
   }
 
   /** Reads a range; one that is followed is served from memory once it is known. */
-  async readRange(range: KeyRange, minModRevision = 0): Promise<RangeResult> {
+  async readRange(
+    range: KeyRange,
+    minModRevision = 0,
+    handlePart?: RangePartHandler,
+  ): Promise<RangeResult> {
     if (!this.mirrors.findMirror(range.start)) {
-      return this.parts.store.readRange(range, minModRevision);
+      return this.parts.store.readRange(range, minModRevision, handlePart);
     }
     const known =
       this.createRangeResult(range.start) ??
-      (await this.readFollowedRange(range));
+      (await this.readFollowedRange(range, handlePart));
     const keyValues = known.keyValues.filter(
       ({modRevision}) => modRevision >= minModRevision,
     );
@@ -354,16 +360,28 @@
   }
 
   // Concurrent readers of a range share one read.
-  private readFollowedRange(range: KeyRange): Promise<RangeResult> {
+  private readFollowedRange(
+    range: KeyRange,
+    handlePart?: RangePartHandler,
+  ): Promise<RangeResult> {
     const {generation, pendingReads} = this;
     const shared = pendingReads.get(range.start);
-    if (shared?.generation === generation) return shared.result;
-    const result = this.readForWatch(range, generation).finally(() => {
-      if (pendingReads.get(range.start)?.result === result) {
-        pendingReads.delete(range.start);
-      }
-    });
-    pendingReads.set(range.start, {generation, result});
+    if (shared?.generation === generation) {
+      if (handlePart) shared.partHandlers.add(handlePart);
+      return shared.result;
+    }
+    const partHandlers = new Set(handlePart ? [handlePart] : []);
+    const callHandlers: RangePartHandler = keyValues => {
+      for (const handler of partHandlers) handler(keyValues);
+    };
+    const result = this.readForWatch(range, generation, callHandlers).finally(
+      () => {
+        if (pendingReads.get(range.start)?.result === result) {
+          pendingReads.delete(range.start);
+        }
+      },
+    );
+    pendingReads.set(range.start, {generation, result, partHandlers});
     return result;
   }
 
@@ -372,12 +390,16 @@
   private async readForWatch(
     range: KeyRange,
     generation: number,
+    handlePart: RangePartHandler,
   ): Promise<RangeResult> {
     const {clock, store} = this.parts;
     const sentAtMs = clock.getNow();
-    const result = await store.readRange(range);
-    this.logRead(range, result, sentAtMs);
-    if (generation !== this.generation) return this.readRange(range);
+    const result = await store.readRange(range, 0, handlePart);
+    const isSuperseded = generation !== this.generation;
+    this.logRead(range, result, sentAtMs, isSuperseded);
+    if (isSuperseded) {
+      return this.readRange(range, 0, handlePart);
+    }
     this.applyFirstResult(range.start, result);
     this.recordProgress({start: range.start, knownUntilMs: sentAtMs});
     return this.createRangeResult(range.start) ?? result;
@@ -396,6 +418,7 @@
     range: KeyRange,
     {storeRevision, keyValues}: RangeResult,
     sentAtMs: number,
+    isSuperseded: boolean,
   ): void {
     const {clock, logger} = this.parts;
     logger.logEvent('store.range-read', {
@@ -404,6 +427,7 @@
       watchRevision: this.startRevision,
       keys: keyValues.length,
       tookMs: Math.round(clock.getNow() - sentAtMs),
+      isSuperseded,
     });
   }
 
--- a/packages/store/src/budgeted-store.ts
+++ b/packages/store/src/budgeted-store.ts
@@ -4,6 +4,7 @@
   StoreError,
   type KeyRange,
   type Lease,
+  type RangePartHandler,
   type RangeResult,
   type Transaction,
   type TransactionResult,
@@ -44,9 +45,10 @@
   async readRange(
     range: KeyRange,
     minModRevision?: number,
+    handlePart?: RangePartHandler,
   ): Promise<RangeResult> {
     this.takeCall();
-    return this.store.readRange(range, minModRevision);
+    return this.store.readRange(range, minModRevision, handlePart);
   }
 
   async runTransaction(transaction: Transaction): Promise<TransactionResult> {
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -11,6 +11,7 @@
   type KeyValue,
   type Lease,
   type Operation,
+  type RangePartHandler,
   type RangeResult,
   type StoreEffect,
   type Transaction,
@@ -19,6 +20,7 @@
   type WatchTiming,
   type WatchProgress,
 } from './key-value-store.ts';
+export {PagedReader, type PageReader, type RangePage} from './paged-reader.ts';
 export {GatewayStore, type GatewayStoreOptions} from './gateway-store.ts';
 export {ChangeRevisions} from './change-revisions.ts';
 export {BudgetedStore, type CallBudgetOptions} from './budgeted-store.ts';
--- a/packages/store/src/key-value-store.ts
+++ b/packages/store/src/key-value-store.ts
@@ -43,6 +43,9 @@
   readonly keyValues: readonly KeyValue[];
 }
 
+/** Receives a part of a range while the rest is still being read. */
+export type RangePartHandler = (keyValues: readonly KeyValue[]) => void;
+
 /** A condition of a transaction. A modRevision of 0 means that the key must not exist. */
 export interface Comparison {
   readonly key: string;
@@ -124,10 +127,17 @@
 
 /** The platform's key-value store. Every method throws StoreError if the store does not answer. */
 export abstract class KeyValueStore {
-  /** Reads a range; with `minModRevision`, only keys last changed at that revision or later. */
+  /**
+   * Reads a range; with `minModRevision`, only keys last changed at that revision or later.
+   *
+   * @param handlePart Called with each part as it arrives, whether or not the read succeeds;
+   *   never called by stores that answer with the whole range. Parts are not filtered by
+   *   `minModRevision`.
+   */
   abstract readRange(
     range: KeyRange,
     minModRevision?: number,
+    handlePart?: RangePartHandler,
   ): Promise<RangeResult>;
 
   /** Runs a transaction atomically. */
