Do not count stalls of the own process as silence of others

Callers saw: requests repeated at a second upstream though the first one had answered, and everything that follows from peers that count as unresponsive (their streams are closed, requests at a coordinator move elsewhere).

Cause: a process that gets no processor for a while runs its due timers before it reads the answers that have arrived meanwhile. Each time-out that had passed by then declared an upstream silent, a connection not established, a peer or the store unanswered, whatever lay in the socket.

Used wherever an answer is awaited: peers, handshakes, calls and watches of the store, connections, inactivity of upstreams, stage calls, load reports. Deadlines of requests, leases and orders of placement stay absolute.

--- a/packages/clock/src/index.ts
+++ b/packages/clock/src/index.ts
@@ -4,4 +4,9 @@
 export {SYSTEM_TIME_SOURCES, type TimeSources} from './time-sources.ts';
 export {ManualClock} from './manual-clock.ts';
 export {RepeatingTask} from './repeating-task.ts';
-export {waitFor, createDeadlineSignal} from './waiting.ts';
+export {
+  waitFor,
+  createDeadlineSignal,
+  createTimeoutSignal,
+  scheduleTimeout,
+} from './waiting.ts';
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,4 +1,4 @@
-import type {Clock, Timer} from '@hollowstack/clock';
+import {scheduleTimeout, type Clock, type Timer} from '@hollowstack/clock';
 import type {RegisteredUpstream} from '@hollowstack/routes';
 import {
   SingleCall,
@@ -196,8 +196,9 @@
   private watchInactivity(call: SingleCall): void {
     const {clock, inactivity} = this.parts;
     this.inactivityTimer?.cancel();
-    this.inactivityTimer = clock.schedule(inactivity.timeoutMs, () => {
-      if (inactivity.handleTimeout()) call.cancel('the upstream is silent');
+    const {timeoutMs, handleTimeout} = inactivity;
+    this.inactivityTimer = scheduleTimeout(clock, timeoutMs, () => {
+      if (handleTimeout()) call.cancel('the upstream is silent');
     });
   }
 
--- a/packages/peers/src/peer-link.ts
+++ b/packages/peers/src/peer-link.ts
@@ -1,4 +1,4 @@
-import type {Clock} from '@hollowstack/clock';
+import {scheduleTimeout, type Clock} from '@hollowstack/clock';
 import {HollowstackError} from '@hollowstack/errors';
 import type {EventLogger} from '@hollowstack/logger';
 import type {MetricsRegistry} from '@hollowstack/metrics';
@@ -95,7 +95,7 @@
         });
         reject(error);
       };
-      const timer = clock.schedule(timeoutMs, () => {
+      const timer = scheduleTimeout(clock, timeoutMs, () => {
         hasTimedOut = true;
         if (stream?.recordTimeout(id, sentAtMs)) {
           this.closeUnresponsive(address, stream);
@@ -183,7 +183,9 @@
       throw createLinkError(`cannot reach ${address}`, error);
     });
     return new Promise((resolve, reject) => {
-      const timer = clock.schedule(HANDSHAKE_TIMEOUT_MS, () => socket.close());
+      const timer = scheduleTimeout(clock, HANDSHAKE_TIMEOUT_MS, () =>
+        socket.close(),
+      );
       const session = this.createSession(socket, 'dialer', {
         handleOpen: () => {
           timer.cancel();
@@ -206,7 +208,8 @@
   }
 
   private acceptPeer(socket: PeerSocket): void {
-    const timer = this.parts.clock.schedule(HANDSHAKE_TIMEOUT_MS, () =>
+    const {clock} = this.parts;
+    const timer = scheduleTimeout(clock, HANDSHAKE_TIMEOUT_MS, () =>
       socket.close(),
     );
     let peerId = '';
--- a/packages/pipeline/src/load-poller.ts
+++ b/packages/pipeline/src/load-poller.ts
@@ -1,5 +1,5 @@
 import {
-  createDeadlineSignal,
+  createTimeoutSignal,
   RepeatingTask,
   type Clock,
 } from '@hollowstack/clock';
@@ -89,7 +89,7 @@
   }
 
   private async readPath(upstream: Upstream, path: string): Promise<unknown> {
-    const deadline = createDeadlineSignal(
+    const deadline = createTimeoutSignal(
       this.clock,
       REPORT_TIMEOUT_MS,
       () => new Error('report is late'),
--- a/packages/stages/src/peer-watch.ts
+++ b/packages/stages/src/peer-watch.ts
@@ -1,4 +1,4 @@
-import {waitFor, type Clock, type Timer} from '@hollowstack/clock';
+import type {Clock, Timer} from '@hollowstack/clock';
 import type {EventLogger} from '@hollowstack/logger';
 import type {Membership, PeerLink, PeerRecord} from '@hollowstack/peers';
 
@@ -92,15 +92,14 @@
   }
 
   private async sendPing(peer: WatchedPeer): Promise<void> {
-    const {clock, link, logger} = this.parts;
+    const {link, logger} = this.parts;
     const {address, id} = peer.record;
-    const isAnswered = await Promise.race([
-      link.sendRequest(address, {type: 'ping'}, PING_TIMEOUT_MS).then(
+    const isAnswered = await link
+      .sendRequest(address, {type: 'ping'}, PING_TIMEOUT_MS)
+      .then(
         () => true,
         () => false,
-      ),
-      waitFor(clock, PING_TIMEOUT_MS).then(() => false),
-    ]);
+      );
     if (this.watched.get(id) !== peer) return;
     if (isAnswered) {
       this.schedulePing(peer);
--- a/packages/store/src/gateway-store.ts
+++ b/packages/store/src/gateway-store.ts
@@ -1,4 +1,4 @@
-import {createDeadlineSignal, type Clock} from '@hollowstack/clock';
+import {createTimeoutSignal, type Clock} from '@hollowstack/clock';
 import {
   TransportError,
   readJson,
@@ -162,7 +162,7 @@
     effectOnFailure: StoreEffect,
   ): Promise<unknown> {
     const {address, timeoutMs} = this.options;
-    const deadline = createDeadlineSignal(
+    const deadline = createTimeoutSignal(
       this.clock,
       timeoutMs,
       () => new StoreError(`no answer in ${timeoutMs} ms`, effectOnFailure),
--- a/packages/store/src/polled-watch.ts
+++ b/packages/store/src/polled-watch.ts
@@ -1,4 +1,4 @@
-import {createDeadlineSignal, waitFor, type Clock} from '@hollowstack/clock';
+import {createTimeoutSignal, waitFor, type Clock} from '@hollowstack/clock';
 import type {EventLogger} from '@hollowstack/logger';
 import {AsyncQueue} from '@hollowstack/transport';
 import {
@@ -220,7 +220,7 @@
     const {clock} = this.parts;
     const controller = new AbortController();
     const marginMs = Math.max(minMarginMs, this.expectedMarginMs);
-    const deadline = createDeadlineSignal(
+    const deadline = createTimeoutSignal(
       clock,
       call.waitMs + marginMs,
       () => new Error('no answer in time'),
--- a/packages/transport/src/check-connection.ts
+++ b/packages/transport/src/check-connection.ts
@@ -1,4 +1,4 @@
-import type {Clock} from '@hollowstack/clock';
+import {scheduleTimeout, type Clock} from '@hollowstack/clock';
 import {splitAddress} from '@hollowstack/types';
 import {connect} from 'node:net';
 
@@ -21,7 +21,7 @@
       socket.destroy();
       resolve(result);
     };
-    const timer = clock.schedule(CONNECT_TIMEOUT_MS, () =>
+    const timer = scheduleTimeout(clock, CONNECT_TIMEOUT_MS, () =>
       settle('unanswered'),
     );
     socket.once('connect', () => settle('accepted'));
--- a/packages/transport/src/single-call.ts
+++ b/packages/transport/src/single-call.ts
@@ -1,4 +1,4 @@
-import type {Clock} from '@hollowstack/clock';
+import {scheduleTimeout, type Clock} from '@hollowstack/clock';
 import {splitAddress} from '@hollowstack/types';
 import {
   request as startRequest,
@@ -50,7 +50,7 @@
       headers,
       agent: false,
     });
-    const timer = clock.schedule(request.connectTimeoutMs, () => {
+    const timer = scheduleTimeout(clock, request.connectTimeoutMs, () => {
       if (this.progress === 'none') this.cancel('the connection did not stand');
     });
     this.outgoing.once('socket', socket => {
@@ -193,7 +193,7 @@
 ): Promise<WholeAnswer> {
   const call = new SingleCall(request, clock);
   let hasTimedOut = false;
-  const timer = clock.schedule(limits.timeoutMs, () => {
+  const timer = scheduleTimeout(clock, limits.timeoutMs, () => {
     hasTimedOut = true;
     call.cancel('no answer in time');
   });
