--- a/packages/clock/src/waiting.test.ts
+++ b/packages/clock/src/waiting.test.ts
@@ -43,6 +43,17 @@
   }
 });
 
+test('a wait goes on after a stall for the time that the stall took from it', async () => {
+  const clock = new ManualClock();
+  const {state} = startTimeout(clock);
+  await clock.advance(50);
+  clock.pause(300);
+  await clock.advance(250);
+  assert.equal(state.isOver, false);
+  await clock.advance(150);
+  assert.equal(state.isOver, true);
+});
+
 test('a timeout ends within three times its milliseconds in a process that stalls all the time', async () => {
   const clock = new ManualClock();
   const {state} = startTimeout(clock);
