Wait for the ping after a stall instead of for two seconds

The new test of stalls counted pings in two seconds of real time and failed in 3 of 16 runs of its package at load 60 with two pings of three, though the peer did not count as unresponsive.

--- a/packages/stages/src/stalled-peer-watch.test.ts
+++ b/packages/stages/src/stalled-peer-watch.test.ts
@@ -10,7 +10,8 @@
 
 /** Longer than a ping may take. */
 const STALL_MS = 600;
-const WATCH_MS = 2000;
+/** Milliseconds for a ping after the stall, on a busy machine. */
+const MAX_WAIT_MS = 20_000;
 
 const clock = new SystemClock();
 const logger = new SilentEventLogger();
@@ -52,7 +53,10 @@
   const watching = watch.beginWatching(record);
   let hasFailed = false;
   void watching.failed.then(() => (hasFailed = true));
-  await waitMs(WATCH_MS);
+  const endMs = performance.now() + MAX_WAIT_MS;
+  while (pingCount < 3 && !hasFailed && performance.now() < endMs) {
+    await waitMs(20);
+  }
   watching.end();
   assert.equal(hasFailed, false);
   assert.ok(pingCount >= 3, `${pingCount} pings`);
