--- a/packages/gateway/src/request-reader.test.ts
+++ b/packages/gateway/src/request-reader.test.ts
@@ -32,7 +32,7 @@
   const refresh = Promise.withResolvers<void>();
   const parts = {
     metrics: new MetricsRegistry(),
-    protocol: {headers: {deadlineMs: 'deadline-ms'}},
+    protocol: {headers: {deadlineMs: 'time-left'}},
     routeHolder: {getCurrent: () => TABLE},
     freshnessGuard: {
       isRefreshDue: () => true,
