Open connections to upstreams through a connector that logs isolation

Logs could not tell an instance without any path to an upstream from upstreams that fail one by one: attempts and ejections are counted for each upstream, and nothing says when the last connection to any of them was established.

SingleCall now gets its connection from a Connector, which all three callers (attempts, calls for pieces, cached prompts) and the crash probe share. The PathTable sees each outcome and logs paths.isolated and paths.restored with the addresses and the age of the last connection, has two gauges and a counter, and marks request.settled. No decision uses it yet.

--- a/packages/cli/src/commands/gateway/index.ts
+++ b/packages/cli/src/commands/gateway/index.ts
@@ -18,7 +18,7 @@
   PlatformStages,
   PlatformStore,
 } from '@hollowstack/platform';
-import {NodeHttpClient} from '@hollowstack/transport';
+import {DirectConnector, NodeHttpClient} from '@hollowstack/transport';
 import {Command, Option} from 'clipanion';
 import {stringify} from 'smol-toml';
 import {formatOpenResources} from '../../end-process.ts';
@@ -91,6 +91,7 @@
       metrics,
       random: Math.random,
       peerNetwork: new TcpPeerNetwork(),
+      upstreamConnector: new DirectConnector(clock),
       store: new PlatformStore({client, clock, logger, metrics}, store),
       requestProtocol: new PlatformRequests(),
       stageProtocol: new PlatformStages(),
--- a/packages/gateway/src/attempt-runner.ts
+++ b/packages/gateway/src/attempt-runner.ts
@@ -6,6 +6,7 @@
   RequestQuarantine,
 } from '@hollowstack/quarantine';
 import {isRepeatable} from '@hollowstack/routes';
+import type {Connector} from '@hollowstack/transport';
 import type {PromptPart} from '@hollowstack/types';
 import type {UpstreamSignals} from '@hollowstack/upstream-signals';
 import {Attempt, type AttemptOutcome} from './attempt.ts';
@@ -26,6 +27,7 @@
 export interface AttemptRunnerParts {
   readonly clock: Clock;
   readonly logger: EventLogger;
+  readonly connector: Connector;
   readonly protocol: RequestProtocol;
   readonly pool: UpstreamPool;
   readonly registry: Pick<UpstreamRegistry, 'getState'>;
@@ -216,9 +218,9 @@
     upstreamId: string,
     {inputs, handleFirstEvent}: AttemptOptions,
   ): Promise<AttemptOutcome> {
-    const {clock, protocol, pool, registry, signals, chooser, policy} =
+    const {clock, connector, protocol, pool, registry, signals} = this.parts;
+    const {chooser, policy, quarantine, crashReporter, limitedSends} =
       this.parts;
-    const {quarantine, crashReporter, limitedSends} = this.parts;
     const upstream = pool.getRecord(upstreamId);
     request.registryState = registry.getState();
     if (!upstream || !pool.maySend(upstreamId)) {
@@ -227,6 +229,7 @@
     }
     const attempt = new Attempt({
       clock,
+      connector,
       protocol,
       request,
       upstream,
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -3,6 +3,7 @@
 import {
   SingleCall,
   TransportError,
+  type Connector,
   isConnectionLost,
   isConnectionRefused,
   readWholeBody,
@@ -29,6 +30,7 @@
 /** Dependencies and inputs of an Attempt. */
 export interface AttemptParts {
   readonly clock: Clock;
+  readonly connector: Connector;
   readonly protocol: RequestProtocol;
   readonly request: RoutedRequest;
   readonly upstream: RegisteredUpstream;
@@ -120,7 +122,7 @@
   }
 
   async run(): Promise<AttemptOutcome> {
-    const {request, upstream, clock, acquireSend} = this.parts;
+    const {request, upstream, connector, acquireSend} = this.parts;
     let isWithdrawn = false;
     const ranBefore = request.getRunStatus();
     const call = new SingleCall(
@@ -139,7 +141,7 @@
           return !isWithdrawn;
         },
       },
-      clock,
+      connector,
     );
     const cancelCall = () => call.cancel('the request was given up');
     request.signal.addEventListener('abort', cancelCall, {once: true});
--- a/packages/gateway/src/cached-prompts-reader.ts
+++ b/packages/gateway/src/cached-prompts-reader.ts
@@ -2,7 +2,7 @@
 import type {Clock} from '@hollowstack/clock';
 import type {EventLogger} from '@hollowstack/logger';
 import type {RegisteredUpstream} from '@hollowstack/routes';
-import {callForWholeAnswer} from '@hollowstack/transport';
+import {callForWholeAnswer, type Connector} from '@hollowstack/transport';
 import {
   toAnswerHead,
   type UpstreamSignals,
@@ -13,6 +13,7 @@
 export interface CachedPromptsReaderParts {
   readonly clock: Clock;
   readonly logger: EventLogger;
+  readonly connector: Connector;
   readonly directory: EngineDirectory;
   readonly protocol: EngineProtocol;
   readonly signals: Pick<UpstreamSignals, 'recordAnswer'>;
@@ -53,14 +54,14 @@
   }
 
   private async readEngine(engine: RegisteredUpstream): Promise<void> {
-    const {clock, logger, directory, protocol, signals} = this.parts;
+    const {clock, connector, logger, directory, protocol, signals} = this.parts;
     const {id, address} = engine;
     const request = protocol.createCacheContentsRequest(address);
     const sentAtMs = clock.getNow();
     try {
       const {head, body} = await callForWholeAnswer(
         {...request, address, connectTimeoutMs: CONNECT_TIMEOUT_MS},
-        clock,
+        {clock, connector},
         {timeoutMs: ANSWER_TIMEOUT_MS, maxBytes: MAX_ANSWER_BYTES},
       );
       signals.recordAnswer({
--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -19,7 +19,9 @@
 import {IsolatedAttempts, VerdictPersister} from '@hollowstack/quarantine';
 import {CheckpointWriter, OrphanReleaser} from '@hollowstack/result-checkpoint';
 import type {KeyValueStore} from '@hollowstack/store';
+import {Connector} from '@hollowstack/transport';
 import {LimitTable} from '@hollowstack/upstream-limits';
+import {PathConnector, PathTable} from '@hollowstack/upstream-paths';
 import {
   BackOffTable,
   UpstreamSignals,
@@ -61,6 +63,8 @@
   readonly random: () => number;
   readonly peerNetwork: PeerNetwork;
   readonly store: KeyValueStore;
+  /** Establishes direct connections to upstreams. */
+  readonly upstreamConnector: Connector;
   readonly requestProtocol: RequestProtocol;
   readonly stageProtocol: StageProtocol;
   readonly engineProtocol: EngineProtocol;
@@ -92,7 +96,15 @@
     logger,
     metrics,
   });
-  const {suspects, detector, quarantine} = createQuarantine(environment);
+  const paths = new PathTable({clock, logger, metrics});
+  const connector = new PathConnector({
+    direct: environment.upstreamConnector,
+    table: paths,
+  });
+  const {suspects, detector, quarantine} = createQuarantine(
+    environment,
+    connector,
+  );
   const limits = new LimitTable({clock, logger});
   const view = createStoreView({
     settings,
@@ -132,6 +144,7 @@
     caller: new StageCaller({
       protocol: environment.stageProtocol,
       clock,
+      connector,
       signals,
     }),
     backOffs,
@@ -153,6 +166,7 @@
   const cachedPrompts = new CachedPromptsReader({
     clock,
     logger,
+    connector,
     directory,
     protocol: environment.engineProtocol,
     signals,
@@ -199,6 +213,7 @@
     attempts: new AttemptRunner({
       clock,
       logger,
+      connector,
       protocol,
       pool,
       registry,
@@ -228,6 +243,7 @@
       lifecycle,
     }),
     lifecycle,
+    paths,
     runner,
   });
   const server = new GatewayServer((incoming, outgoing) => {
@@ -242,6 +258,7 @@
   });
   evacuated.addListener(change => registry.applyEvacuations(change));
   registry.addListener(upstreams => {
+    paths.setUpstreams(upstreams);
     pool.setUpstreams(upstreams);
     coordinator.setUpstreams(upstreams);
     directory.setUpstreams(upstreams);
--- a/packages/gateway/src/create-quarantine.ts
+++ b/packages/gateway/src/create-quarantine.ts
@@ -3,7 +3,7 @@
   RequestQuarantine,
   SuspectTable,
 } from '@hollowstack/quarantine';
-import {checkConnection} from '@hollowstack/transport';
+import {checkConnection, type Connector} from '@hollowstack/transport';
 import type {GatewayEnvironment} from './create-gateway.ts';
 
 /** Components that keep requests which crash upstreams away from further upstreams. */
@@ -14,18 +14,21 @@
 }
 
 /** Creates the components of the quarantine and registers their metrics. */
-export function createQuarantine({
-  clock,
-  logger,
-  metrics,
-}: Pick<GatewayEnvironment, 'clock' | 'logger' | 'metrics'>): Quarantine {
+export function createQuarantine(
+  {
+    clock,
+    logger,
+    metrics,
+  }: Pick<GatewayEnvironment, 'clock' | 'logger' | 'metrics'>,
+  connector: Connector,
+): Quarantine {
   const suspects = new SuspectTable({clock, logger});
   const detector = new CrashDetector({
     clock,
     logger,
     metrics,
     table: suspects,
-    checkAddress: address => checkConnection(address, clock),
+    checkAddress: address => checkConnection(address, connector),
   });
   const quarantine = new RequestQuarantine({
     metrics,
--- a/packages/gateway/src/gateway-request-handler.ts
+++ b/packages/gateway/src/gateway-request-handler.ts
@@ -4,6 +4,7 @@
 import type {EventLogger} from '@hollowstack/logger';
 import type {MetricsRegistry} from '@hollowstack/metrics';
 import type {RouteTable} from '@hollowstack/routes';
+import type {PathTable} from '@hollowstack/upstream-paths';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {writeError} from './answer-writer.ts';
 import type {GatewayLifecycle} from './gateway-lifecycle.ts';
@@ -26,6 +27,7 @@
   readonly freshness: FreshnessTable;
   readonly reader: RequestReader;
   readonly lifecycle: GatewayLifecycle;
+  readonly paths: Pick<PathTable, 'isIsolated'>;
   readonly runner: RequestRunner;
 }
 
@@ -147,6 +149,7 @@
       ran: request.getRunStatus(),
       reason,
       sentTo: request.sentTo.join(','),
+      isIsolated: this.parts.paths.isIsolated() || undefined,
       upstreamsRevision: request.registryState?.storeRevision,
       upstreamsAgeMs: request.registryState?.ageMs,
       upstreamsFrom: request.registryState?.source,
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -314,6 +314,16 @@
     level: 'warn',
     text: 'an upstream crashed while running requests; they are suspected',
   },
+  'paths.isolated': {
+    number: 640,
+    level: 'warn',
+    text: 'no upstream can be reached directly',
+  },
+  'paths.restored': {
+    number: 641,
+    level: 'info',
+    text: 'an upstream can be reached directly again',
+  },
   'engine.kept': {
     number: 620,
     level: 'info',
--- a/packages/stages/src/stage-caller.ts
+++ b/packages/stages/src/stage-caller.ts
@@ -3,6 +3,7 @@
   AnswerTimeoutError,
   TransportError,
   callForWholeAnswer,
+  type Connector,
   isConnectionLost,
   type WholeAnswer,
 } from '@hollowstack/transport';
@@ -56,6 +57,7 @@
 export interface StageCallerParts {
   readonly protocol: StageProtocol;
   readonly clock: Clock;
+  readonly connector: Connector;
   readonly signals: Pick<UpstreamSignals, 'recordAnswer'>;
 }
 
@@ -144,7 +146,7 @@
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
         mayStillSend,
       },
-      this.parts.clock,
+      this.parts,
       {
         timeoutMs,
         maxBytes: MAX_ANSWER_BYTES,
--- a/packages/transport/src/check-connection.ts
+++ b/packages/transport/src/check-connection.ts
@@ -1,6 +1,5 @@
-import {scheduleTimeout, type Clock} from '@hollowstack/clock';
-import {splitAddress} from '@hollowstack/types';
-import {connect} from 'node:net';
+import type {Connector} from './connector.ts';
+import {isConnectionRefused} from './single-call.ts';
 
 /** Outcome of an attempt to connect. */
 export type ConnectionState = 'accepted' | 'refused' | 'unanswered';
@@ -9,24 +8,18 @@
 const CONNECT_TIMEOUT_MS = 400;
 
 /** Opens a connection and closes it without sending a byte; never rejects. */
-export function checkConnection(
+export async function checkConnection(
   address: string,
-  clock: Clock,
+  connector: Connector,
 ): Promise<ConnectionState> {
-  const {host, port} = splitAddress(address);
-  const socket = connect({host, port});
-  return new Promise(resolve => {
-    const settle = (result: ConnectionState) => {
-      timer.cancel();
-      socket.destroy();
-      resolve(result);
-    };
-    const timer = scheduleTimeout(clock, CONNECT_TIMEOUT_MS, () =>
-      settle('unanswered'),
-    );
-    socket.once('connect', () => settle('accepted'));
-    socket.on('error', ({code}: NodeJS.ErrnoException) =>
-      settle(code === 'ECONNREFUSED' ? 'refused' : 'unanswered'),
-    );
-  });
+  try {
+    const {stream} = await connector.connect({
+      address,
+      timeoutMs: CONNECT_TIMEOUT_MS,
+    });
+    stream.destroy();
+    return 'accepted';
+  } catch (error) {
+    return isConnectionRefused(error) ? 'refused' : 'unanswered';
+  }
 }
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -25,11 +25,21 @@
   callForWholeAnswer,
   isConnectionLost,
   isConnectionRefused,
+  isPathError,
   readWholeBody,
   type SingleCallRequest,
   type WholeAnswer,
   type WholeCallLimits,
+  type WholeCallParts,
 } from './single-call.ts';
+export {
+  ConnectTimeoutError,
+  Connector,
+  DirectConnector,
+  NoPathError,
+  type ConnectTarget,
+  type Connection,
+} from './connector.ts';
 export {checkConnection, type ConnectionState} from './check-connection.ts';
 export {hasBearerKey} from './bearer-key.ts';
 export {readServerSentEvents, encodeServerSentEvent} from './event-stream.ts';
--- a/packages/transport/src/single-call.test.ts
+++ b/packages/transport/src/single-call.test.ts
@@ -3,6 +3,7 @@
 import {test, type TestContext} from 'node:test';
 import {setTimeout as waitMs} from 'node:timers/promises';
 import {SystemClock} from '@hollowstack/clock';
+import {DirectConnector} from './connector.ts';
 import {SingleCall} from './single-call.ts';
 
 /** A server that records received bytes and answers each request with 200. */
@@ -34,7 +35,7 @@
       connectTimeoutMs: 400,
       mayStillSend,
     },
-    new SystemClock(),
+    new DirectConnector(new SystemClock()),
   );
 }
 
--- a/packages/transport/src/single-call.ts
+++ b/packages/transport/src/single-call.ts
@@ -1,10 +1,11 @@
 import {scheduleTimeout, type Clock} from '@hollowstack/clock';
-import {splitAddress} from '@hollowstack/types';
 import {
   request as startRequest,
   type ClientRequest,
   type IncomingMessage,
 } from 'node:http';
+import type {Duplex} from 'node:stream';
+import {NoPathError, type Connection, type Connector} from './connector.ts';
 import {TransportError, type SendProgress} from './http-exchange.ts';
 
 /** A request that is sent without changes to its headers. */
@@ -33,58 +34,21 @@
 export class SingleCall {
   /** Resolves with the head of the answer; rejects with a TransportError. */
   readonly response: Promise<IncomingMessage>;
-  private readonly outgoing: ClientRequest;
+  private readonly connecting = new AbortController();
+  private outgoing: ClientRequest | undefined;
   private progress: SendProgress = 'none';
   private incoming: IncomingMessage | undefined;
   private isCancelled = false;
+  private carrier: string | undefined;
 
-  constructor(request: SingleCallRequest, clock: Clock) {
-    const {host, port} = splitAddress(request.address);
-    const headers = [...request.headers];
-    if (request.body) headers.push('Content-Length', `${request.body.length}`);
-    this.outgoing = startRequest({
-      host,
-      port,
-      method: request.method,
-      path: request.path,
-      headers,
-      agent: false,
-    });
-    const timer = scheduleTimeout(clock, request.connectTimeoutMs, () => {
-      if (this.progress === 'none') this.cancel('the connection did not stand');
-    });
-    this.outgoing.once('socket', socket => {
-      socket.setNoDelay(true);
-      // Registered before Node's own listener, which writes the buffered request.
-      socket.once('connect', () => {
-        timer.cancel();
-        if (request.mayStillSend?.() === false) {
-          this.cancel('withdrawn before it was sent');
-          return;
-        }
-        this.progress = 'some';
-      });
-    });
-    this.response = new Promise((resolve, reject) => {
-      this.outgoing.once('response', incoming => {
-        // The body's reader handles its errors; without a reader, an unhandled
-        // 'error' event would end the process.
-        incoming.on('error', () => {});
-        this.incoming = incoming;
-        resolve(incoming);
-      });
-      this.outgoing.on('error', error => {
-        timer.cancel();
-        reject(new TransportError(error.message, this.progress, error));
-      });
-      this.outgoing.once('close', () => {
-        timer.cancel();
-        if (this.incoming) return;
-        reject(new TransportError('closed without an answer', this.progress));
-      });
-    });
+  constructor(request: SingleCallRequest, connector: Connector) {
+    this.response = this.run(request, connector);
     this.response.catch(() => {});
-    this.outgoing.end(request.body);
+  }
+
+  /** Id of the peer that forwards the call; undefined if none does, or not yet. */
+  get via(): string | undefined {
+    return this.carrier;
   }
 
   /** Returns whether a byte of the request may have been sent. */
@@ -100,11 +64,78 @@
   /** Closes the connection immediately. */
   cancel(reason: string): void {
     this.isCancelled = true;
+    if (!this.outgoing) {
+      this.connecting.abort(new Error(reason));
+      return;
+    }
     // After a complete answer no error is needed; its stack trace alone took 3 % of the
     // processor time of a streamed request (measured over a process's first 75 requests).
     const isComplete = this.incoming?.complete === true;
     this.outgoing.destroy(isComplete ? undefined : new Error(reason));
   }
+
+  private async run(
+    request: SingleCallRequest,
+    connector: Connector,
+  ): Promise<IncomingMessage> {
+    const {stream, via} = await this.connect(request, connector);
+    this.carrier = via;
+    if (request.mayStillSend?.() === false) {
+      this.isCancelled = true;
+      stream.destroy();
+      throw new TransportError('withdrawn before it was sent', 'none');
+    }
+    this.progress = 'some';
+    return this.send(request, stream);
+  }
+
+  private async connect(
+    {address, connectTimeoutMs: timeoutMs}: SingleCallRequest,
+    connector: Connector,
+  ): Promise<Connection> {
+    const {signal} = this.connecting;
+    try {
+      return await connector.connect({address, timeoutMs, signal});
+    } catch (error) {
+      const message = error instanceof Error ? error.message : String(error);
+      throw new TransportError(message, 'none', error);
+    }
+  }
+
+  // Runs in the same turn of the event loop as the end of `connect`, so that no event of the
+  // stream is missed.
+  private send(
+    request: SingleCallRequest,
+    stream: Duplex,
+  ): Promise<IncomingMessage> {
+    const headers = [...request.headers];
+    if (request.body) headers.push('Content-Length', `${request.body.length}`);
+    const outgoing = startRequest({
+      method: request.method,
+      path: request.path,
+      headers,
+      createConnection: () => stream,
+    });
+    this.outgoing = outgoing;
+    const response = new Promise<IncomingMessage>((resolve, reject) => {
+      outgoing.once('response', incoming => {
+        // The body's reader handles its errors; without a reader, an unhandled
+        // 'error' event would end the process.
+        incoming.on('error', () => {});
+        this.incoming = incoming;
+        resolve(incoming);
+      });
+      outgoing.on('error', error =>
+        reject(new TransportError(error.message, this.progress, error)),
+      );
+      outgoing.once('close', () => {
+        if (this.incoming) return;
+        reject(new TransportError('closed without an answer', this.progress));
+      });
+    });
+    outgoing.end(request.body);
+    return response;
+  }
 }
 
 /**
@@ -158,6 +189,12 @@
   return code === 'ECONNREFUSED' || isConnectionRefused(error.cause);
 }
 
+/** Returns whether a call failed because this instance has no path to its upstream. */
+export function isPathError(error: unknown): boolean {
+  if (!(error instanceof Error)) return false;
+  return error instanceof NoPathError || isPathError(error.cause);
+}
+
 /** Limits of a call whose answer is read completely. */
 export interface WholeCallLimits {
   /** Milliseconds until the answer must be complete. */
@@ -167,6 +204,12 @@
   readonly signal?: AbortSignal;
 }
 
+/** Dependencies of `callForWholeAnswer`. */
+export interface WholeCallParts {
+  readonly clock: Clock;
+  readonly connector: Connector;
+}
+
 /** An answer that was read completely. */
 export interface WholeAnswer {
   readonly head: IncomingMessage;
@@ -188,10 +231,10 @@
  */
 export async function callForWholeAnswer(
   request: SingleCallRequest,
-  clock: Clock,
+  {clock, connector}: WholeCallParts,
   limits: WholeCallLimits,
 ): Promise<WholeAnswer> {
-  const call = new SingleCall(request, clock);
+  const call = new SingleCall(request, connector);
   let hasTimedOut = false;
   const timer = scheduleTimeout(clock, limits.timeoutMs, () => {
     hasTimedOut = true;
