Reach upstreams through a peer where the own connections fail

Callers of instances that lost their links to all upstreams got 503 'no upstream left' for the whole cut, although peers reached every upstream.

Cause: an instance knew no path to an upstream but its own connections, and took each failed connection as evidence against the upstream. So it ejected all of them, for up to 30 s and past the end of the cut; told the coordinator and the crash detector that sound upstreams had failed; and as the coordinator failed the calls of the whole fleet.

A connection is now a race of two paths: directly, and through a peer once the direct one fails or takes 100 ms, at once where it is known to fail. The peer connects on request, which answers for the upstream only if the peer reaches another one, and forwards the bytes on a stream of its own. Attempts, calls for pieces, cached prompts and crash probes all connect this way, so nothing else changes for them: before the first byte a request counts as not sent, back pressure and cancels pass through, and a request never goes to a third instance. An empty frame ends an answer, since the kernel closes the streams of a killed peer like those of an answer that is complete. Failures of the path are no evidence against an upstream. Without any path, requests are rejected at once; the direct path is probed every 250 ms meanwhile.

The time-out of a silent upstream starts again when the request is sent, and a request that was given up while it connected no longer ejects its upstream.

--- a/packages/cli/src/commands/gateway/index.ts
+++ b/packages/cli/src/commands/gateway/index.ts
@@ -19,6 +19,7 @@
   PlatformStore,
 } from '@hollowstack/platform';
 import {DirectConnector, NodeHttpClient} from '@hollowstack/transport';
+import {TcpTunnelNetwork} from '@hollowstack/upstream-paths';
 import {Command, Option} from 'clipanion';
 import {stringify} from 'smol-toml';
 import {formatOpenResources} from '../../end-process.ts';
@@ -92,6 +93,7 @@
       random: Math.random,
       peerNetwork: new TcpPeerNetwork(),
       upstreamConnector: new DirectConnector(clock),
+      tunnelNetwork: new TcpTunnelNetwork(),
       store: new PlatformStore({client, clock, logger, metrics}, store),
       requestProtocol: new PlatformRequests(),
       stageProtocol: new PlatformStages(),
--- a/packages/entry/src/peer-request-handler.ts
+++ b/packages/entry/src/peer-request-handler.ts
@@ -49,6 +49,7 @@
         {type: 'stage-cancel'},
         {type: 'stage-admit'},
         {type: 'notes'},
+        {type: 'open-tunnel'},
         {type: 'copy'},
         {type: 'assign'},
         {type: 'limited-send'},
--- a/packages/gateway/src/attempt-runner.ts
+++ b/packages/gateway/src/attempt-runner.ts
@@ -6,8 +6,8 @@
   RequestQuarantine,
 } from '@hollowstack/quarantine';
 import {isRepeatable} from '@hollowstack/routes';
-import type {Connector} from '@hollowstack/transport';
 import type {PromptPart} from '@hollowstack/types';
+import type {PathConnector, PathOutage} from '@hollowstack/upstream-paths';
 import type {UpstreamSignals} from '@hollowstack/upstream-signals';
 import {Attempt, type AttemptOutcome} from './attempt.ts';
 import type {CrashReporter} from './crash-reporter.ts';
@@ -27,7 +27,7 @@
 export interface AttemptRunnerParts {
   readonly clock: Clock;
   readonly logger: EventLogger;
-  readonly connector: Connector;
+  readonly connector: PathConnector;
   readonly protocol: RequestProtocol;
   readonly pool: UpstreamPool;
   readonly registry: Pick<UpstreamRegistry, 'getState'>;
@@ -126,6 +126,14 @@
         }
         throw createUnavailableError(request, outcome.reason);
       }
+      const outage = this.findOutage(outcome);
+      if (outage) {
+        throw createUnavailableError(
+          request,
+          outage.reason,
+          outage.retryAfterMs,
+        );
+      }
       excluded.add(upstream.id);
       if (isUnsent(outcome)) {
         unsentCount += 1;
@@ -149,6 +157,11 @@
     }
   }
 
+  private findOutage(outcome: AttemptOutcome): PathOutage | undefined {
+    if (outcome.type !== 'unsent' || !outcome.isPathLost) return undefined;
+    return this.parts.connector.findOutage();
+  }
+
   // An isolated request may crash its upstream: it goes to an idle one if there is any, so
   // that no other request is lost with it.
   private chooseUpstream(
@@ -225,7 +238,13 @@
     request.registryState = registry.getState();
     if (!upstream || !pool.maySend(upstreamId)) {
       const reason = 'the upstream is gone or wants no work';
-      return {type: 'unsent', reason, isWithdrawn: true, isRefused: false};
+      return {
+        type: 'unsent',
+        reason,
+        isWithdrawn: true,
+        isRefused: false,
+        isPathLost: false,
+      };
     }
     const attempt = new Attempt({
       clock,
@@ -249,8 +268,13 @@
       inactivity: {
         timeoutMs: this.computeInactivityTimeoutMs(request),
         handleTimeout: () => {
-          crashReporter.recordUnresponsive(sentAttempt);
-          return this.handleInactivity(request, upstreamId);
+          const isPathLost =
+            request.via === undefined && connector.isPathLost(upstream.address);
+          if (!isPathLost) {
+            crashReporter.recordUnresponsive(sentAttempt);
+            chooser.recordUnresponsive(request, upstreamId);
+          }
+          return this.mayReplaceSilent(request);
         },
       },
     });
@@ -258,6 +282,10 @@
     pool.beginRequest(upstreamId);
     try {
       const outcome = await attempt.run();
+      if (await this.isPathAtFault(upstream.address, outcome)) {
+        chooser.recordLostPath(request, upstreamId);
+        return outcome;
+      }
       chooser.recordOutcome(request, upstreamId, outcome);
       crashReporter.recordOutcome(sentAttempt, outcome);
       return outcome;
@@ -266,6 +294,15 @@
     }
   }
 
+  private async isPathAtFault(
+    address: string,
+    outcome: AttemptOutcome,
+  ): Promise<boolean> {
+    if (outcome.type === 'unsent') return outcome.isPathLost;
+    if (outcome.type !== 'failed' || !outcome.hasLostConnection) return false;
+    return this.parts.connector.isPathAtFault(address);
+  }
+
   private computeInactivityTimeoutMs(request: RoutedRequest): number {
     const {route, service} = request.facts;
     if (route.repeatability === 'stream') return STREAM_INACTIVITY_TIMEOUT_MS;
@@ -277,13 +314,9 @@
     );
   }
 
-  private handleInactivity(
-    request: RoutedRequest,
-    upstreamId: string,
-  ): boolean {
-    const {chooser, pool, retryBudget} = this.parts;
+  private mayReplaceSilent(request: RoutedRequest): boolean {
+    const {pool, retryBudget} = this.parts;
     const {route, service} = request.facts;
-    chooser.recordUnresponsive(request, upstreamId);
     const hasAttemptLeft = request.sentTo.length < route.maxAttempts;
     if (!hasAttemptLeft || !isRepeatable(route)) return false;
     const others = pool.listCandidates(service, new Set(request.sentTo));
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -6,6 +6,7 @@
   type Connector,
   isConnectionLost,
   isConnectionRefused,
+  isPathError,
   readWholeBody,
 } from '@hollowstack/transport';
 import {
@@ -73,6 +74,8 @@
       readonly isWithdrawn: boolean;
       /** Whether the connection was refused, so that no process listens at the address. */
       readonly isRefused: boolean;
+      /** Whether this instance has no path to the upstream, which may be sound. */
+      readonly isPathLost: boolean;
     }
   /** The upstream guarantees that it has not run the request. */
   | {
@@ -125,7 +128,7 @@
     const {request, upstream, connector, acquireSend} = this.parts;
     let isWithdrawn = false;
     const ranBefore = request.getRunStatus();
-    const call = new SingleCall(
+    const call: SingleCall = new SingleCall(
       {
         address: upstream.address,
         method: request.incoming.method ?? 'GET',
@@ -137,7 +140,10 @@
         // the time in which a leaving upstream must stop getting work, and fifty requests
         // may be connecting while the first answer asks for a back-off.
         mayStillSend: () => {
+          request.via = call.via;
           isWithdrawn = !acquireSend();
+          // The upstream is given its full time, however long the path took to find.
+          if (!isWithdrawn) this.watchInactivity(call);
           return !isWithdrawn;
         },
       },
@@ -165,7 +171,9 @@
         request.sentTo.pop();
         request.recordNotRun(ranBefore);
         const isRefused = isConnectionRefused(error);
-        return {type: 'unsent', reason, isWithdrawn, isRefused};
+        isWithdrawn ||= request.signal.aborted;
+        const isPathLost = isPathError(error);
+        return {type: 'unsent', reason, isWithdrawn, isRefused, isPathLost};
       }
       const isLocallyAborted = request.signal.aborted;
       const hasLostConnection = !call.hasCancelled() && isConnectionLost(error);
--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -21,7 +21,7 @@
 import type {KeyValueStore} from '@hollowstack/store';
 import {Connector} from '@hollowstack/transport';
 import {LimitTable} from '@hollowstack/upstream-limits';
-import {PathConnector, PathTable} from '@hollowstack/upstream-paths';
+import type {TunnelNetwork} from '@hollowstack/upstream-paths';
 import {
   BackOffTable,
   UpstreamSignals,
@@ -32,6 +32,7 @@
 import {CrashReporter} from './crash-reporter.ts';
 import {createLimits} from './create-limits.ts';
 import {createQuarantine} from './create-quarantine.ts';
+import {createUpstreamPaths} from './create-upstream-paths.ts';
 import {createStoreView} from './create-store-view.ts';
 import {EngineAssigner} from './engine-assigner.ts';
 import type {EngineProtocol} from './engine-protocol.ts';
@@ -65,6 +66,7 @@
   readonly store: KeyValueStore;
   /** Establishes direct connections to upstreams. */
   readonly upstreamConnector: Connector;
+  readonly tunnelNetwork: TunnelNetwork;
   readonly requestProtocol: RequestProtocol;
   readonly stageProtocol: StageProtocol;
   readonly engineProtocol: EngineProtocol;
@@ -96,11 +98,13 @@
     logger,
     metrics,
   });
-  const paths = new PathTable({clock, logger, metrics});
-  const connector = new PathConnector({
-    direct: environment.upstreamConnector,
-    table: paths,
+  const paths = createUpstreamPaths({
+    environment,
+    failureDomain,
+    link,
+    getMembership: () => membership,
   });
+  const {connector, tunnelServer} = paths;
   const {suspects, detector, quarantine} = createQuarantine(
     environment,
     connector,
@@ -202,6 +206,7 @@
   const runner = new RequestRunner({
     clock,
     protocol,
+    connector,
     pool,
     chooser,
     limitedSends,
@@ -243,7 +248,7 @@
       lifecycle,
     }),
     lifecycle,
-    paths,
+    paths: paths.table,
     runner,
   });
   const server = new GatewayServer((incoming, outgoing) => {
@@ -258,7 +263,8 @@
   });
   evacuated.addListener(change => registry.applyEvacuations(change));
   registry.addListener(upstreams => {
-    paths.setUpstreams(upstreams);
+    paths.table.setUpstreams(upstreams);
+    tunnelServer.setUpstreams(upstreams);
     pool.setUpstreams(upstreams);
     coordinator.setUpstreams(upstreams);
     directory.setUpstreams(upstreams);
@@ -283,8 +289,11 @@
     limits,
     granter,
     freshnessGuard,
+    tunnelServer,
   });
-  link.setRequestHandler(request => peerRequestHandler.answerRequest(request));
+  link.setRequestHandler((request, peer) =>
+    peerRequestHandler.answerRequest(request, peer),
+  );
 
   metrics.setGauge('hollowstack_routes_revision', {}, () =>
     routeHolder.getRevision(),
@@ -348,6 +357,8 @@
     link,
     exchange,
     coordinatorSearch,
+    prober: paths.prober,
+    tunnelServer,
     registry,
     evacuated,
     backOffs,
--- a/packages/gateway/src/gateway-peer-request-handler.ts
+++ b/packages/gateway/src/gateway-peer-request-handler.ts
@@ -8,6 +8,7 @@
 import type {StageCoordinator} from '@hollowstack/stages';
 import type {RelayServer} from '@hollowstack/store-relay';
 import type {LimitTable, SendGranter} from '@hollowstack/upstream-limits';
+import type {TunnelServer} from '@hollowstack/upstream-paths';
 import {match} from 'ts-pattern';
 import type {GossipExchange} from './gossip-exchange.ts';
 import type {CachedPromptsReader} from './cached-prompts-reader.ts';
@@ -24,6 +25,7 @@
   readonly limits: Pick<LimitTable, 'applyReports'>;
   readonly granter: Pick<SendGranter, 'acquireGrant'>;
   readonly freshnessGuard: FreshnessGuard;
+  readonly tunnelServer: Pick<TunnelServer, 'openTunnel'>;
 }
 
 /** Types of requests whose answers depend on the view of the store. */
@@ -47,7 +49,8 @@
     this.parts = parts;
   }
 
-  async answerRequest(request: PeerRequest): Promise<PeerReply> {
+  /** @param peer Id of the peer that sent the request. */
+  async answerRequest(request: PeerRequest, peer: string): Promise<PeerReply> {
     const {coordinator, directory, exchange, cachedPrompts, lifecycle, relay} =
       this.parts;
     const {freshnessGuard} = this.parts;
@@ -97,6 +100,10 @@
         const decision = await this.parts.granter.acquireGrant(ask);
         return {type: 'limited-send', decision};
       })
+      .with({type: 'open-tunnel'}, asked => {
+        if (lifecycle.isStopping()) return STOPPING;
+        return this.parts.tunnelServer.openTunnel(asked, peer);
+      })
       .with({type: 'notes'}, ({notes}) => {
         for (const notification of notes) this.applyNotification(notification);
         return {type: 'done'};
--- a/packages/gateway/src/gateway-request-handler.ts
+++ b/packages/gateway/src/gateway-request-handler.ts
@@ -149,6 +149,7 @@
       ran: request.getRunStatus(),
       reason,
       sentTo: request.sentTo.join(','),
+      via: request.via,
       isIsolated: this.parts.paths.isIsolated() || undefined,
       upstreamsRevision: request.registryState?.storeRevision,
       upstreamsAgeMs: request.registryState?.ageMs,
--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -54,6 +54,11 @@
     peerAddress: addressSchema,
     /** Address announced to peers if it differs from peerAddress (a mapped port, for example). */
     advertisedPeerAddress: addressSchema.optional(),
+    /**
+     * Address for tunnels, over which peers reach upstreams that they cannot connect to; any
+     * free port of the peer address's host if left out.
+     */
+    tunnelAddress: addressSchema.optional(),
     /** Address for metrics and operator calls; without it, neither is served. */
     metricsAddress: addressSchema.optional(),
   }),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,6 +7,7 @@
 import type {WatchHub} from '@hollowstack/store';
 import {splitAddress} from '@hollowstack/types';
 import type {SendGranter} from '@hollowstack/upstream-limits';
+import type {PathProber, TunnelServer} from '@hollowstack/upstream-paths';
 import type {BackOffTable} from '@hollowstack/upstream-signals';
 import {createServer, type IncomingHttpHeaders, type Server} from 'node:http';
 import type {CoordinatorSearch} from './coordinator-search.ts';
@@ -51,6 +52,8 @@
   readonly link: PeerLink;
   readonly exchange: GossipExchange;
   readonly coordinatorSearch: CoordinatorSearch;
+  readonly prober: PathProber;
+  readonly tunnelServer: TunnelServer;
   readonly registry: UpstreamRegistry;
   readonly evacuated: EvacuatedDomains;
   readonly backOffs: BackOffTable;
@@ -103,6 +106,7 @@
       failureDomain: settings.instance.failureDomain,
     });
     await parts.link.listen(settings.listen.peerAddress);
+    await parts.tunnelServer.listen(this.getTunnelAddress());
     await this.listenForProbesAndMetrics();
     await parts.server.listen(settings.listen.address);
     void parts.watchHub.start();
@@ -138,6 +142,7 @@
   async drain(): Promise<void> {
     const {clock, logger, lifecycle, membership, coordinator, server} =
       this.parts;
+    const {tunnelServer} = this.parts;
     const startedAtMs = clock.getNow();
     const {limitSeconds} = this.parts.settings.drain;
     const limitMs = limitSeconds * 1000 - DRAIN_MARGIN_MS;
@@ -152,7 +157,8 @@
       if (passedMs >= limitMs) return true;
       const isIdle =
         lifecycle.countInProgress() === 0 &&
-        coordinator.getWaitingCount() === 0;
+        coordinator.getWaitingCount() === 0 &&
+        tunnelServer.countTunnels() === 0;
       return isIdle && passedMs >= BALANCER_LAG_MS;
     };
     while (!isOver()) {
@@ -186,6 +192,8 @@
     for (const follower of parts.followers) follower.stop();
     parts.coordinator.stop();
     for (const task of parts.coordinatorTasks) task.stop();
+    parts.prober.stop();
+    parts.tunnelServer.close();
     parts.link.close();
     parts.server.close();
     for (const probe of this.plainServers) {
@@ -195,6 +203,11 @@
     parts.logger.logEvent('entry.stopped');
   }
 
+  private getTunnelAddress(): string {
+    const {peerAddress, tunnelAddress} = this.parts.settings.listen;
+    return tunnelAddress ?? `${splitAddress(peerAddress).host}:0`;
+  }
+
   private async listenForProbesAndMetrics(): Promise<void> {
     const {settings, lifecycle, metrics, operatorEndpoint, probePath} =
       this.parts;
--- a/packages/gateway/src/request-runner.ts
+++ b/packages/gateway/src/request-runner.ts
@@ -13,6 +13,7 @@
   type StageDispatcher,
 } from '@hollowstack/stages';
 import type {PromptPart} from '@hollowstack/types';
+import type {PathConnector} from '@hollowstack/upstream-paths';
 import type {AttemptRunner} from './attempt-runner.ts';
 import type {PolicySettings} from './gateway-settings.ts';
 import type {LimitedSends} from './limited-sends.ts';
@@ -27,6 +28,7 @@
 export interface RequestRunnerParts {
   readonly clock: Clock;
   readonly protocol: RequestProtocol;
+  readonly connector: Pick<PathConnector, 'findOutage'>;
   readonly pool: UpstreamPool;
   readonly chooser: UpstreamChooser;
   readonly attempts: AttemptRunner;
@@ -121,7 +123,15 @@
 
   // No stage runs for a request that no upstream could take afterwards.
   private checkAvailability(request: RoutedRequest): void {
-    const {pool} = this.parts;
+    const {pool, connector} = this.parts;
+    const outage = connector.findOutage();
+    if (outage) {
+      const {reason, retryAfterMs} = outage;
+      throw new HollowstackError('upstream-unavailable', reason, {
+        ran: 'no',
+        retryAfterMs,
+      });
+    }
     const unavailability = pool.findUnavailability(request.facts.service);
     if (!unavailability || this.isOverBeforeStagesEnd(unavailability, request))
       return;
--- a/packages/gateway/src/routed-request.ts
+++ b/packages/gateway/src/routed-request.ts
@@ -32,6 +32,8 @@
   readonly controller = new AbortController();
   /** Ids of the upstreams that the request was sent to. */
   readonly sentTo: string[] = [];
+  /** Id of the peer that forwards the last attempt; undefined on a direct connection. */
+  via: string | undefined;
   /** Number of tokens of the prompt; undefined if the request states no prompt parts. */
   promptTokens: number | undefined;
   /** Milliseconds that the first run of the stages took. */
--- a/packages/gateway/src/upstream-chooser.ts
+++ b/packages/gateway/src/upstream-chooser.ts
@@ -186,6 +186,11 @@
     this.recordStep(request, upstreamId, {step, isTurnedAway});
   }
 
+  /** Records that the path to an upstream failed, which says nothing about the upstream. */
+  recordLostPath(request: RoutedRequest, upstreamId: string): void {
+    this.recordStep(request, upstreamId, {step: 'ended', isTurnedAway: true});
+  }
+
   private recordStep(
     request: RoutedRequest,
     upstreamId: string,
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -324,6 +324,11 @@
     level: 'info',
     text: 'an upstream can be reached directly again',
   },
+  'tunnels.requested': {
+    number: 642,
+    level: 'info',
+    text: 'a peer asked for a connection to an upstream that it does not reach',
+  },
   'engine.kept': {
     number: 620,
     level: 'info',
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -147,6 +147,13 @@
     /** The sender's reports on the limits of these upstreams. */
     limits: z.array(limitReportSchema),
   }),
+  z.object({
+    type: z.literal('open-tunnel'),
+    /** Address of the upstream. */
+    address: z.string(),
+    /** Milliseconds within which the upstream must accept the connection. */
+    timeoutMs: z.number().positive(),
+  }),
   z.object({type: z.literal('notes'), notes: z.array(peerNotificationSchema)}),
   z.object({
     type: z.literal('copy'),
@@ -303,6 +310,27 @@
     /** Whether the sender is meant to watch the store but cannot reach it. */
     isAway: z.boolean(),
   }),
+  z.object({
+    type: z.literal('tunnel'),
+    /** Address at which the tunnel is claimed with the token. */
+    address: z.string(),
+    token: z.string(),
+  }),
+  z.object({
+    type: z.literal('tunnel-failed'),
+    /**
+     * `refused` and `unanswered`: the upstream did not accept the connection, though others
+     * did. `no-path`: the sender reaches no upstream. `not-accepting`: the sender knows no
+     * upstream at the address that accepts work.
+     */
+    reason: z.enum([
+      'refused',
+      'unanswered',
+      'no-path',
+      'busy',
+      'not-accepting',
+    ]),
+  }),
   z.object({type: z.literal('failed'), message: z.string()}),
 ]);
 /** A reply to a peer's request. */
--- a/packages/stages/src/batch-runner.ts
+++ b/packages/stages/src/batch-runner.ts
@@ -59,7 +59,7 @@
   readonly hasBacklog: boolean;
 }
 
-/** Pause of an upstream that refused a call without starting it. */
+/** Pause of an upstream that refused a call without starting it, or could not be reached. */
 const FULL_PAUSE_MS = 60;
 /**
  * Multiple of the expected duration after which a call times out. The expected duration is
@@ -258,10 +258,13 @@
     const {id, service, address} = upstream.record;
     const nowMs = this.parts.clock.getNow();
     const details = error instanceof StageCallError ? error.details : undefined;
-    upstream.recordFailure(
-      nowMs,
-      details?.isUnreachable ? 'refused' : 'broken',
-    );
+    if (details?.isPathLost) upstream.pausedUntilMs = nowMs + FULL_PAUSE_MS;
+    else {
+      upstream.recordFailure(
+        nowMs,
+        details?.isUnreachable ? 'refused' : 'broken',
+      );
+    }
     const reason = error instanceof Error ? error.message : String(error);
     this.parts.logger.logEvent('stage.call-failed', {
       service,
--- a/packages/stages/src/poison-job.test.ts
+++ b/packages/stages/src/poison-job.test.ts
@@ -36,6 +36,7 @@
       registerIncarnation();
       throw new StageCallError('aborted', {
         isUnreachable: false,
+        isPathLost: false,
         isConnectionLost: true,
       });
     }
--- a/packages/stages/src/stage-caller.ts
+++ b/packages/stages/src/stage-caller.ts
@@ -5,6 +5,7 @@
   callForWholeAnswer,
   type Connector,
   isConnectionLost,
+  isPathError,
   type WholeAnswer,
 } from '@hollowstack/transport';
 import type {UpstreamSignals} from '@hollowstack/upstream-signals';
@@ -33,12 +34,15 @@
 export interface StageCallErrorDetails {
   /** Whether the upstream did not accept the call or did not answer in time. */
   readonly isUnreachable: boolean;
+  /** Whether this instance has no working path to the upstream, which may be sound. */
+  readonly isPathLost: boolean;
   /** Whether the connection broke during the call, as it does if the upstream crashes. */
   readonly isConnectionLost: boolean;
 }
 
 const NO_DETAILS: StageCallErrorDetails = {
   isUnreachable: false,
+  isPathLost: false,
   isConnectionLost: false,
 };
 
@@ -111,6 +115,7 @@
       const message = error instanceof Error ? error.message : String(error);
       throw new StageCallError(message, {
         isUnreachable: isUnreachable(error),
+        isPathLost: this.isPathLost(address, error),
         isConnectionLost: isBrokenConnection(error),
       });
     }
@@ -133,6 +138,15 @@
     this.controller.abort(new Error('stopped'));
   }
 
+  // The path also explains a call that was lost or timed out, but not one that a peer saw
+  // refused.
+  private isPathLost(address: string, error: unknown): boolean {
+    if (isPathError(error)) return true;
+    const wasSent =
+      error instanceof TransportError && error.progress !== 'none';
+    return wasSent && this.parts.connector.isPathLost(address);
+  }
+
   private call(
     address: string,
     request: EncodedRequest,
--- a/packages/upstream-paths/src/path-connector.ts
+++ b/packages/upstream-paths/src/path-connector.ts
@@ -1,18 +1,30 @@
 import {
   Connector,
+  isPathError,
   type ConnectTarget,
   type Connection,
 } from '@hollowstack/transport';
-import type {PathTable} from './path-table.ts';
+import {ConnectRace, type ConnectRaceParts} from './connect-race.ts';
+import type {TunnelPeers} from './tunnel-peers.ts';
 
 /** Dependencies of PathConnector. */
-export interface PathConnectorParts {
-  /** Establishes direct connections. */
-  readonly direct: Connector;
-  readonly table: PathTable;
+export interface PathConnectorParts extends ConnectRaceParts {
+  readonly peers: Pick<TunnelPeers, 'isExhausted'>;
 }
 
-/** Connects to upstreams and records which direct paths work. */
+/** Why nothing can be sent to any upstream now. */
+export interface PathOutage {
+  readonly reason: string;
+  /** Milliseconds after which a path may be there again. */
+  readonly retryAfterMs: number;
+}
+
+/** Retry advice while this instance has no path to any upstream, in milliseconds. */
+const OUTAGE_RETRY_AFTER_MS = 1000;
+/** Milliseconds to find out whether a path or an upstream has failed. */
+const CONFIRMATION_TIMEOUT_MS = 300;
+
+/** Connects to upstreams directly, or through a peer where the direct path fails. */
 export class PathConnector extends Connector {
   private readonly parts: PathConnectorParts;
 
@@ -21,19 +33,39 @@
     this.parts = parts;
   }
 
-  async connect(target: ConnectTarget): Promise<Connection> {
-    const {direct, table} = this.parts;
+  connect(target: ConnectTarget): Promise<Connection> {
+    const path = this.parts.table.choosePath(target.address);
+    return new ConnectRace(this.parts, target).run(path);
+  }
+
+  isPathLost(address: string): boolean {
+    return this.parts.table.isLost(address);
+  }
+
+  /** Returns why no upstream can be reached, directly or through a peer; undefined if one may be. */
+  findOutage(): PathOutage | undefined {
+    const {table, peers} = this.parts;
+    if (!table.isIsolated() || !peers.isExhausted()) return undefined;
+    return {
+      reason: 'this instance has no path to any upstream',
+      retryAfterMs: OUTAGE_RETRY_AFTER_MS,
+    };
+  }
+
+  /**
+   * Returns whether the path, and not the upstream, is the likely reason why a connection was
+   * lost: the upstream accepts another one, but not directly.
+   */
+  async isPathAtFault(address: string): Promise<boolean> {
     try {
-      const connection = await direct.connect(target);
-      table.recordConnected(target.address);
-      return connection;
+      const {stream, via} = await this.connect({
+        address,
+        timeoutMs: CONFIRMATION_TIMEOUT_MS,
+      });
+      stream.destroy();
+      return via !== undefined;
     } catch (error) {
-      if (!target.signal?.aborted) table.recordLost(target.address);
-      throw error;
+      return isPathError(error);
     }
   }
-
-  isPathLost(): boolean {
-    return false;
-  }
 }
--- a/packages/upstream-paths/src/path-table.ts
+++ b/packages/upstream-paths/src/path-table.ts
@@ -17,6 +17,15 @@
 /** Maximum number of addresses in one log line. */
 const MAX_LOGGED_ADDRESSES = 8;
 
+/** Milliseconds after which a lost path is tried again while other paths work. */
+const RETRY_LOST_PATH_MS = 1000;
+
+/**
+ * How to connect to an upstream: `direct` with a tunnel as its standby, `retry` likewise but
+ * with little patience, or `tunnel` at once.
+ */
+export type PathChoice = 'direct' | 'retry' | 'tunnel';
+
 /** A direct path that has failed. */
 interface LostPath {
   readonly sinceMs: number;
@@ -30,6 +39,7 @@
 export class PathTable {
   private readonly parts: PathTableParts;
   private readonly lostPaths = new Map<string, LostPath>();
+  private readonly isolationListeners: Array<() => void> = [];
   private addresses: readonly string[] = [];
   private connectedAtMs = -Infinity;
   private isolatedSinceMs: number | undefined;
@@ -55,6 +65,30 @@
     }
   }
 
+  /** Adds a function that is called when this instance becomes isolated. */
+  addIsolationListener(listener: () => void): void {
+    this.isolationListeners.push(listener);
+  }
+
+  /** Lists the addresses of the registered upstreams. */
+  listAddresses(): readonly string[] {
+    return this.addresses;
+  }
+
+  /** Chooses how to connect to an address. */
+  choosePath(address: string): PathChoice {
+    if (this.isIsolated()) return 'tunnel';
+    const lost = this.lostPaths.get(address);
+    if (!lost) return 'direct';
+    const ageMs = this.parts.clock.getNow() - lost.failedAtMs;
+    return ageMs < RETRY_LOST_PATH_MS ? 'tunnel' : 'retry';
+  }
+
+  /** Returns whether the direct path to an address is lost. */
+  isLost(address: string): boolean {
+    return this.isIsolated() || this.lostPaths.has(address);
+  }
+
   /** Returns whether no upstream can be reached directly, as far as this instance knows. */
   isIsolated(): boolean {
     return this.isolatedSinceMs !== undefined;
@@ -67,7 +101,12 @@
     this.endIsolation(address);
   }
 
-  /** Records that a direct connection could not be established. */
+  /** Records that an upstream accepts no connection from anyone, whatever its path. */
+  recordDown(address: string): void {
+    this.lostPaths.delete(address);
+  }
+
+  /** Records that a direct connection failed although the upstream may be sound. */
   recordLost(address: string): void {
     const nowMs = this.parts.clock.getNow();
     const known = this.lostPaths.get(address);
@@ -92,6 +131,7 @@
         ? Math.round(nowMs - this.connectedAtMs)
         : undefined,
     });
+    for (const listener of this.isolationListeners) listener();
   }
 
   // The other paths were lost for the same reason, so each of them is tried again.
