--- a/packages/upstream-paths/src/path-table.test.ts
+++ b/packages/upstream-paths/src/path-table.test.ts
@@ -1,21 +1,9 @@
 import assert from 'node:assert/strict';
 import {beforeEach, test} from 'node:test';
 import {ManualClock} from '@hollowstack/clock';
-import {
-  EventLogger,
-  type EventFields,
-  type EventName,
-} from '@hollowstack/logger';
 import {MetricsRegistry} from '@hollowstack/metrics';
 import {PathTable} from './path-table.ts';
-
-class RecordingLogger extends EventLogger {
-  readonly events: Array<{name: EventName; fields: EventFields}> = [];
-
-  logEvent(name: EventName, fields: EventFields = {}): void {
-    this.events.push({name, fields});
-  }
-}
+import {RecordingLogger} from './test-utils/recording-logger.ts';
 
 let clock: ManualClock;
 let logger: RecordingLogger;
