--- a/packages/process-fleet/src/child-process.ts
+++ b/packages/process-fleet/src/child-process.ts
@@ -34,6 +34,11 @@
     });
   }
 
+  /** Id of the process; undefined if it could not be started. */
+  get pid(): number | undefined {
+    return this.child.pid;
+  }
+
   /**
    * Resolves to the first line that matches, among those already printed and later ones.
    *
