Send brittle upstreams no more than they can run

Upstreams announce (Server-Brittle) how many rejections a second for want of a place they bear before they fail.

Rejections are a sum over all instances, like a rate limit. Plain upstreams now get a limit of their places over the time that a request takes one, granted by the coordinator like an advertised limit; engines get no more than their places from the coordinator, none for 0.3 s after a rejection, and none without an assignment; and an instance that was rejected pauses for its share of the tolerance.

--- a/packages/assignment/src/engine-directory.test.ts
+++ b/packages/assignment/src/engine-directory.test.ts
@@ -62,3 +62,23 @@
   }
   assert.equal(assign('r2'), 'b');
 });
+
+test('a brittle engine gets no more requests than it can run, and none right after it rejected one', () => {
+  let nowMs = 0;
+  const isBrittle = () => true;
+  const directory = new EngineDirectory(() => nowMs, undefined, isBrittle);
+  directory.setUpstreams([createEngine('a')]);
+  const assign = (requestId: string) =>
+    directory.reserveEngine(createRequest(requestId))?.id;
+  assert.equal(assign('r1'), 'a');
+  assert.equal(assign('r2'), undefined);
+  directory.recordProgress({
+    requestId: 'r1',
+    upstreamId: 'a',
+    step: 'ended',
+    isTurnedAway: true,
+  });
+  assert.equal(assign('r3'), undefined);
+  nowMs = 300;
+  assert.equal(assign('r4'), 'a');
+});
--- a/packages/assignment/src/engine-directory.ts
+++ b/packages/assignment/src/engine-directory.ts
@@ -50,6 +50,8 @@
   readonly slowness: Slowness;
   /** Paces the requests it gets while it is cold. */
   readonly coldPacer: SendPacer;
+  /** End of the pause after it had no place for a request; matters if it is brittle. */
+  fullUntilMs: number;
 }
 
 /**
@@ -67,6 +69,8 @@
 const MIN_PREDICTED_MS = 20;
 /** Weight of a new sample in the mean slot occupancy; it settles after about twenty requests. */
 const SLOT_OCCUPANCY_WEIGHT = 0.05;
+/** Pause of a brittle engine that had no place for a request. */
+const FULL_PAUSE_MS = 300;
 /** Age at which assignments are removed whose end was never reported. */
 const ASSIGNMENT_TTL_MS = 15_000;
 
@@ -74,6 +78,7 @@
 export class EngineDirectory {
   private readonly getNow: () => number;
   private readonly isRateLimited: (id: string) => boolean;
+  private readonly isBrittle: (id: string) => boolean;
   private readonly engines = new Map<string, Engine>();
   private readonly assignments = new Map<string, AssignedRequest>();
   private readonly prefillSpeed = new PrefillSpeed();
@@ -82,13 +87,18 @@
   private cacheTokensByService = new Map<string, number>();
   private warmUpByService = new Map<string, WarmUp>();
 
-  /** @param isRateLimited Returns whether an engine advertises a rate limit. */
+  /**
+   * @param isRateLimited Returns whether an engine advertises a rate limit.
+   * @param isBrittle Returns whether an engine fails if it rejects too many requests.
+   */
   constructor(
     getNow: () => number,
     isRateLimited: (id: string) => boolean = () => false,
+    isBrittle: (id: string) => boolean = () => false,
   ) {
     this.getNow = getNow;
     this.isRateLimited = isRateLimited;
+    this.isBrittle = isBrittle;
   }
 
   /** Applies the cache sizes and warm-ups of a newer configuration; engines already listed keep their cache size. */
@@ -185,7 +195,9 @@
         DEFAULT_HEALTH_POLICY,
         this.getNow(),
       );
-    } else if (!progress.isTurnedAway) {
+    } else if (progress.isTurnedAway) {
+      engine.fullUntilMs = this.getNow() + FULL_PAUSE_MS;
+    } else {
       engine.health = recordSuccess(engine.health, this.getNow());
     }
     if (request && progress.step === 'first') {
@@ -289,10 +301,11 @@
         !excluded.has(record.id) &&
         isCandidate(health, nowMs),
     );
-    const unlimited = usable.filter(
+    const accepting = usable.filter(engine => this.mayAccept(engine, nowMs));
+    const unlimited = accepting.filter(
       ({record}) => !this.isRateLimited(record.id),
     );
-    const available = (unlimited.length > 0 ? unlimited : usable).filter(
+    const available = (unlimited.length > 0 ? unlimited : accepting).filter(
       engine => !this.isCold(engine) || engine.coldPacer.isDue(nowMs),
     );
     const key = shared.map(({id}) => id).join(',');
@@ -315,6 +328,14 @@
     }));
   }
 
+  // A brittle engine gets no more requests than it can run, and none for a while after it had
+  // no place for one.
+  private mayAccept(engine: Engine, nowMs: number): boolean {
+    const {record, activeCount, fullUntilMs} = engine;
+    if (!this.isBrittle(record.id)) return true;
+    return activeCount < record.capacity && nowMs >= fullUntilMs;
+  }
+
   private createEngine(record: RegisteredUpstream): Engine {
     const tokens =
       this.cacheTokensByService.get(record.service) ?? DEFAULT_CACHE_TOKENS;
@@ -326,6 +347,7 @@
       activeCount: 0,
       slowness: new Slowness(SLOWNESS_WEIGHT),
       coldPacer: new SendPacer(0),
+      fullUntilMs: 0,
     };
   }
 }
--- a/packages/gateway/src/attempt-runner.ts
+++ b/packages/gateway/src/attempt-runner.ts
@@ -286,6 +286,9 @@
         chooser.recordLostPath(request, upstreamId);
         return outcome;
       }
+      if (outcome.type === 'answered') {
+        pool.recordOccupancy(upstreamId, clock.getNow() - sentAttempt.sentAtMs);
+      }
       chooser.recordOutcome(request, upstreamId, outcome);
       crashReporter.recordOutcome(sentAttempt, outcome);
       return outcome;
--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -24,6 +24,7 @@
 import type {TunnelNetwork} from '@hollowstack/upstream-paths';
 import {
   BackOffTable,
+  ToleranceTable,
   UpstreamSignals,
   type SignalProtocol,
 } from '@hollowstack/upstream-signals';
@@ -132,10 +133,28 @@
     backOffs.replaceIncarnation(previousId, newId, startedAtMs);
     limits.replaceIncarnation(previousId, newId, startedAtMs);
   });
+  const tolerances = new ToleranceTable({
+    clock,
+    logger,
+    random,
+    getInstanceCount: () => membership.getLiveCount(),
+    // The coordinator alone sends work to engines and stage upstreams, and knows their places.
+    findPlaces: ({id, service}) => {
+      const {engine, stage} =
+        routeHolder.getCurrent()?.getService(service) ?? {};
+      const slots = pool.getRecord(id)?.capacity;
+      const occupancyMs = pool.getOccupancyMs(id);
+      if (engine || stage || !slots || occupancyMs === undefined) {
+        return undefined;
+      }
+      return {slots, occupancyMs};
+    },
+  });
   const signals = new UpstreamSignals({
     logger,
     backOffs,
     limits,
+    tolerances,
     metrics,
     protocol: environment.signalProtocol,
     handleLeaving: (id, requestId) =>
@@ -166,7 +185,11 @@
     membership,
     local: coordinator,
   });
-  const directory = new EngineDirectory(getNow, id => limiter.isLimited(id));
+  const directory = new EngineDirectory(
+    getNow,
+    id => limiter.isLimited(id),
+    id => tolerances.isBrittle(id),
+  );
   const cachedPrompts = new CachedPromptsReader({
     clock,
     logger,
@@ -196,6 +219,7 @@
     freshnessGuard,
     random,
     getNow,
+    isBrittle: id => tolerances.isBrittle(id),
     placesBySlack: settings.policy.slackPlacing,
   });
   const retryBudget = new WindowRetryBudget(
@@ -270,6 +294,7 @@
     directory.setUpstreams(upstreams);
     detector.setUpstreams(upstreams);
     limits.setUpstreams(upstreams);
+    tolerances.setUpstreams(upstreams);
     limiter.setUpstreams(upstreams);
   });
 
--- a/packages/gateway/src/upstream-chooser.ts
+++ b/packages/gateway/src/upstream-chooser.ts
@@ -18,6 +18,8 @@
   readonly freshnessGuard: FreshnessGuard;
   readonly random: () => number;
   readonly getNow: () => number;
+  /** Returns whether an upstream fails if it rejects too many requests. */
+  readonly isBrittle: (id: string) => boolean;
   /** Whether engines are chosen by the slack of a request, its spare time to the objective. */
   readonly placesBySlack: boolean;
 }
@@ -53,7 +55,7 @@
     const listed = this.parts.pool.listCandidates(service, options.excluded);
     const limited = await this.chooseLimited(request, options, listed);
     if (limited) return limited;
-    const candidates = this.listPreferred(listed);
+    let candidates = this.listPreferred(listed);
     if (options.promptParts.length > 0) {
       const assigned = await this.parts.assigner.askForEngine({
         requestId: request.facts.requestId,
@@ -73,6 +75,8 @@
       // an answer to this instance has excluded it.
       const isKnown = candidates.some(({id}) => id === assigned?.id);
       if (assigned && isKnown) return assigned;
+      // Without an assignment it is not known whether a brittle engine has a place left.
+      candidates = candidates.filter(({id}) => !this.parts.isBrittle(id));
     }
     const chosen = chooseRequestUpstream({
       candidates,
--- a/packages/gateway/src/upstream-pool.ts
+++ b/packages/gateway/src/upstream-pool.ts
@@ -73,6 +73,7 @@
   private warmUps = new Map<string, WarmUp>();
   private readonly upstreams = new Map<string, PooledUpstream>();
   private readonly meanMs = new Map<string, number>();
+  private readonly occupancyMs = new Map<string, number>();
 
   constructor(parts: UpstreamPoolParts) {
     this.parts = parts;
@@ -257,6 +258,30 @@
     return this.meanMs.get(service);
   }
 
+  /**
+   * Records for how long a request occupied a place of an upstream.
+   *
+   * @param tookMs Milliseconds from its start to the end of the answer.
+   */
+  recordOccupancy(id: string, tookMs: number): void {
+    const service = this.upstreams.get(id)?.record.service;
+    if (service === undefined) return;
+    const mean = this.occupancyMs.get(service) ?? tookMs;
+    this.occupancyMs.set(service, mean + (tookMs - mean) * MEAN_WEIGHT);
+  }
+
+  /**
+   * Returns the mean milliseconds for which a request occupies a place of an upstream, by its
+   * service and its speed; undefined before the first one.
+   */
+  getOccupancyMs(id: string): number | undefined {
+    const upstream = this.upstreams.get(id);
+    const meanMs = this.occupancyMs.get(upstream?.record.service ?? '');
+    if (!upstream || meanMs === undefined) return undefined;
+    const slowness = upstream.slowness.getValue(this.parts.getNow());
+    return meanMs * Math.max(1, slowness);
+  }
+
   recordFailure(id: string, kind: FailureKind): void {
     this.applyChange(id, ({health}) => ({
       health: recordFailure(
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -314,6 +314,21 @@
     level: 'warn',
     text: 'an upstream crashed while running requests; they are suspected',
   },
+  'upstream.brittle': {
+    number: 631,
+    level: 'warn',
+    text: 'an upstream announces that it fails if it rejects too many requests per second',
+  },
+  'upstream.brittle-ended': {
+    number: 632,
+    level: 'info',
+    text: 'an upstream no longer announces that it fails if it rejects too many requests',
+  },
+  'upstream.tolerance-unreadable': {
+    number: 633,
+    level: 'warn',
+    text: 'an upstream announces a tolerance that is not a decimal number; the value is ignored',
+  },
   'paths.isolated': {
     number: 640,
     level: 'warn',
--- a/packages/upstream-signals/src/answer-signals.ts
+++ b/packages/upstream-signals/src/answer-signals.ts
@@ -28,6 +28,13 @@
    * undefined if the answer advertises none.
    */
   readonly limit: string | undefined;
+  /**
+   * Rejections per second for want of a place beyond which the upstream fails, unparsed;
+   * undefined if the answer announces none.
+   */
+  readonly tolerance: string | undefined;
+  /** Whether the upstream rejected the request for want of a place. */
+  readonly isFull: boolean;
 }
 
 /** Reads the signals of an answer; implemented by the adapter that knows the header names. */
--- a/packages/upstream-signals/src/upstream-signals.test.ts
+++ b/packages/upstream-signals/src/upstream-signals.test.ts
@@ -12,6 +12,7 @@
 import {
   BackOffTable,
   SignalProtocol,
+  ToleranceTable,
   UpstreamSignals,
   type AnswerHead,
   type AnswerSignals,
@@ -25,20 +26,27 @@
   }
 }
 
-/** Reads the test headers `from-other`, `leaving`, `retry-after` and `limit`. */
+/**
+ * Reads the test headers `from-other`, `leaving`, `retry-after`, `limit`, `tolerance` and
+ * `full`.
+ */
 class TestProtocol extends SignalProtocol {
   readSignals({headers}: AnswerHead): AnswerSignals {
     const retryAfter = headers['retry-after'];
-    const {limit} = headers;
+    const {limit, tolerance} = headers;
     return {
       isFromOtherUpstream: headers['from-other'] !== undefined,
       isLeaving: headers.leaving !== undefined,
       retryAfter: typeof retryAfter === 'string' ? retryAfter : undefined,
       limit: typeof limit === 'string' ? limit : undefined,
+      tolerance: typeof tolerance === 'string' ? tolerance : undefined,
+      isFull: headers.full !== undefined,
     };
   }
 }
 
+const getHalf = () => 0.5;
+
 function createSignals() {
   const clock = new ManualClock(0);
   const logger = new ListingLogger();
@@ -46,11 +54,20 @@
   const backOffs = new BackOffTable({clock, logger});
   const limits = new LimitTable({clock, logger});
   const leaving: string[] = [];
+  const places = {slots: 4, occupancyMs: 100};
+  const tolerances = new ToleranceTable({
+    clock,
+    logger,
+    random: getHalf,
+    getInstanceCount: () => 9,
+    findPlaces: () => places,
+  });
   const signals = new UpstreamSignals({
     logger,
     metrics,
     backOffs,
     limits,
+    tolerances,
     protocol: new TestProtocol(),
     handleLeaving: id => leaving.push(id),
   });
@@ -72,6 +89,8 @@
     logger,
     backOffs,
     limits,
+    tolerances,
+    places,
     leaving,
     answer,
     listNames,
@@ -251,3 +270,47 @@
   await clock.advance(5000);
   assert.deepEqual(listNames(), ['upstream.back-off']);
 });
+
+test('a brittle upstream is used at the rate that its places allow', () => {
+  const {answer, limits, places, listNames} = createSignals();
+  answer({tolerance: '6'});
+  assert.equal(limits.getLimit('u1'), 44);
+  places.occupancyMs = 110;
+  answer({tolerance: '6'});
+  assert.equal(limits.getLimit('u1'), 44);
+  places.occupancyMs = 200;
+  answer({tolerance: '6'});
+  assert.equal(limits.getLimit('u1'), 22);
+  answer({tolerance: '6', limit: '3'});
+  assert.equal(limits.getLimit('u1'), 3);
+  answer({});
+  assert.equal(limits.getLimit('u1'), undefined);
+  assert.deepEqual(
+    listNames().filter(name => name.startsWith('upstream.brittle')),
+    ['upstream.brittle', 'upstream.brittle-ended'],
+  );
+});
+
+test('an instance pauses after the rejection of a brittle upstream by its share of the tolerance', () => {
+  const {answer, backOffs, clock} = createSignals();
+  answer({full: '1'});
+  assert.equal(backOffs.maySend('u1'), true);
+  answer({tolerance: '6'});
+  assert.equal(backOffs.maySend('u1'), true);
+  answer({tolerance: '6', full: '1'});
+  assert.equal(backOffs.getWaitMs('u1'), 3000);
+  clock.pause(3000);
+  assert.equal(backOffs.maySend('u1'), true);
+});
+
+test('a tolerance that cannot be read changes nothing and is logged once', () => {
+  const {answer, tolerances, listNames} = createSignals();
+  answer({tolerance: '6'});
+  answer({tolerance: 'many'});
+  answer({tolerance: 'many'});
+  assert.equal(tolerances.isBrittle('u1'), true);
+  const unreadable = listNames().filter(
+    name => name === 'upstream.tolerance-unreadable',
+  );
+  assert.equal(unreadable.length, 1);
+});
--- a/packages/upstream-signals/src/upstream-signals.ts
+++ b/packages/upstream-signals/src/upstream-signals.ts
@@ -4,6 +4,7 @@
 import type {AnswerHead, SignalProtocol} from './answer-signals.ts';
 import type {BackOffTable} from './back-off-table.ts';
 import {MAX_BACK_OFF_MS, parseRetryAfterMs} from './retry-after.ts';
+import type {ToleranceTable} from './tolerance-table.ts';
 
 /** Dependencies of UpstreamSignals. */
 export interface UpstreamSignalsParts {
@@ -11,7 +12,14 @@
   readonly metrics: MetricsRegistry;
   readonly protocol: SignalProtocol;
   readonly backOffs: Pick<BackOffTable, 'beginBackOff' | 'getWaitMs'>;
-  readonly limits: Pick<LimitTable, 'recordLimit' | 'recordNoLimit'>;
+  readonly limits: Pick<
+    LimitTable,
+    'getLimit' | 'recordLimit' | 'recordNoLimit'
+  >;
+  readonly tolerances: Pick<
+    ToleranceTable,
+    'recordTolerance' | 'recordNoTolerance' | 'computeRate' | 'computePauseMs'
+  >;
   /** Called for each answer in which an upstream announces that it shuts down. */
   readonly handleLeaving: (upstreamId: string, requestId?: string) => void;
 }
@@ -51,7 +59,9 @@
       this.countSignal(answer, 'leaving');
       handleLeaving(upstream.id, requestId);
     }
+    this.recordTolerance(answer, signals.tolerance);
     this.recordLimit(answer, signals.limit);
+    if (signals.isFull) this.pauseBrittle(answer);
     const {retryAfter} = signals;
     if (retryAfter === undefined) return;
     const askedMs = parseRetryAfterMs(retryAfter);
@@ -66,9 +76,12 @@
 
   // An unreadable value neither sets nor ends a limit.
   private recordLimit(answer: SignalAnswer, value: string | undefined): void {
-    const {limits} = this.parts;
+    const {limits, tolerances} = this.parts;
+    const {upstream} = answer;
+    const rate = tolerances.computeRate(upstream, limits.getLimit(upstream.id));
     if (value === undefined) {
-      limits.recordNoLimit(answer);
+      if (rate === undefined) limits.recordNoLimit(answer);
+      else limits.recordLimit(answer, rate);
       return;
     }
     const perSecond = parseLimit(value);
@@ -77,7 +90,33 @@
       return;
     }
     this.countSignal(answer, 'limit');
-    limits.recordLimit(answer, perSecond);
+    limits.recordLimit(answer, Math.min(perSecond, rate ?? Infinity));
+  }
+
+  // An unreadable value neither sets nor ends a tolerance.
+  private recordTolerance(
+    answer: SignalAnswer,
+    value: string | undefined,
+  ): void {
+    const {tolerances} = this.parts;
+    const {upstream, requestId, sentAtMs} = answer;
+    if (value === undefined) {
+      tolerances.recordNoTolerance(upstream, sentAtMs, requestId);
+      return;
+    }
+    const perSecond = parseLimit(value);
+    if (perSecond === undefined) {
+      this.recordUnreadable(answer, 'upstream.tolerance-unreadable', value);
+      return;
+    }
+    this.countSignal(answer, 'tolerance');
+    tolerances.recordTolerance(upstream, perSecond, requestId);
+  }
+
+  private pauseBrittle({upstream}: SignalAnswer): void {
+    const {backOffs, tolerances} = this.parts;
+    const pauseMs = tolerances.computePauseMs(upstream.id);
+    if (pauseMs !== undefined) backOffs.beginBackOff(upstream.id, pauseMs);
   }
 
   private beginBackOff(answer: SignalAnswer, askedMs: number): void {
@@ -100,7 +139,10 @@
 
   private recordUnreadable(
     answer: SignalAnswer,
-    event: 'upstream.retry-after-unreadable' | 'upstream.limit-unreadable',
+    event:
+      | 'upstream.retry-after-unreadable'
+      | 'upstream.limit-unreadable'
+      | 'upstream.tolerance-unreadable',
     value: string,
   ): void {
     const {upstream} = answer;
@@ -121,7 +163,7 @@
 
   private countSignal(
     {upstream}: SignalAnswer,
-    signal: 'leaving' | 'back-off' | 'limit' | 'unreadable',
+    signal: 'leaving' | 'back-off' | 'limit' | 'tolerance' | 'unreadable',
   ): void {
     const {service} = upstream;
     const labels = {service, signal};
--- a/scripts/proofs.ts
+++ b/scripts/proofs.ts
@@ -346,6 +346,14 @@
     to: 'if (prober) {',
     noticedBy: 'packages/upstream-paths/src/tunnel.test.ts',
   },
+  {
+    promise: 'brittle upstreams are not made to fail',
+    mechanism: 'an instance pauses after the rejection of a brittle upstream',
+    file: 'packages/upstream-signals/src/upstream-signals.ts',
+    from: 'if (signals.isFull) this.pauseBrittle(answer);',
+    to: '',
+    noticedBy: 'packages/upstream-signals/src/upstream-signals.test.ts',
+  },
   {
     promise: 'an answer that broke off never looks complete',
     mechanism: 'an answer through a peer ends with an empty frame only',
