End a cancelled connection at once, and within its time

A call that was cancelled while a peer was asked for a tunnel ended only with the peer's reply, up to half a second later, so a retry waited for it. And a path that no peer replaced was tried with the full time again. Both found by reading; the first new test hangs on the code before, the second one took 800 ms there by the same reading. Names: removeLostPath for recordDown, and isInstanceIsolated in request.settled, since a request may be isolated as well.

--- a/packages/gateway/src/gateway-request-handler.ts
+++ b/packages/gateway/src/gateway-request-handler.ts
@@ -150,7 +150,7 @@
       reason,
       sentTo: request.sentTo.join(','),
       via: request.via,
-      isIsolated: this.parts.paths.isIsolated() || undefined,
+      isInstanceIsolated: this.parts.paths.isIsolated() || undefined,
       upstreamsRevision: request.registryState?.storeRevision,
       upstreamsAgeMs: request.registryState?.ageMs,
       upstreamsFrom: request.registryState?.source,
--- a/packages/upstream-paths/src/connect-race.ts
+++ b/packages/upstream-paths/src/connect-race.ts
@@ -27,6 +27,9 @@
   retry: 20,
 };
 
+/** Milliseconds for the last way that is tried, however little time is left. */
+const MIN_CONNECT_MS = 50;
+
 type Side = 'idle' | 'pending' | 'failed';
 
 /**
@@ -36,6 +39,7 @@
 export class ConnectRace {
   private readonly parts: ConnectRaceParts;
   private readonly target: ConnectTarget;
+  private readonly endsAtMs: number;
   private readonly abandoned = new AbortController();
   private direct: Side = 'idle';
   private directError: unknown;
@@ -51,12 +55,13 @@
   constructor(parts: ConnectRaceParts, target: ConnectTarget) {
     this.parts = parts;
     this.target = target;
+    this.endsAtMs = parts.clock.getNow() + target.timeoutMs;
   }
 
   /** Connects; called once. Rejects as `Connector.connect` does. */
   run(path: PathChoice): Promise<Connection> {
     const {signal} = this.target;
-    const abort = () => this.abandoned.abort(signal?.reason);
+    const abort = () => this.fail(signal?.reason);
     signal?.addEventListener('abort', abort, {once: true});
     const result = new Promise<Connection>((resolve, reject) => {
       this.settle = {resolve, reject};
@@ -89,8 +94,7 @@
       this.direct = 'failed';
       this.directError = error;
       if (this.isSettled) return;
-      if (this.target.signal?.aborted) this.fail(error);
-      else if (this.tunnel === 'failed') await this.judgeFailure();
+      if (this.tunnel === 'failed') await this.judgeFailure();
       else this.openTunnelOnce();
     }
   }
@@ -125,12 +129,8 @@
   private async judgeFailure(): Promise<void> {
     const {table} = this.parts;
     const {address} = this.target;
-    if (this.target.signal?.aborted) {
-      this.fail(this.target.signal.reason);
-      return;
-    }
     if (this.tunnelFailure !== 'none') {
-      table.recordDown(address);
+      table.removeLostPath(address);
       this.fail(this.createUpstreamError());
       return;
     }
@@ -140,7 +140,7 @@
     }
     if (this.direct === 'idle') {
       // No peer helped, but the path may work again.
-      this.parts.table.recordDown(address);
+      table.removeLostPath(address);
       await this.connectDirect();
       return;
     }
@@ -153,7 +153,7 @@
     const hasOtherPath = await prober.hasOtherPath(address);
     if (this.isSettled) return;
     if (hasOtherPath) {
-      table.recordDown(address);
+      table.removeLostPath(address);
       this.fail(this.directError);
       return;
     }
@@ -194,6 +194,11 @@
   }
 
   private createTarget(): ConnectTarget {
-    return {...this.target, signal: this.abandoned.signal};
+    const leftMs = this.endsAtMs - this.parts.clock.getNow();
+    return {
+      address: this.target.address,
+      timeoutMs: Math.max(MIN_CONNECT_MS, leftMs),
+      signal: this.abandoned.signal,
+    };
   }
 }
--- a/packages/upstream-paths/src/path-connector.test.ts
+++ b/packages/upstream-paths/src/path-connector.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {PassThrough} from 'node:stream';
 import {beforeEach, test} from 'node:test';
-import {ManualClock} from '@hollowstack/clock';
+import {ManualClock, waitFor} from '@hollowstack/clock';
 import {MetricsRegistry} from '@hollowstack/metrics';
 import {
   Connector,
@@ -61,6 +61,7 @@
 let tunnelOutcome: 'connected' | 'refused' | 'unanswered' | 'none';
 let tunnelCount: number;
 let isExhausted: boolean;
+let isPeerSlow: boolean;
 
 const getNoRandomness = () => 0;
 
@@ -70,6 +71,7 @@
   tunnelOutcome = 'connected';
   tunnelCount = 0;
   isExhausted = false;
+  isPeerSlow = false;
   const metrics = new MetricsRegistry();
   table = new PathTable({clock, logger: new RecordingLogger(), metrics});
   table.setUpstreams(['a', 'b', 'c', 'd'].map(address => ({address})));
@@ -85,6 +87,7 @@
 
 async function openTunnel(): Promise<TunnelOutcome> {
   tunnelCount += 1;
+  if (isPeerSlow) await waitFor(clock, TIMEOUT_MS);
   if (tunnelOutcome !== 'connected') return {type: tunnelOutcome};
   const stream = new PassThrough();
   return {type: 'connected', connection: {stream, via: 'peer'}};
@@ -198,3 +201,32 @@
   assert.equal(await connector.isPathAtFault('a'), false);
   assert.equal(await connector.isPathAtFault('b'), false);
 });
+
+test('a call that is cancelled does not wait for a slow peer', async () => {
+  direct.outcomes.set('a', 'refused');
+  isPeerSlow = true;
+  const controller = new AbortController();
+  const {signal} = controller;
+  const connecting = connector.connect({
+    address: 'a',
+    timeoutMs: TIMEOUT_MS,
+    signal,
+  });
+  connecting.catch(() => {});
+  await clock.advance(50);
+  const startedAtMs = clock.getNow();
+  controller.abort(new Error('given up'));
+  await assert.rejects(connecting, /given up/);
+  assert.equal(clock.getNow(), startedAtMs);
+});
+
+test('a path that no peer replaces is tried again within the time that is left', async () => {
+  direct.outcomes.set('a', 'silent');
+  await connect('a');
+  isPeerSlow = true;
+  tunnelOutcome = 'none';
+  const startedAtMs = clock.getNow();
+  const connecting = connector.connect({address: 'a', timeoutMs: TIMEOUT_MS});
+  await assert.rejects(clock.advanceUntil(connecting, 2 * TIMEOUT_MS));
+  assert.equal(clock.getNow() - startedAtMs, TIMEOUT_MS + 50);
+});
--- a/packages/upstream-paths/src/path-table.ts
+++ b/packages/upstream-paths/src/path-table.ts
@@ -101,8 +101,11 @@
     this.endIsolation(address);
   }
 
-  /** Records that an upstream accepts no connection from anyone, whatever its path. */
-  recordDown(address: string): void {
+  /**
+   * Removes an address from the lost paths: its upstream accepts no connection from anyone,
+   * or the path is tried again.
+   */
+  removeLostPath(address: string): void {
     this.lostPaths.delete(address);
   }
 
--- a/packages/upstream-paths/src/tunnel-server.ts
+++ b/packages/upstream-paths/src/tunnel-server.ts
@@ -144,7 +144,7 @@
   ): Promise<TunnelReply> {
     const {table, prober} = this.parts;
     if (await prober.hasOtherPath(address)) {
-      table.recordDown(address);
+      table.removeLostPath(address);
       return createFailure(
         isConnectionRefused(error) ? 'refused' : 'unanswered',
       );
--- a/packages/upstream-signals/src/tolerance-table.ts
+++ b/packages/upstream-signals/src/tolerance-table.ts
@@ -24,7 +24,7 @@
   /** Returns the number of live instances. */
   readonly getInstanceCount: () => number;
   /**
-   * Returns an upstream's places; undefined if no request to it was measured yet, or if the
+   * Returns an upstream's places; undefined before the first answer to a request, or if the
    * coordinator limits how many it gets.
    */
   readonly findPlaces: (upstream: CalledUpstream) => UpstreamPlaces | undefined;
