--- a/review/harness/caller.mts
+++ b/review/harness/caller.mts
@@ -88,7 +88,8 @@
   }
 }
 
-function renderRequest(request: CallerRequest): Buffer {
+/** Renders a request as it is sent. */
+export function renderRequest(request: CallerRequest): Buffer {
   const {method, path, host, attemptId, deadlineMs, body} = request;
   const lines = [
     `${method} ${path} HTTP/1.1`,
@@ -105,7 +106,7 @@
 }
 
 /** Collects the bytes of one answer and knows when it is complete. */
-class AnswerReader {
+export class AnswerReader {
   /** Resolves once an answer with a length or in chunks is complete. */
   readonly whole: Promise<'open'>;
   private resolveWhole!: (end: 'open') => void;
