--- a/review/harness/deployment.mts
+++ b/review/harness/deployment.mts
@@ -32,10 +32,16 @@
   private readonly recorder: Recorder;
   private readonly bounds: DeploymentBounds;
   private storeAddress = '';
+  private isStopped = false;
 
   constructor(recorder: Recorder, bounds: DeploymentBounds) {
     this.recorder = recorder;
     this.bounds = bounds;
+    for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+      process.once(signal, () => {
+        void this.stop().finally(() => process.exit(2));
+      });
+    }
   }
 
   async startStore(configuration: object): Promise<void> {
@@ -71,6 +77,7 @@
   async restart(machine: Machine): Promise<void> {
     await machine.process.waitForExit();
     await waitMs(RESTART_DELAY_MS);
+    if (this.isStopped) return;
     const seeds = this.machines
       .slice(0, 3)
       .map(({addresses}) => addresses.peer);
@@ -85,6 +92,7 @@
 
   /** Ends all processes and stand-ins. */
   async stop(): Promise<void> {
+    this.isStopped = true;
     for (const {process} of this.machines) process.signal('SIGCONT');
     for (const {process} of this.machines) process.signal('SIGKILL');
     await Promise.all(this.machines.map(({process}) => process.waitForExit()));
