Measure the use of the event loop, the processor and the network

Nothing in a gateway told apart whether its processor, its link or a share of the fleet limits it. Each instance now measures four times a second how much of the time its event loop had work to do, how late its timers ran, its processor time against its share of a core, and the bytes of callers' and upstreams' connections. entry.saturated (110) and entry.unsaturated (111) log all of it at a change; the pause detection uses the same timer.

--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -3,6 +3,7 @@
 import type {Clock} from '@hollowstack/clock';
 import type {EventLogger} from '@hollowstack/logger';
 import type {MetricsRegistry} from '@hollowstack/metrics';
+import {LoadMeter, TrafficCounter} from '@hollowstack/overload';
 import {
   KeyRing,
   NotificationQueue,
@@ -39,6 +40,7 @@
   type SignalProtocol,
 } from '@hollowstack/upstream-signals';
 import {AttemptRunner} from './attempt-runner.ts';
+import {CountedConnector} from './counted-connector.ts';
 import {CoordinatorSearch} from './coordinator-search.ts';
 import {CrashReporter} from './crash-reporter.ts';
 import {createLimits} from './create-limits.ts';
@@ -110,8 +112,15 @@
     logger,
     metrics,
   });
+  const traffic = new TrafficCounter();
   const paths = createUpstreamPaths({
-    environment,
+    environment: {
+      ...environment,
+      upstreamConnector: new CountedConnector(
+        environment.upstreamConnector,
+        traffic,
+      ),
+    },
     failureDomain,
     link,
     getMembership: () => membership,
@@ -308,9 +317,19 @@
     paths: paths.table,
     runner,
   });
+  const loadMeter = new LoadMeter({
+    clock,
+    logger,
+    metrics,
+    traffic,
+    cpuShare: settings.instance.cpuShare,
+    readProcessorMs,
+    readIdleMs: () => performance.eventLoopUtilization().idle,
+    countInProgress: () => lifecycle.countInProgress(),
+  });
   const server = new GatewayServer((incoming, outgoing) => {
     void requestHandler.handle(incoming, outgoing);
-  });
+  }, traffic);
 
   routeHolder.addListener(table => {
     coordinator.setConfiguration(table);
@@ -420,6 +439,7 @@
     logger,
     metrics,
     lifecycle,
+    loadMeter,
     routeHolder,
     watchHub: view.watchHub,
     followers: view.followers,
@@ -448,3 +468,8 @@
     probePath: protocol.probePath,
   });
 }
+
+function readProcessorMs(): number {
+  const {user, system} = process.cpuUsage();
+  return (user + system) / 1000;
+}
--- a/packages/gateway/src/gateway-server.ts
+++ b/packages/gateway/src/gateway-server.ts
@@ -1,3 +1,4 @@
+import type {TrafficCounter} from '@hollowstack/overload';
 import type {CallerLimits} from '@hollowstack/routes';
 import {splitAddress} from '@hollowstack/types';
 import {
@@ -22,7 +23,7 @@
 export class GatewayServer {
   private readonly server: Server;
 
-  constructor(handle: HttpRequestListener) {
+  constructor(handle: HttpRequestListener, traffic: TrafficCounter) {
     this.server = createServer(
       {
         noDelay: true,
@@ -32,6 +33,7 @@
       handle,
     );
     this.server.timeout = 0;
+    this.server.on('connection', socket => traffic.addSocket(socket));
   }
 
   /** Sets the limits of connections that are opened from now on. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,6 +2,7 @@
 import type {FreshnessGuard} from '@hollowstack/freshness';
 import type {EventLogger} from '@hollowstack/logger';
 import type {MetricsRegistry} from '@hollowstack/metrics';
+import type {LoadMeter} from '@hollowstack/overload';
 import type {Membership, PeerLink} from '@hollowstack/peers';
 import type {StageCoordinator} from '@hollowstack/stages';
 import type {WatchHub} from '@hollowstack/store';
@@ -44,6 +45,7 @@
   readonly logger: EventLogger;
   readonly metrics: MetricsRegistry;
   readonly lifecycle: GatewayLifecycle;
+  readonly loadMeter: LoadMeter;
   readonly routeHolder: RouteHolder;
   readonly watchHub: WatchHub;
   readonly followers: readonly StoreFollower[];
@@ -83,9 +85,7 @@
  * upstream are rejected instead of cut off; suffices to send the rejections.
  */
 const REJECTION_MARGIN_MS = 500;
-/** Milliseconds between two checks whether the process was paused. */
-const PAUSE_CHECK_INTERVAL_MS = 250;
-/** Delay of a check, in milliseconds, from which the process counts as paused. */
+/** Delay of the event loop, in milliseconds, from which the process counts as paused. */
 const MIN_PAUSE_MS = 1000;
 
 /** An instance that serves routed requests. */
@@ -114,6 +114,7 @@
     void parts.exchange.start();
     void parts.coordinatorSearch.start();
     this.startPauseDetection();
+    parts.loadMeter.start();
     const isEnding = () => this.isStopped || lifecycle.isStopping();
     // With routes but without upstreams, every request would be rejected.
     const isLoaded = () =>
@@ -180,6 +181,7 @@
   stop(): void {
     const {parts} = this;
     this.isStopped = true;
+    parts.loadMeter.stop();
     void parts.membership.stop();
     parts.exchange.stop();
     parts.freshnessGuard.stop();
@@ -249,19 +251,12 @@
   // After a pause, waiting stage jobs have meanwhile been submitted to another coordinator,
   // and the view of the store is as old as the pause.
   private startPauseDetection(): void {
-    const {clock, coordinator, logger, freshnessGuard} = this.parts;
-    let tickedAtMs = clock.getNow();
-    const tick = () => {
-      if (this.isStopped) return;
-      const pausedMs = clock.getNow() - tickedAtMs - PAUSE_CHECK_INTERVAL_MS;
-      tickedAtMs = clock.getNow();
-      if (pausedMs > MIN_PAUSE_MS) {
-        logger.logEvent('entry.paused', {pausedMs: Math.round(pausedMs)});
-        coordinator.failAllJobs('the coordinator stood still');
-        void freshnessGuard.refresh();
-      }
-      clock.schedule(PAUSE_CHECK_INTERVAL_MS, tick);
-    };
-    clock.schedule(PAUSE_CHECK_INTERVAL_MS, tick);
+    const {coordinator, logger, freshnessGuard, loadMeter} = this.parts;
+    loadMeter.addListener(pausedMs => {
+      if (pausedMs <= MIN_PAUSE_MS) return;
+      logger.logEvent('entry.paused', {pausedMs: Math.round(pausedMs)});
+      coordinator.failAllJobs('the coordinator stood still');
+      void freshnessGuard.refresh();
+    });
   }
 }
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -42,6 +42,16 @@
     level: 'warn',
     text: 'the machine was suspended; clocks include that time, and overdue timers run now',
   },
+  'entry.saturated': {
+    number: 110,
+    level: 'warn',
+    text: 'the event loop is never idle, so new connections wait to be accepted',
+  },
+  'entry.unsaturated': {
+    number: 111,
+    level: 'info',
+    text: 'the event loop is idle at times again',
+  },
   'log.omitted': {
     number: 107,
     level: 'warn',
