--- a/packages/overload/src/load-meter.test.ts
+++ b/packages/overload/src/load-meter.test.ts
@@ -40,7 +40,7 @@
   traffic.addSocket(socket);
   await clock.advance(1000);
   usage.processorMs = 250;
-  usage.idleMs = 800;
+  usage.idleMs = 750;
   socket.bytesRead = 4000;
   socket.bytesWritten = 1000;
   await clock.advance(500);
@@ -48,7 +48,7 @@
   await clock.advance(500);
   assert.deepEqual(meter.getState(), {
     delayMs: 0,
-    loopUse: 0.2,
+    loopUse: 0.25,
     processorUse: 0.5,
     receivedBytesPerSecond: 4000,
     sentBytesPerSecond: 1000,
