Close connections unread that would wait too long at an instance

What callers saw: while most new connections go to one instance with a share of a core, its callers wait until their deadline, though eight others idle.

Cause: an instance began all work that reached it and had no measure of what it can begin. The event loop accepts one connection a turn, a turn handles the events of all requests in progress, so new connections wait in the system's accept queue, unseen, and nothing turns them away.

Now each connection is accepted paused. Connections are read one a turn, in turns that accept no other one, so that the accept queue is empty and requests in progress go first. One that would wait over 400 ms (100 ms once some have always waited for half a second) is closed unread: the caller knows that nothing ran and tries another instance. Readiness is unchanged: leaving the balancer would hand the lot to the next instance.

--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -40,6 +40,7 @@
   type SignalProtocol,
 } from '@hollowstack/upstream-signals';
 import {AttemptRunner} from './attempt-runner.ts';
+import {ConnectionGate} from './connection-gate.ts';
 import {CountedConnector} from './counted-connector.ts';
 import {CoordinatorSearch} from './coordinator-search.ts';
 import {CrashReporter} from './crash-reporter.ts';
@@ -327,9 +328,12 @@
     readIdleMs: () => performance.eventLoopUtilization().idle,
     countInProgress: () => lifecycle.countInProgress(),
   });
-  const server = new GatewayServer((incoming, outgoing) => {
-    void requestHandler.handle(incoming, outgoing);
-  }, traffic);
+  const server = new GatewayServer(
+    (incoming, outgoing) => {
+      void requestHandler.handle(incoming, outgoing);
+    },
+    {gate: new ConnectionGate({clock, logger, metrics, loadMeter}), traffic},
+  );
 
   routeHolder.addListener(table => {
     coordinator.setConfiguration(table);
--- a/packages/gateway/src/gateway-server.ts
+++ b/packages/gateway/src/gateway-server.ts
@@ -7,6 +7,7 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
+import type {ConnectionGate} from './connection-gate.ts';
 
 /** Handles one HTTP request; sends the answer to `outgoing`. */
 export type HttpRequestListener = (
@@ -19,21 +20,38 @@
 /** Milliseconds for a complete request; a body may take longer than the headers. */
 const BODY_TIMEOUT_MS = 30_000;
 
+/** Dependencies of GatewayServer. */
+export interface GatewayServerParts {
+  readonly gate: ConnectionGate;
+  readonly traffic: TrafficCounter;
+}
+
 /** The HTTP server for routed requests; its limits follow the configuration. */
 export class GatewayServer {
   private readonly server: Server;
 
-  constructor(handle: HttpRequestListener, traffic: TrafficCounter) {
+  constructor(
+    handle: HttpRequestListener,
+    {gate, traffic}: GatewayServerParts,
+  ) {
     this.server = createServer(
       {
         noDelay: true,
         connectionsCheckingInterval: CHECK_INTERVAL_MS,
         requestTimeout: BODY_TIMEOUT_MS,
       },
-      handle,
+      (incoming, outgoing) => {
+        gate.recordRequest(incoming.socket);
+        handle(incoming, outgoing);
+      },
     );
     this.server.timeout = 0;
-    this.server.on('connection', socket => traffic.addSocket(socket));
+    // Node.js reads this for each new connection: nothing is received before it is resumed.
+    Object.assign(this.server, {pauseOnConnect: true});
+    this.server.on('connection', socket => {
+      traffic.addSocket(socket);
+      gate.addConnection(socket);
+    });
   }
 
   /** Sets the limits of connections that are opened from now on. */
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -52,6 +52,16 @@
     level: 'info',
     text: 'the event loop is idle at times again',
   },
+  'entry.connections-rejected': {
+    number: 112,
+    level: 'warn',
+    text: 'new connections are closed unread, since their requests would wait too long here',
+  },
+  'entry.connections-admitted': {
+    number: 113,
+    level: 'info',
+    text: 'new connections are admitted again',
+  },
   'log.omitted': {
     number: 107,
     level: 'warn',
