Reject answers of upstreams whose head cannot be passed on

What callers saw: wrong bytes in the first line of one upstream's answer ended the gateway that received it, and all its connections with it.

Cause: the parser accepts more than may be written. writeHead threw on the reason phrase, and left it in the response, so that the error answer threw as well and the unhandled rejection ended the process. The class: bytes of others reach a call that throws outside any handler.

Now status, reason phrase and header values are checked as soon as the head arrives; such an answer is a failed attempt. The error answer names its own reason phrase, and handle() ends the connection with a log line if even that cannot be written. Other writers of heads take their own status and headers or run inside a handler (by reading).

--- a/packages/gateway/src/answer-writer.ts
+++ b/packages/gateway/src/answer-writer.ts
@@ -1,5 +1,10 @@
 import {HollowstackError} from '@hollowstack/errors';
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+  STATUS_CODES,
+  validateHeaderValue,
+  type IncomingMessage,
+  type ServerResponse,
+} from 'node:http';
 import {listEndToEndHeaders} from './header-list.ts';
 import type {RequestProtocol} from './request-protocol.ts';
 
@@ -8,6 +13,38 @@
 /** Milliseconds in `Retry-After` if the error does not specify a delay. */
 const DEFAULT_RETRY_AFTER_MS = 500;
 
+/** Characters that no reason phrase may hold. */
+const INVALID_REASON = /[^\t\x20-\x7e\x80-\xff]/;
+const MIN_FINAL_STATUS = 200;
+const MAX_STATUS = 999;
+
+/**
+ * Returns why the head of an answer cannot be passed on; undefined if it can. The parser accepts
+ * more than may be written.
+ */
+export function findHeadProblem({
+  statusCode = 0,
+  statusMessage = '',
+  rawHeaders,
+}: Pick<IncomingMessage, 'statusCode' | 'statusMessage' | 'rawHeaders'>):
+  string | undefined {
+  if (statusCode < MIN_FINAL_STATUS || statusCode > MAX_STATUS) {
+    return `the answer has status ${statusCode}`;
+  }
+  if (INVALID_REASON.test(statusMessage)) {
+    return 'the reason phrase of the answer holds invalid characters';
+  }
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    const name = rawHeaders[index];
+    try {
+      validateHeaderValue(name, rawHeaders[index + 1]);
+    } catch {
+      return `the header ${name} of the answer holds invalid characters`;
+    }
+  }
+  return undefined;
+}
+
 /**
  * Returns whether only the end of the connection marks the end of an answer, so that a
  * truncated one cannot be recognized.
@@ -105,7 +142,8 @@
     requestId,
     action: error.getAnswer().action,
   });
-  outgoing.writeHead(status, {
+  // The reason phrase is given, since a failed attempt to write a head may have left another.
+  outgoing.writeHead(status, STATUS_CODES[status] ?? '', {
     ...headers,
     'content-length': Buffer.byteLength(body),
   });
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -14,7 +14,11 @@
   type UpstreamSignals,
 } from '@hollowstack/upstream-signals';
 import type {IncomingMessage} from 'node:http';
-import {isCloseDelimited, writeUpstreamAnswer} from './answer-writer.ts';
+import {
+  findHeadProblem,
+  isCloseDelimited,
+  writeUpstreamAnswer,
+} from './answer-writer.ts';
 import {listEndToEndHeaders} from './header-list.ts';
 import type {RequestProtocol} from './request-protocol.ts';
 import type {RoutedRequest} from './routed-request.ts';
@@ -272,6 +276,8 @@
   private findProblem(head: IncomingMessage): string | undefined {
     const {request, protocol} = this.parts;
     const names = protocol.headers;
+    const headProblem = findHeadProblem(head);
+    if (headProblem) return headProblem;
     if (head.headers[names.requestId] !== request.facts.requestId) {
       return 'the answer belongs to another request';
     }
--- a/packages/gateway/src/gateway-request-handler.ts
+++ b/packages/gateway/src/gateway-request-handler.ts
@@ -198,7 +198,14 @@
       viewFrom: view.source,
       stack: error.kind === 'internal' ? error.stack : undefined,
     });
-    writeError(outgoing, error, requestId, protocol);
+    try {
+      writeError(outgoing, error, requestId, protocol);
+    } catch (thrown) {
+      // Without an answer the caller must at least see the connection end.
+      const {message, stack} = toHollowstackError(thrown);
+      logger.logEvent('request.internal', {requestId, reason: message, stack});
+      outgoing.destroy();
+    }
   }
 }
 
