Send answers without a length in chunks

What callers saw: a stream without a length looked whole after its gateway had been killed.

Cause: such an answer was passed on without a length or chunks, so only the end of the connection marked its end, and the system ends the connections of a killed process in order. The class: an end that the process has to do something for to look broken. Plain answers had it too; they are buffered whole and now get their length.

An orderly end of the upstream counts as its end, as it did for callers before; after a reset the chunks lack their last one.

--- a/packages/gateway/src/answer-writer.ts
+++ b/packages/gateway/src/answer-writer.ts
@@ -56,20 +56,16 @@
   );
 }
 
-// An answer without a length must not be framed here, or a truncated one would look
-// complete to the caller.
-function setCloseDelimited(outgoing: ServerResponse): void {
-  outgoing.useChunkedEncodingByDefault = false;
-  outgoing.shouldKeepAlive = false;
-}
-
-/** Writes the status and headers of an upstream's answer; the body is streamed afterwards. */
+/**
+ * Writes the status and headers of an upstream's answer; the body is streamed afterwards. One
+ * without a length is sent in chunks: the system ends the connections of a killed process in
+ * order, so the end of the connection would not show that the answer broke off.
+ */
 export function writeUpstreamHead(
   outgoing: ServerResponse,
   head: IncomingMessage,
 ): void {
   const headers = listEndToEndHeaders(head.rawHeaders, NO_HEADERS);
-  if (isCloseDelimited(head)) setCloseDelimited(outgoing);
   outgoing.writeHead(head.statusCode!, head.statusMessage, headers);
 }
 
@@ -82,26 +78,20 @@
   const headers = listEndToEndHeaders(head.rawHeaders, LENGTH_HEADER);
   const status = head.statusCode!;
   const mayHaveBody = status !== 204 && status !== 304;
-  if (isCloseDelimited(head) && mayHaveBody) {
-    setCloseDelimited(outgoing);
-    outgoing.writeHead(status, head.statusMessage, headers);
-    outgoing.end(body);
-    return;
-  }
-  if (head.headers['content-length'] !== undefined || mayHaveBody) {
-    const isHeadAnswer = outgoing.req.method === 'HEAD';
-    const length = isHeadAnswer
-      ? (head.headers['content-length'] ?? '0')
-      : `${body.length}`;
-    headers.push('Content-Length', length);
+  const statedLength = head.headers['content-length'];
+  if (outgoing.req.method === 'HEAD') {
+    if (statedLength !== undefined)
+      headers.push('Content-Length', statedLength);
+  } else if (statedLength !== undefined || mayHaveBody) {
+    headers.push('Content-Length', `${body.length}`);
   }
   outgoing.writeHead(status, head.statusMessage, headers);
   outgoing.end(body);
 }
 
 /**
- * Ends an answer that has begun and is not complete. One that ends with its connection is
- * reset, since an orderly end would make it look complete.
+ * Ends an answer that has begun and is not complete. One that ends with its connection, as a
+ * caller of HTTP/1.0 gets it, is reset, since an orderly end would make it look complete.
  */
 export function cancelAnswer(outgoing: ServerResponse): void {
   const {socket, useChunkedEncodingByDefault: isFramed} = outgoing;
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -46,10 +46,8 @@
     if (!head.complete || splitter.getRest().length > 0) {
       throw new TransportError('the stream broke off', 'some');
     }
-    // The regular end of a framed answer tells the caller that it is complete, which the end
-    // of a close-delimited stream does not prove.
-    const isFramed = outgoing.useChunkedEncodingByDefault;
-    if (outgoing.headersSent && isFramed && isCloseDelimited(head)) {
+    // A stream that another upstream began with a proof of its end ends with one.
+    if (request.isEndProven && isCloseDelimited(head)) {
       throw new TransportError('the stream ended without a proof', 'some');
     }
     this.writeHeadOnce();
@@ -57,8 +55,10 @@
   }
 
   private writeHeadOnce(): void {
-    const {outgoing} = this.request;
-    if (!outgoing.headersSent) writeUpstreamHead(outgoing, this.head);
+    const {request, head} = this;
+    if (request.outgoing.headersSent) return;
+    request.isEndProven = !isCloseDelimited(head);
+    writeUpstreamHead(request.outgoing, head);
   }
 
   private async writeEvents(bytes: Buffer): Promise<void> {
