Take an answer without a length for whole only if its upstream runs on

Now the instance connects to the upstream once more before it ends such an answer. An upstream that accepts no connection has gone: the answer has broken off, the request is repeated where it may be, and the caller gets no end that looks whole.

--- a/packages/gateway/src/answer-writer.ts
+++ b/packages/gateway/src/answer-writer.ts
@@ -45,10 +45,7 @@
   return undefined;
 }
 
-/**
- * Returns whether only the end of the connection marks the end of an answer, so that a
- * truncated one cannot be recognized.
- */
+/** Returns whether only the end of the connection marks the end of an answer. */
 export function isCloseDelimited(head: IncomingMessage): boolean {
   return (
     head.headers['content-length'] === undefined &&
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -298,6 +298,7 @@
     const {request} = this.parts;
     const body = await readWholeBody(head, MAX_BUFFERED_BYTES);
     request.recordRan('yes');
+    if (body.length > 0 && isCloseDelimited(head)) await this.checkEnd();
     const {outgoing} = request;
     if (status >= 500) {
       return {
@@ -326,17 +327,22 @@
     const {request, inputs} = this.parts;
     request.recordRan('yes');
     let firstMs: number | undefined;
-    const relay = new StreamRelay(request, head, () => {
-      this.watchInactivity(call);
-      if (firstMs !== undefined) return undefined;
-      firstMs = this.getElapsedMs();
-      const delay = this.parts.handleFirstEvent(firstMs);
-      // The first event proves that the upstream has read its inputs. Storing them for a
-      // possible resumption would occupy memory of the stage upstreams for the whole
-      // stream; if the stream breaks off, the stages run again instead.
-      if (this.parts.releasesAtFirstEvent) inputs?.release();
-      return delay;
-    });
+    const relay = new StreamRelay(
+      request,
+      head,
+      () => {
+        this.watchInactivity(call);
+        if (firstMs !== undefined) return undefined;
+        firstMs = this.getElapsedMs();
+        const delay = this.parts.handleFirstEvent(firstMs);
+        // The first event proves that the upstream has read its inputs. Storing them for a
+        // possible resumption would occupy memory of the stage upstreams for the whole
+        // stream; if the stream breaks off, the stages run again instead.
+        if (this.parts.releasesAtFirstEvent) inputs?.release();
+        return delay;
+      },
+      () => this.checkEnd(),
+    );
     await relay.run();
     return {
       type: 'answered',
@@ -345,6 +351,27 @@
     };
   }
 
+  // The end of its connection ends an answer without a length, but the system ends the
+  // connections of an upstream that has crashed in the same way. One that still accepts
+  // connections has not crashed.
+  private async checkEnd(): Promise<void> {
+    const {connector, upstream, request} = this.parts;
+    try {
+      const {stream} = await connector.connect({
+        address: upstream.address,
+        timeoutMs: CONNECT_TIMEOUT_MS,
+        signal: request.signal,
+      });
+      stream.destroy();
+    } catch (error) {
+      throw new TransportError(
+        'the answer has no length, and its upstream accepts no connection since its end',
+        'some',
+        error,
+      );
+    }
+  }
+
   private getElapsedMs(): number {
     return this.parts.clock.getNow() - this.startedAtMs;
   }
--- a/packages/gateway/src/routed-request.ts
+++ b/packages/gateway/src/routed-request.ts
@@ -72,8 +72,6 @@
    * stream, which may begin at any version.
    */
   streamVersion: string | undefined;
-  /** Whether the upstream that began the stream sent it with a length or in chunks. */
-  isEndProven = false;
   /** Id of the last event that was sent to the caller. */
   lastEventId: string | undefined;
   private ran: RunStatus = 'no';
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -9,20 +9,25 @@
   private readonly request: RoutedRequest;
   private readonly head: IncomingMessage;
   private readonly handleEvents: () => Promise<void> | undefined;
+  private readonly checkEnd: () => Promise<void>;
   private readonly splitter = new EventSplitter();
 
   /**
    * @param handleEvents Called whenever complete events have arrived; a returned promise
    * delays them.
+   * @param checkEnd Called if the stream has neither a length nor chunks and its connection
+   * has ended; rejects if the stream may have broken off.
    */
   constructor(
     request: RoutedRequest,
     head: IncomingMessage,
     handleEvents: () => Promise<void> | undefined,
+    checkEnd: () => Promise<void>,
   ) {
     this.request = request;
     this.head = head;
     this.handleEvents = handleEvents;
+    this.checkEnd = checkEnd;
   }
 
   /** Resolves once the stream has ended completely. @throws TransportError if it breaks off. */
@@ -46,19 +51,14 @@
     if (!head.complete || splitter.getRest().length > 0) {
       throw new TransportError('the stream broke off', 'some');
     }
-    // A stream that another upstream began with a proof of its end ends with one.
-    if (request.isEndProven && isCloseDelimited(head)) {
-      throw new TransportError('the stream ended without a proof', 'some');
-    }
+    if (isCloseDelimited(head)) await this.checkEnd();
     this.writeHeadOnce();
     outgoing.end();
   }
 
   private writeHeadOnce(): void {
-    const {request, head} = this;
-    if (request.outgoing.headersSent) return;
-    request.isEndProven = !isCloseDelimited(head);
-    writeUpstreamHead(request.outgoing, head);
+    const {outgoing} = this.request;
+    if (!outgoing.headersSent) writeUpstreamHead(outgoing, this.head);
   }
 
   private async writeEvents(bytes: Buffer): Promise<void> {
--- a/scripts/proofs.ts
+++ b/scripts/proofs.ts
@@ -411,6 +411,15 @@
     to: '',
     noticedBy: 'platform/src/unframed-answer.test.ts',
   },
+  {
+    promise: 'an answer that broke off never looks complete',
+    mechanism:
+      'an answer without a length is whole only if its upstream accepts connections',
+    file: 'packages/gateway/src/attempt.ts',
+    from: 'if (body.length > 0 && isCloseDelimited(head)) await this.checkEnd();',
+    to: '',
+    noticedBy: 'platform/src/end-to-end.test.ts',
+  },
   {
     promise: 'time counts while the machine is suspended',
     mechanism: 'the clock advances with the wall clock and the boot-time clock',
