Close no connection whose answer is still being sent

What callers saw: a planned stop cut answers that their callers read slowly, if they were larger than the socket buffers.

Cause: closeIdleConnections() of the runtime, called from 2.6 s of a stop on, also closes connections whose answer is ended by the program but not yet sent; the close method of an HTTP server does the same.

IdleConnections counts a connection as idle once its answers are handed to the system and no byte has come since. Gateways and the server of the pipelines' interface use it, there also to stop listening.

--- a/packages/gateway/src/gateway-server.ts
+++ b/packages/gateway/src/gateway-server.ts
@@ -1,5 +1,6 @@
 import type {TrafficCounter} from '@hollowstack/overload';
 import type {CallerLimits} from '@hollowstack/routes';
+import {IdleConnections} from '@hollowstack/transport';
 import {splitAddress} from '@hollowstack/types';
 import {
   createServer,
@@ -29,6 +30,7 @@
 /** The HTTP server for routed requests; its limits follow the configuration. */
 export class GatewayServer {
   private readonly server: Server;
+  private readonly idleConnections: IdleConnections;
 
   constructor(
     handle: HttpRequestListener,
@@ -46,6 +48,7 @@
       },
     );
     this.server.timeout = 0;
+    this.idleConnections = new IdleConnections(this.server);
     // Node.js reads this for each new connection: nothing is received before it is resumed.
     Object.assign(this.server, {pauseOnConnect: true});
     this.server.on('connection', socket => {
@@ -72,7 +75,7 @@
 
   /** Closes connections that carry no request. */
   closeIdleConnections(): void {
-    this.server.closeIdleConnections();
+    this.idleConnections.close();
   }
 
   /** Stops accepting connections and closes all open ones. */
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -13,6 +13,7 @@
   type HttpResponse,
   type SendProgress,
 } from './http-exchange.ts';
+export {IdleConnections} from './idle-connections.ts';
 export {NodeHttpClient} from './node-http-client.ts';
 export {
   NodeHttpServer,
--- a/packages/transport/src/node-http-server.ts
+++ b/packages/transport/src/node-http-server.ts
@@ -4,7 +4,7 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import type {AddressInfo} from 'node:net';
+import {Server as NetServer, type AddressInfo} from 'node:net';
 import {HollowstackError} from '@hollowstack/errors';
 import {
   readBody,
@@ -12,6 +12,7 @@
   type HttpRequest,
   type HttpResponse,
 } from './http-exchange.ts';
+import {IdleConnections} from './idle-connections.ts';
 import {joinHeaders} from './node-http-client.ts';
 
 /** Limits on the requests of callers. */
@@ -39,6 +40,7 @@
   private readonly server: Server;
   private readonly handler: HttpHandler;
   private readonly limits: HttpServerLimits;
+  private readonly idleConnections: IdleConnections;
 
   constructor(
     handler: HttpHandler,
@@ -59,6 +61,7 @@
         this.handleExchange(incoming, outgoing).catch(() => outgoing.destroy());
       },
     );
+    this.idleConnections = new IdleConnections(this.server);
   }
 
   /** Starts listening; resolves to the address with the actual port. */
@@ -77,14 +80,15 @@
 
   /** Closes connections without a request; the others stay open for their answer. */
   closeIdleConnections(): void {
-    this.server.closeIdleConnections();
+    this.idleConnections.close();
   }
 
   /** Stops listening and resolves once every connection is closed. */
   close(): Promise<void> {
     return new Promise(resolve => {
-      this.server.close(() => resolve());
-      this.server.closeIdleConnections();
+      // The close method of an HTTP server cuts answers that are ended but not yet sent.
+      NetServer.prototype.close.call(this.server, () => resolve());
+      this.idleConnections.closeFromNowOn();
     });
   }
 
