--- a/packages/overload/src/load-meter.ts
+++ b/packages/overload/src/load-meter.ts
@@ -75,7 +75,11 @@
       {},
       () => this.getState().loopUse,
     );
-    metrics.setGauge('process_cpu_seconds', {}, () => readProcessorMs() / 1000);
+    metrics.setGauge(
+      'process_cpu_seconds_total',
+      {},
+      () => readProcessorMs() / 1000,
+    );
     metrics.setGauge(
       'hollowstack_transferred_bytes',
       {direction: 'received'},
