--- a/packages/overload/src/turn-queue.ts
+++ b/packages/overload/src/turn-queue.ts
@@ -45,7 +45,7 @@
 /** Milliseconds without waiting work after which the mean interval is no longer valid. */
 const INTERVAL_VALIDITY_MS = 1000;
 /** Number of successive turns with arrivals after which waiting work begins nevertheless. */
-const MAX_ARRIVAL_TURNS = 32;
+const MAX_ARRIVAL_TURNS = 8;
 
 /**
  * Begins work in the order of its arrival, one piece in a turn of the event loop, and only in a
