Keep test processes from drawing the same ports

Two processes that look for ports at the same time started at ports made from their ids and checked only that nothing listens there yet: with ids that lead to overlapping ranges both got the same ones (shown with the same id in two processes: 21474 to 21476 twice), and the program that listened second ended.

Each process now owns blocks of ports: it listens on the first port of a block as long as it runs.

--- a/packages/local-system/src/free-addresses.ts
+++ b/packages/local-system/src/free-addresses.ts
@@ -1,4 +1,4 @@
-import {createServer} from 'node:net';
+import {createServer, type Server} from 'node:net';
 
 const HOST = '127.0.0.1';
 /**
@@ -7,27 +7,78 @@
  * process that listens there.
  */
 const FIRST_PORT = 15_000;
-const PORT_COUNT = 15_000;
-/** Distance between the first ports tried by processes with consecutive process ids. */
-const PORTS_PER_PROCESS = 97;
-
-let nextOffset = (process.pid * PORTS_PER_PROCESS) % PORT_COUNT;
-
-/** Finds distinct loopback addresses that no process listens on. */
-export async function findFreeAddresses(count: number): Promise<string[]> {
-  const addresses: string[] = [];
-  while (addresses.length < count) {
-    const port = FIRST_PORT + nextOffset;
-    nextOffset = (nextOffset + 1) % PORT_COUNT;
-    if (await isFreePort(port)) addresses.push(`${HOST}:${port}`);
+const BLOCK_COUNT = 300;
+/** Ports of a block; the first one is its guard. */
+const BLOCK_PORTS = 50;
+
+/**
+ * Finds free ports in blocks that belong to one reserver each: it listens on the first port of
+ * its blocks as long as its process runs. So processes that look for ports at the same time do
+ * not find the same ones before anything listens on them.
+ */
+export class AddressReserver {
+  private readonly guards: Server[] = [];
+  private nextBlock: number;
+  private nextPort = 0;
+  private endPort = 0;
+
+  /** @param firstBlock Number of the block that is tried first. */
+  constructor(firstBlock: number) {
+    this.nextBlock = firstBlock % BLOCK_COUNT;
+  }
+
+  /** Finds distinct loopback addresses that no process listens on. */
+  async findAddresses(count: number): Promise<string[]> {
+    const addresses: string[] = [];
+    while (addresses.length < count) {
+      if (this.nextPort >= this.endPort) await this.reserveBlock();
+      const port = this.nextPort++;
+      if (await isFreePort(port)) addresses.push(`${HOST}:${port}`);
+    }
+    return addresses;
+  }
+
+  /** Gives its blocks back. */
+  close(): void {
+    for (const guard of this.guards) guard.close();
   }
-  return addresses;
+
+  private async reserveBlock(): Promise<void> {
+    for (let tried = 0; tried < BLOCK_COUNT; tried++) {
+      const guardPort = FIRST_PORT + this.nextBlock * BLOCK_PORTS;
+      this.nextBlock = (this.nextBlock + 1) % BLOCK_COUNT;
+      const guard = await listenOn(guardPort);
+      if (!guard) continue;
+      // The guard does not keep the process running.
+      guard.unref();
+      this.guards.push(guard);
+      this.nextPort = guardPort + 1;
+      this.endPort = guardPort + BLOCK_PORTS;
+      return;
+    }
+    throw new Error('all ports for tests are reserved by other processes');
+  }
+}
+
+const reserver = new AddressReserver(process.pid);
+
+/** Finds distinct loopback addresses that no process listens on and no other one finds. */
+export function findFreeAddresses(count: number): Promise<string[]> {
+  return reserver.findAddresses(count);
+}
+
+async function isFreePort(port: number): Promise<boolean> {
+  const server = await listenOn(port);
+  if (!server) return false;
+  await new Promise(resolve => server.close(resolve));
+  return true;
 }
 
-function isFreePort(port: number): Promise<boolean> {
+// Resolves to undefined if the port is in use.
+function listenOn(port: number): Promise<Server | undefined> {
   const server = createServer();
   return new Promise(resolve => {
-    server.once('error', () => resolve(false));
-    server.listen(port, HOST, () => server.close(() => resolve(true)));
+    server.once('error', () => resolve(undefined));
+    server.listen(port, HOST, () => resolve(server));
   });
 }
