Bound answers of upstreams that never end

Two upstreams of four that send bytes without end, 36 requests in 0.43 s, one gateway as a process: connections stayed open until the deadline of 3 s, the gateway used 3.6 to 6.0 s of processor time where 0.97 s is its share, held up to 275 MB of an instance's 250, and sound upstreams' answers took up to 1.5 s (5 to 21 of 36 requests served).

Cause: nothing bounded what an upstream sends but the attempt's time.

Now AnswerGuard counts bytes before the head and around the body, MemoryBudget the bytes that all messages hold, and large bodies take turns. What exceeds a limit loses its connection in the same turn, the attempt has failed, and all limits but that of the instance count against the upstream. An attempt that this instance ended for want of memory may be repeated; an abort by the request itself has been thrown before that check.

--- a/packages/gateway/src/attempt-runner.ts
+++ b/packages/gateway/src/attempt-runner.ts
@@ -1,6 +1,7 @@
 import type {Clock} from '@hollowstack/clock';
 import {HollowstackError} from '@hollowstack/errors';
 import type {EventLogger} from '@hollowstack/logger';
+import type {MetricsRegistry} from '@hollowstack/metrics';
 import type {
   IsolatedAttempts,
   RequestQuarantine,
@@ -12,6 +13,7 @@
   type RegisteredUpstream,
 } from '@hollowstack/routes';
 import type {StreamOrigins} from '@hollowstack/stream-origins';
+import type {MemoryBudget} from '@hollowstack/transport';
 import type {PromptPart} from '@hollowstack/types';
 import type {PathConnector, PathOutage} from '@hollowstack/upstream-paths';
 import type {UpstreamSignals} from '@hollowstack/upstream-signals';
@@ -35,6 +37,8 @@
   readonly clock: Clock;
   readonly logger: EventLogger;
   readonly connector: PathConnector;
+  readonly memory: MemoryBudget;
+  readonly metrics: MetricsRegistry;
   readonly protocol: RequestProtocol;
   readonly pool: UpstreamPool;
   readonly registry: Pick<UpstreamRegistry, 'getState'>;
@@ -274,13 +278,14 @@
     upstream: RegisteredUpstream,
     {inputs, handleFirstEvent}: AttemptOptions,
   ): Promise<AttemptOutcome> {
-    const {clock, connector, protocol, pool, signals} = this.parts;
+    const {clock, connector, memory, protocol, pool, signals} = this.parts;
     const {chooser, policy, quarantine, crashReporter, limitedSends} =
       this.parts;
     const upstreamId = upstream.id;
     const attempt = new Attempt({
       clock,
       connector,
+      memory,
       protocol,
       request,
       upstream,
@@ -387,7 +392,7 @@
     const {route, service} = request.facts;
     if (request.sentTo.length >= route.maxAttempts) return false;
     if (outcome.type === 'failed') {
-      if (!isRepeatable(route) || outcome.isLocallyAborted) return false;
+      if (!isRepeatable(route)) return false;
       if (outcome.hasLostConnection && quarantine.isIsolated(request))
         return false;
       if (request.outgoing.headersSent && !route.isResumable) return false;
@@ -403,6 +408,14 @@
     const {requestId, service, workspace} = request.facts;
     const hasLostConnection =
       outcome.type === 'failed' && outcome.hasLostConnection;
+    const exceededLimit =
+      outcome.type === 'failed' ? outcome.exceededLimit : undefined;
+    if (exceededLimit) {
+      this.parts.metrics.addToCounter('hollowstack_answers_over_limit_total', {
+        limit: exceededLimit,
+        service,
+      });
+    }
     this.parts.logger.logEvent('attempt.failed', {
       requestId,
       service,
@@ -410,6 +423,7 @@
       attempt: request.sentTo.length,
       outcome: outcome.type,
       reason: outcome.reason,
+      exceededLimit,
       version: this.parts.pool.getRecord(upstreamId)?.softwareVersion,
       lastEventId: request.lastEventId,
       // Shows whether the same request was involved in several crashes.
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -3,7 +3,11 @@
 import {
   SingleCall,
   TransportError,
+  type AnswerLimit,
   type Connector,
+  findExceededLimit,
+  type MemoryBudget,
+  type MemoryReservation,
   isConnectionLost,
   isConnectionRefused,
   isPathError,
@@ -36,6 +40,7 @@
 export interface AttemptParts {
   readonly clock: Clock;
   readonly connector: Connector;
+  readonly memory: MemoryBudget;
   readonly protocol: RequestProtocol;
   readonly request: RoutedRequest;
   readonly upstream: RegisteredUpstream;
@@ -106,6 +111,8 @@
       readonly isLocallyAborted: boolean;
       /** Whether the connection was lost during the attempt, as happens if the upstream crashes. */
       readonly hasLostConnection: boolean;
+      /** The limit that the answer exceeded; undefined for another reason. */
+      readonly exceededLimit: AnswerLimit | undefined;
       /**
        * Sends the upstream's own error answer to the caller; set if it arrived completely and
        * no part of an answer was sent yet.
@@ -129,6 +136,8 @@
 export class Attempt {
   private readonly parts: AttemptParts;
   private readonly startedAtMs: number;
+  /** Whether a whole body occupies memory until the caller has got its answer. */
+  private holdsBody = false;
   private inactivityTimer: Timer | undefined;
 
   constructor(parts: AttemptParts) {
@@ -166,10 +175,13 @@
     request.recordRan('unknown');
     request.addAttempt(upstream);
     this.watchInactivity(call);
+    const reservation = this.parts.memory.createReservation(error =>
+      call.fail(error),
+    );
     try {
       const head = await call.response;
       this.recordSignals(head);
-      const outcome = await this.handleHead(head, call);
+      const outcome = await this.handleHead(head, call, reservation);
       if (outcome.type === 'not-run') request.recordNotRun(ranBefore);
       if (outcome.type === 'not-run' && outcome.isMisdirected) {
         request.removeAttempt();
@@ -187,18 +199,22 @@
         const isPathLost = isPathError(error);
         return {type: 'unsent', reason, isWithdrawn, isRefused, isPathLost};
       }
-      const isLocallyAborted = request.signal.aborted;
+      const exceededLimit = findExceededLimit(error);
+      const isLocallyAborted =
+        request.signal.aborted || exceededLimit === 'instance';
       const hasLostConnection = !call.hasCancelled() && isConnectionLost(error);
       return {
         type: 'failed',
         reason,
         isLocallyAborted,
         hasLostConnection,
+        exceededLimit,
       };
     } finally {
       request.signal.removeEventListener('abort', cancelCall);
       this.inactivityTimer?.cancel();
       call.cancel('done');
+      if (!this.holdsBody) reservation.release();
     }
   }
 
@@ -252,6 +268,7 @@
   private async handleHead(
     head: IncomingMessage,
     call: SingleCall,
+    reservation: MemoryReservation,
   ): Promise<AttemptOutcome> {
     const {request, protocol} = this.parts;
     const names = protocol.headers;
@@ -269,8 +286,8 @@
     const isStream =
       request.facts.route.repeatability === 'stream' && isSuccess(status);
     return isStream
-      ? this.deliverStream(head, call)
-      : this.deliverWhole(head, status);
+      ? this.deliverStream(head, call, reservation)
+      : this.deliverWhole(head, call, reservation);
   }
 
   private findProblem(head: IncomingMessage): string | undefined {
@@ -293,11 +310,18 @@
 
   private async deliverWhole(
     head: IncomingMessage,
-    status: number,
+    call: SingleCall,
+    reservation: MemoryReservation,
   ): Promise<AttemptOutcome> {
     const {request} = this.parts;
-    const body = await readWholeBody(head, MAX_BUFFERED_BYTES);
+    const status = head.statusCode ?? 0;
+    const body = await readWholeBody(call, {
+      maxBytes: MAX_BUFFERED_BYTES,
+      reservation,
+    });
     request.recordRan('yes');
+    this.holdsBody = !request.outgoing.closed;
+    request.outgoing.once('close', () => reservation.release());
     if (body.length > 0 && isCloseDelimited(head)) await this.checkEnd();
     const {outgoing} = request;
     if (status >= 500) {
@@ -323,26 +347,30 @@
   private async deliverStream(
     head: IncomingMessage,
     call: SingleCall,
+    reservation: MemoryReservation,
   ): Promise<AttemptOutcome> {
     const {request, inputs} = this.parts;
     request.recordRan('yes');
     let firstMs: number | undefined;
-    const relay = new StreamRelay(
+    const handleEvents = () => {
+      this.watchInactivity(call);
+      if (firstMs !== undefined) return undefined;
+      firstMs = this.getElapsedMs();
+      const delay = this.parts.handleFirstEvent(firstMs);
+      // The first event proves that the upstream has read its inputs. Storing them for a
+      // possible resumption would occupy memory of the stage upstreams for the whole
+      // stream; if the stream breaks off, the stages run again instead.
+      if (this.parts.releasesAtFirstEvent) inputs?.release();
+      return delay;
+    };
+    const relay = new StreamRelay({
       request,
+      call,
       head,
-      () => {
-        this.watchInactivity(call);
-        if (firstMs !== undefined) return undefined;
-        firstMs = this.getElapsedMs();
-        const delay = this.parts.handleFirstEvent(firstMs);
-        // The first event proves that the upstream has read its inputs. Storing them for a
-        // possible resumption would occupy memory of the stage upstreams for the whole
-        // stream; if the stream breaks off, the stages run again instead.
-        if (this.parts.releasesAtFirstEvent) inputs?.release();
-        return delay;
-      },
-      () => this.checkEnd(),
-    );
+      reservation,
+      handleEvents,
+      checkEnd: () => this.checkEnd(),
+    });
     await relay.run();
     return {
       type: 'answered',
@@ -385,6 +413,7 @@
     reason,
     isLocallyAborted: false,
     hasLostConnection: false,
+    exceededLimit: undefined,
   };
 }
 
--- a/packages/gateway/src/cached-prompts-reader.ts
+++ b/packages/gateway/src/cached-prompts-reader.ts
@@ -2,7 +2,11 @@
 import type {Clock} from '@hollowstack/clock';
 import type {EventLogger} from '@hollowstack/logger';
 import type {RegisteredUpstream} from '@hollowstack/routes';
-import {callForWholeAnswer, type Connector} from '@hollowstack/transport';
+import {
+  callForWholeAnswer,
+  type Connector,
+  type MemoryBudget,
+} from '@hollowstack/transport';
 import {
   toAnswerHead,
   type UpstreamSignals,
@@ -14,6 +18,7 @@
   readonly clock: Clock;
   readonly logger: EventLogger;
   readonly connector: Connector;
+  readonly memory: MemoryBudget;
   readonly directory: EngineDirectory;
   readonly protocol: EngineProtocol;
   readonly signals: Pick<UpstreamSignals, 'recordAnswer'>;
@@ -54,14 +59,15 @@
   }
 
   private async readEngine(engine: RegisteredUpstream): Promise<void> {
-    const {clock, connector, logger, directory, protocol, signals} = this.parts;
+    const {clock, connector, memory, logger, directory, protocol, signals} =
+      this.parts;
     const {id, address} = engine;
     const request = protocol.createCacheContentsRequest(address);
     const sentAtMs = clock.getNow();
     try {
       const {head, body} = await callForWholeAnswer(
         {...request, address, connectTimeoutMs: CONNECT_TIMEOUT_MS},
-        {clock, connector},
+        {clock, connector, memory},
         {timeoutMs: ANSWER_TIMEOUT_MS, maxBytes: MAX_ANSWER_BYTES},
       );
       signals.recordAnswer({
@@ -74,8 +80,10 @@
       const cachedParts = protocol.parseCacheContents(body.toString('utf8'));
       directory.recordCachedParts(id, cachedParts);
       logger.logEvent('engine.kept', {upstream: id, parts: cachedParts.length});
-    } catch {
+    } catch (error) {
       // Without an answer the cache counts as empty, which only costs repeated prefills.
+      const reason = error instanceof Error ? error.message : String(error);
+      logger.logEvent('engine.unread', {upstream: id, reason});
     }
   }
 }
--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -25,7 +25,7 @@
 } from '@hollowstack/quarantine';
 import {CheckpointWriter, OrphanReleaser} from '@hollowstack/result-checkpoint';
 import type {KeyValueStore} from '@hollowstack/store';
-import {Connector} from '@hollowstack/transport';
+import {Connector, MemoryBudget} from '@hollowstack/transport';
 import {
   OriginTable,
   StreamOrigins,
@@ -70,6 +70,12 @@
 import {UpstreamRegistry} from './upstream-registry.ts';
 import {WindowRetryBudget} from './window-retry-budget.ts';
 
+/**
+ * Maximum number of bytes that the requests and answers of an instance hold together, besides
+ * a small share that each of them may hold anyway.
+ */
+const MAX_MESSAGE_BYTES = 24 * 1024 * 1024;
+
 /** External dependencies of a gateway; tests pass their own. */
 export interface GatewayEnvironment {
   readonly clock: Clock;
@@ -101,6 +107,10 @@
   const {id, failureDomain} = settings.instance;
   const getNow = () => clock.getNow();
   const lifecycle = new GatewayLifecycle();
+  const memory = new MemoryBudget(MAX_MESSAGE_BYTES);
+  metrics.setGauge('hollowstack_message_bytes', {}, () =>
+    memory.getHeldBytes(),
+  );
   const routeHolder = new RouteHolder(protocol, logger, clock);
   const evacuated = new EvacuatedDomains({protocol, logger, clock});
   const registry = new UpstreamRegistry(protocol, logger, clock, evacuated);
@@ -191,6 +201,7 @@
       protocol: environment.stageProtocol,
       clock,
       connector,
+      memory,
       signals,
     }),
     backOffs,
@@ -217,6 +228,7 @@
     clock,
     logger,
     connector,
+    memory,
     directory,
     protocol: environment.engineProtocol,
     signals,
@@ -277,7 +289,9 @@
     attempts: new AttemptRunner({
       clock,
       logger,
+      metrics,
       connector,
+      memory,
       protocol,
       pool,
       registry,
--- a/packages/gateway/src/event-splitter.test.ts
+++ b/packages/gateway/src/event-splitter.test.ts
@@ -13,7 +13,9 @@
     'id: 1\ndata: a\n\nid: 2\ndata: b\n\n',
   );
   assert.equal(events?.lastId, '2');
-  assert.equal(splitter.getRest().toString(), 'id: 3\ndata');
+  assert.equal(splitter.countRestBytes(), 'id: 3\ndata'.length);
+  const lastEvent = splitter.addBytes(Buffer.from('\n\n'));
+  assert.equal(lastEvent?.bytes.toString(), 'id: 3\ndata\n\n');
 });
 
 test('the output does not depend on the chunk size of the input', () => {
@@ -31,6 +33,18 @@
     }
     assert.equal(out, text);
     assert.equal(lastId, '8');
-    assert.equal(splitter.getRest().length, 0);
+    assert.equal(splitter.countRestBytes(), 0);
   }
 });
+
+test('an event that never ends is rejected after a time that is proportional to its size', () => {
+  const splitter = new EventSplitter();
+  const chunk = Buffer.from('data: x\n'.repeat(8));
+  const count = (1024 * 1024) / chunk.length;
+  const startedAtMs = performance.now();
+  for (let index = 0; index < count; index++) {
+    assert.equal(splitter.addBytes(chunk), undefined);
+  }
+  assert.throws(() => splitter.addBytes(chunk), {limit: 'event'});
+  assert.ok(performance.now() - startedAtMs < 500);
+});
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -1,68 +1,72 @@
-import {TransportError} from '@hollowstack/transport';
+import {
+  TransportError,
+  type MemoryReservation,
+  type SingleCall,
+} from '@hollowstack/transport';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {isCloseDelimited, writeUpstreamHead} from './answer-writer.ts';
-import {EventSplitter} from './event-splitter.ts';
+import {EventSplitter, type CompleteEvents} from './event-splitter.ts';
 import type {RoutedRequest} from './routed-request.ts';
 
+/** Dependencies and inputs of a StreamRelay. */
+export interface StreamRelayParts {
+  readonly request: RoutedRequest;
+  readonly call: SingleCall;
+  readonly head: IncomingMessage;
+  /** Counts the bytes of the event that has not ended yet. */
+  readonly reservation: MemoryReservation;
+  /** Called whenever complete events have arrived; a returned promise delays them. */
+  readonly handleEvents: () => Promise<void> | undefined;
+  /**
+   * Called if the stream has neither a length nor chunks and its connection has ended; rejects
+   * if the stream may have broken off.
+   */
+  readonly checkEnd: () => Promise<void>;
+}
+
 /** Forwards the complete events of an upstream's stream to the caller as they arrive. */
 export class StreamRelay {
-  private readonly request: RoutedRequest;
-  private readonly head: IncomingMessage;
-  private readonly handleEvents: () => Promise<void> | undefined;
-  private readonly checkEnd: () => Promise<void>;
+  private readonly parts: StreamRelayParts;
   private readonly splitter = new EventSplitter();
 
-  /**
-   * @param handleEvents Called whenever complete events have arrived; a returned promise
-   * delays them.
-   * @param checkEnd Called if the stream has neither a length nor chunks and its connection
-   * has ended; rejects if the stream may have broken off.
-   */
-  constructor(
-    request: RoutedRequest,
-    head: IncomingMessage,
-    handleEvents: () => Promise<void> | undefined,
-    checkEnd: () => Promise<void>,
-  ) {
-    this.request = request;
-    this.head = head;
-    this.handleEvents = handleEvents;
-    this.checkEnd = checkEnd;
+  constructor(parts: StreamRelayParts) {
+    this.parts = parts;
   }
 
   /** Resolves once the stream has ended completely. @throws TransportError if it breaks off. */
   async run(): Promise<void> {
-    const {request, head, splitter} = this;
-    const {outgoing} = request;
-    try {
-      for await (const chunk of head) {
-        const events = splitter.addBytes(chunk);
-        if (!events) continue;
-        const delay = this.handleEvents();
-        if (delay) await delay;
-        request.signal.throwIfAborted();
-        await this.writeEvents(events.bytes);
-        if (events.lastId !== undefined) request.lastEventId = events.lastId;
-      }
-    } catch (error) {
-      const message = error instanceof Error ? error.message : String(error);
-      throw new TransportError(message, 'some', error);
+    const {splitter} = this;
+    const {request, call, head, reservation, checkEnd} = this.parts;
+    for await (const chunk of call.readChunks()) {
+      const events = splitter.addBytes(chunk);
+      reservation.setBytes(splitter.countRestBytes());
+      if (events) await this.handleEvents(events);
     }
-    if (!head.complete || splitter.getRest().length > 0) {
+    if (splitter.countRestBytes() > 0) {
       throw new TransportError('the stream broke off', 'some');
     }
-    if (isCloseDelimited(head)) await this.checkEnd();
+    if (isCloseDelimited(head)) await checkEnd();
     this.writeHeadOnce();
-    outgoing.end();
+    request.outgoing.end();
+  }
+
+  private async handleEvents({bytes, lastId}: CompleteEvents): Promise<void> {
+    const {request, handleEvents} = this.parts;
+    const delay = handleEvents();
+    if (delay) await delay;
+    request.signal.throwIfAborted();
+    await this.writeEvents(bytes);
+    if (lastId !== undefined) request.lastEventId = lastId;
   }
 
   private writeHeadOnce(): void {
-    const {outgoing} = this.request;
-    if (!outgoing.headersSent) writeUpstreamHead(outgoing, this.head);
+    const {request, head} = this.parts;
+    const {outgoing} = request;
+    if (!outgoing.headersSent) writeUpstreamHead(outgoing, head);
   }
 
   private async writeEvents(bytes: Buffer): Promise<void> {
-    const {outgoing} = this.request;
+    const {outgoing} = this.parts.request;
     this.writeHeadOnce();
     if (!outgoing.write(bytes)) await waitForDrain(outgoing);
   }
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -389,6 +389,11 @@
     level: 'info',
     text: 'a caller resumes a stream; the line names the software version at which it goes on',
   },
+  'engine.unread': {
+    number: 634,
+    level: 'warn',
+    text: 'the list of prompt parts that an engine has cached could not be read',
+  },
   'engine.kept': {
     number: 620,
     level: 'info',
--- a/packages/stages/src/stage-caller.ts
+++ b/packages/stages/src/stage-caller.ts
@@ -4,6 +4,7 @@
   TransportError,
   callForWholeAnswer,
   type Connector,
+  type MemoryBudget,
   isConnectionLost,
   isPathError,
   type WholeAnswer,
@@ -62,6 +63,7 @@
   readonly protocol: StageProtocol;
   readonly clock: Clock;
   readonly connector: Connector;
+  readonly memory: MemoryBudget;
   readonly signals: Pick<UpstreamSignals, 'recordAnswer'>;
 }
 
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -13,6 +13,12 @@
   type HttpResponse,
   type SendProgress,
 } from './http-exchange.ts';
+export {
+  AnswerLimitError,
+  findExceededLimit,
+  type AnswerLimit,
+} from './answer-limit-error.ts';
+export {MemoryBudget, type MemoryReservation} from './memory-budget.ts';
 export {IdleConnections} from './idle-connections.ts';
 export {NodeHttpClient} from './node-http-client.ts';
 export {
@@ -30,6 +36,7 @@
   readWholeBody,
   type SingleCallRequest,
   type WholeAnswer,
+  type WholeBodyLimits,
   type WholeCallLimits,
   type WholeCallParts,
 } from './single-call.ts';
--- a/packages/transport/src/single-call.ts
+++ b/packages/transport/src/single-call.ts
@@ -5,8 +5,18 @@
   type IncomingMessage,
 } from 'node:http';
 import type {Duplex} from 'node:stream';
+import {AnswerGuard} from './answer-guard.ts';
+import {AnswerLimitError} from './answer-limit-error.ts';
 import {NoPathError, type Connection, type Connector} from './connector.ts';
 import {TransportError, type SendProgress} from './http-exchange.ts';
+import type {MemoryBudget, MemoryReservation} from './memory-budget.ts';
+import {TurnPacer} from './turn-pacer.ts';
+
+/** Bytes of a body from which on it shares the turns of the event loop with other large ones. */
+const LARGE_BODY_BYTES = 64 * 1024;
+
+/** Shared by all calls, since they run in the same event loop. */
+const pacer = new TurnPacer();
 
 /** A request that is sent without changes to its headers. */
 export interface SingleCallRequest {
@@ -38,6 +48,7 @@
   private outgoing: ClientRequest | undefined;
   private progress: SendProgress = 'none';
   private incoming: IncomingMessage | undefined;
+  private readonly guard = new AnswerGuard(error => this.fail(error));
   private isCancelled = false;
   private carrier: string | undefined;
 
@@ -73,6 +84,35 @@
     this.outgoing.destroy(isComplete ? undefined : new Error(reason));
   }
 
+  /** Closes the connection, because the answer exceeds a limit; its reader gets the error. */
+  fail(error: AnswerLimitError): void {
+    this.outgoing?.destroy(error);
+  }
+
+  /**
+   * Yields the body of the answer.
+   *
+   * @throws TransportError if it breaks off or exceeds a limit.
+   */
+  async *readChunks(): AsyncGenerator<Buffer, void, void> {
+    const incoming = await this.response;
+    let byteCount = 0;
+    try {
+      for await (const chunk of incoming as AsyncIterable<Buffer>) {
+        this.guard.recordBody(chunk.length);
+        byteCount += chunk.length;
+        yield chunk;
+        if (byteCount > LARGE_BODY_BYTES) await pacer.waitForTurn();
+      }
+    } catch (error) {
+      const message = error instanceof Error ? error.message : String(error);
+      throw new TransportError(message, 'some', error);
+    }
+    if (!incoming.complete) {
+      throw new TransportError('the answer broke off', 'some');
+    }
+  }
+
   private async run(
     request: SingleCallRequest,
     connector: Connector,
@@ -116,12 +156,17 @@
       createConnection: () => stream,
     });
     this.outgoing = outgoing;
+    outgoing.once('socket', socket => {
+      const stopWatching = this.guard.watchStream(socket);
+      outgoing.once('close', stopWatching);
+    });
     const response = new Promise<IncomingMessage>((resolve, reject) => {
       outgoing.once('response', incoming => {
         // The body's reader handles its errors; without a reader, an unhandled
         // 'error' event would end the process.
         incoming.on('error', () => {});
         this.incoming = incoming;
+        this.guard.recordHead(incoming);
         resolve(incoming);
       });
       outgoing.on('error', error => {
@@ -140,33 +185,51 @@
   }
 }
 
+/** Limits of an answer that is read completely. */
+export interface WholeBodyLimits {
+  readonly maxBytes: number;
+  /** Counts the bytes while they are read, and afterwards until it is released. */
+  readonly reservation: MemoryReservation;
+}
+
 /**
  * Reads the body of an answer to its end.
  *
- * @throws TransportError if the body breaks off or is larger than `maxBytes`.
+ * @throws TransportError if the body breaks off or exceeds a limit.
  */
 export async function readWholeBody(
-  incoming: IncomingMessage,
-  maxBytes: number,
+  call: SingleCall,
+  {maxBytes, reservation}: WholeBodyLimits,
 ): Promise<Buffer> {
+  const incoming = await call.response;
+  checkSize(getStatedBytes(incoming), maxBytes);
   const chunks: Buffer[] = [];
   let size = 0;
-  try {
-    for await (const chunk of incoming) {
-      chunks.push(chunk);
-      size += chunk.length;
-      if (size > maxBytes) throw new Error('the answer is too large');
-    }
-  } catch (error) {
-    const message = error instanceof Error ? error.message : String(error);
-    throw new TransportError(message, 'some', error);
-  }
-  if (!incoming.complete) {
-    throw new TransportError('the answer broke off', 'some');
+  for await (const chunk of call.readChunks()) {
+    chunks.push(chunk);
+    size += chunk.length;
+    checkSize(size, maxBytes);
+    reservation.setBytes(size);
   }
+  reservation.finishReading();
   return Buffer.concat(chunks, size);
 }
 
+function checkSize(byteCount: number, maxBytes: number): void {
+  if (byteCount <= maxBytes) return;
+  const message = `the answer has ${byteCount} bytes, ${maxBytes} are allowed`;
+  throw new AnswerLimitError('body', message);
+}
+
+// An answer to HEAD states the length of a body that it does not have.
+function getStatedBytes({
+  headers,
+  req,
+}: IncomingMessage & {req?: {method?: string}}): number {
+  if (req?.method === 'HEAD') return 0;
+  return Number(headers['content-length'] ?? 0);
+}
+
 /** System error codes for a connection that the other side closed. */
 const CONNECTION_LOST_CODES: ReadonlySet<string> = new Set([
   'ECONNRESET',
@@ -210,6 +273,7 @@
 export interface WholeCallParts {
   readonly clock: Clock;
   readonly connector: Connector;
+  readonly memory: MemoryBudget;
 }
 
 /** An answer that was read completely. */
@@ -233,10 +297,11 @@
  */
 export async function callForWholeAnswer(
   request: SingleCallRequest,
-  {clock, connector}: WholeCallParts,
+  {clock, connector, memory}: WholeCallParts,
   limits: WholeCallLimits,
 ): Promise<WholeAnswer> {
   const call = new SingleCall(request, connector);
+  const reservation = memory.createReservation(error => call.fail(error));
   let hasTimedOut = false;
   const timer = scheduleTimeout(clock, limits.timeoutMs, () => {
     hasTimedOut = true;
@@ -247,7 +312,8 @@
   try {
     if (limits.signal?.aborted) cancelCall();
     const head = await call.response;
-    const body = await readWholeBody(head, limits.maxBytes);
+    const {maxBytes} = limits;
+    const body = await readWholeBody(call, {maxBytes, reservation});
     return {head, body};
   } catch (error) {
     if (!hasTimedOut) throw error;
@@ -255,6 +321,7 @@
   } finally {
     timer.cancel();
     limits.signal?.removeEventListener('abort', cancelCall);
+    reservation.release();
     call.cancel('done');
   }
 }
