Refuse requests that state impossible work

What callers would see: one request with Chunk-Count: ended the gateway that read it, and all its connections with it (a process, 16 s after the request, out of memory). Infinity and negative numbers of pieces or tokens were taken as they were.

The numbers were parsed and never checked, and a piece is created for each that is stated.

Now a request is answered with 400 and the reason, before its admission, if a stage has no whole number of pieces from 0 to 4096, or a part of the prompt no whole number of tokens.

--- a/packages/gateway/src/request-runner.ts
+++ b/packages/gateway/src/request-runner.ts
@@ -16,6 +16,7 @@
 import type {PromptPart} from '@hollowstack/types';
 import type {PathConnector} from '@hollowstack/upstream-paths';
 import type {AttemptRunner} from './attempt-runner.ts';
+import {checkPromptParts, checkStageCounts} from './check-stated-work.ts';
 import type {PolicySettings} from './gateway-settings.ts';
 import type {LimitedSends} from './limited-sends.ts';
 import {InputsLostError, ReleasableInputs} from './releasable-inputs.ts';
@@ -70,15 +71,16 @@
   async run(request: RoutedRequest, table: RouteTable): Promise<void> {
     const {protocol, retryBudget} = this.parts;
     const promptParts = request.listPromptParts(protocol);
+    checkPromptParts(promptParts);
     request.promptTokens = countTokens(promptParts);
     request.sharedParts = request.listSharedParts(protocol);
-    const counts = request.getHeader(protocol.headers.stageCounts);
+    const pieceCounts = this.readPieceCounts(request);
     retryBudget.recordRequest(request.facts.service);
     await this.parts.quarantine.admitRequest(request);
     await this.resumeStream(request);
     this.checkAvailability(request);
     await this.parts.limitedSends.reserveSend(request);
-    if (request.facts.route.stages.length === 0 || counts === undefined) {
+    if (!pieceCounts) {
       await this.parts.attempts.run(request, {
         promptParts,
         inputBytesByDomain: NO_BYTES,
@@ -90,7 +92,7 @@
     const stages = this.createStages(
       request,
       table,
-      protocol.parseStageCounts(counts),
+      pieceCounts,
       promptParts.at(-1)?.tokens ?? 0,
     );
     try {
@@ -111,6 +113,19 @@
     }
   }
 
+  // Returns undefined if the request has no stages.
+  private readPieceCounts(
+    request: RoutedRequest,
+  ): readonly number[] | undefined {
+    const {protocol} = this.parts;
+    const value = request.getHeader(protocol.headers.stageCounts);
+    const {stages} = request.facts.route;
+    if (stages.length === 0 || value === undefined) return undefined;
+    const pieceCounts = protocol.parseStageCounts(value);
+    checkStageCounts(pieceCounts);
+    return pieceCounts;
+  }
+
   // A stream goes on only at the software version that began it.
   private async resumeStream(request: RoutedRequest): Promise<void> {
     const {requestId, service, resumedRequestId} = request.facts;
