Bound answers of the store that never end

What callers would see: an instance whose store sends interim answers, empty lines or chunks of one byte without end used a whole core until the call timed out (1.1 s of processor time in a call of 1 s), which its own requests need.

Cause: as for upstreams, nothing counted what is neither the head nor the body of an answer.

--- a/packages/transport/src/node-http-client.ts
+++ b/packages/transport/src/node-http-client.ts
@@ -1,5 +1,6 @@
 import {splitAddress} from '@hollowstack/types';
 import {Agent, request as startRequest, type IncomingMessage} from 'node:http';
+import {AnswerGuard} from './answer-guard.ts';
 import {
   HttpClient,
   TransportError,
@@ -39,6 +40,11 @@
       const stopListening = () =>
         request.signal.removeEventListener('abort', cancelRequest);
       request.signal.addEventListener('abort', cancelRequest, {once: true});
+      const guard = new AnswerGuard(error => outgoing.destroy(error));
+      outgoing.once('socket', socket => {
+        const stopWatching = guard.watchStream(socket);
+        outgoing.once('close', stopWatching);
+      });
       // No byte is sent while the socket is connecting; once it is connected, or
       // if it is reused, bytes may have been sent.
       outgoing.once('socket', socket => {
@@ -46,15 +52,19 @@
         if (!socket.connecting) progress = 'some';
         else socket.once('connect', () => (progress = 'some'));
       });
-      outgoing.once('error', error => {
+      let answer: IncomingMessage | undefined;
+      outgoing.on('error', error => {
         stopListening();
+        answer?.destroy(error);
         if (outgoing.reusedSocket) this.closeIdle(host, port);
         reject(new TransportError(error.message, progress, error));
       });
       outgoing.once('response', incoming => {
         incoming.once('close', stopListening);
         incoming.on('error', () => {});
-        resolve(createResponse(incoming));
+        answer = incoming;
+        guard.recordHead(incoming);
+        resolve(createResponse(incoming, guard));
       });
       outgoing.end(request.body);
     });
@@ -74,19 +84,26 @@
   }
 }
 
-function createResponse(incoming: IncomingMessage): HttpResponse {
+function createResponse(
+  incoming: IncomingMessage,
+  guard: AnswerGuard,
+): HttpResponse {
   return {
     status: incoming.statusCode ?? 0,
     headers: joinHeaders(incoming.headers),
-    body: readIncoming(incoming),
+    body: readIncoming(incoming, guard),
   };
 }
 
 async function* readIncoming(
   incoming: IncomingMessage,
+  guard: AnswerGuard,
 ): AsyncGenerator<Uint8Array> {
   try {
-    for await (const chunk of incoming) yield chunk;
+    for await (const chunk of incoming as AsyncIterable<Buffer>) {
+      guard.recordBody(chunk.length);
+      yield chunk;
+    }
   } catch (error) {
     throw new TransportError('the answer broke off', 'some', error);
   }
