Bound bytes of callers that never end

What callers would see: one connection that sends empty lines, a body after its request was answered, or requests without waiting for answers took the whole processor of an instance (1.5 to 3.1 s in 1.5 s), as long as it went on; other callers were not served beside a flood of requests. The port for probes had the same.

Cause: the runtime limits heads, and the gateway bodies that it reads, but nothing limits what is no request. The rest of a rejected body is received and thrown away for as long as it comes, and requests on one connection were all begun at once. Bodies had a limit each (4 MB) but no common one.

CallerGuard closes connections that carry too much of it, at the checks of the load meter or as soon as a 17th request is in progress. Bodies count towards the memory of all messages until they are answered, and what is mostly framing is refused. A body over its limit is now left unread instead of destroying its connection, so that the 413 arrives.

--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -25,7 +25,7 @@
 } from '@hollowstack/quarantine';
 import {CheckpointWriter, OrphanReleaser} from '@hollowstack/result-checkpoint';
 import type {KeyValueStore} from '@hollowstack/store';
-import {Connector, MemoryBudget} from '@hollowstack/transport';
+import {CallerGuard, Connector, MemoryBudget} from '@hollowstack/transport';
 import {
   OriginTable,
   StreamOrigins,
@@ -322,6 +322,7 @@
     freshness,
     reader: new RequestReader({
       metrics,
+      memory,
       protocol,
       routeHolder,
       freshnessGuard,
@@ -342,11 +343,20 @@
     readIdleMs: () => performance.eventLoopUtilization().idle,
     countInProgress: () => lifecycle.countInProgress(),
   });
+  const callerGuard = new CallerGuard((surplus, peer) => {
+    metrics.addToCounter('hollowstack_surplus_connections_total', {surplus});
+    logger.logEvent('entry.surplus', {surplus, peer});
+  });
+  loadMeter.addListener(() => callerGuard.checkConnections());
   const server = new GatewayServer(
     (incoming, outgoing) => {
       void requestHandler.handle(incoming, outgoing);
     },
-    {gate: new ConnectionGate({clock, logger, metrics, loadMeter}), traffic},
+    {
+      gate: new ConnectionGate({clock, logger, metrics, loadMeter}),
+      callerGuard,
+      traffic,
+    },
   );
 
   routeHolder.addListener(table => {
@@ -476,6 +486,7 @@
     coordinatorTasks: settings.policy.resultCheckpoints
       ? [...verdictPersisters, ...checkpointTasks]
       : verdictPersisters,
+    callerGuard,
     server,
     operatorEndpoint: new OperatorEndpoint({
       suspects,
--- a/packages/gateway/src/gateway-server.ts
+++ b/packages/gateway/src/gateway-server.ts
@@ -1,6 +1,6 @@
 import type {TrafficCounter} from '@hollowstack/overload';
 import type {CallerLimits} from '@hollowstack/routes';
-import {IdleConnections} from '@hollowstack/transport';
+import {IdleConnections, type CallerGuard} from '@hollowstack/transport';
 import {splitAddress} from '@hollowstack/types';
 import {
   createServer,
@@ -24,6 +24,7 @@
 /** Dependencies of GatewayServer. */
 export interface GatewayServerParts {
   readonly gate: ConnectionGate;
+  readonly callerGuard: CallerGuard;
   readonly traffic: TrafficCounter;
 }
 
@@ -31,10 +32,11 @@
 export class GatewayServer {
   private readonly server: Server;
   private readonly idleConnections: IdleConnections;
+  private readonly callerGuard: CallerGuard;
 
   constructor(
     handle: HttpRequestListener,
-    {gate, traffic}: GatewayServerParts,
+    {gate, callerGuard, traffic}: GatewayServerParts,
   ) {
     this.server = createServer(
       {
@@ -43,11 +45,14 @@
         requestTimeout: BODY_TIMEOUT_MS,
       },
       (incoming, outgoing) => {
+        if (!callerGuard.recordRequest(incoming, outgoing)) return;
         gate.recordRequest(incoming.socket);
         handle(incoming, outgoing);
       },
     );
     this.server.timeout = 0;
+    this.callerGuard = callerGuard;
+    callerGuard.addServer(this.server);
     this.idleConnections = new IdleConnections(this.server);
     // Node.js reads this for each new connection: nothing is received before it is resumed.
     Object.assign(this.server, {pauseOnConnect: true});
@@ -61,6 +66,7 @@
   setLimits(limits: CallerLimits): void {
     // Node.js reads these for each new connection.
     Object.assign(this.server, {maxHeaderSize: limits.headerBytes});
+    this.callerGuard.setHeaderBytes(limits.headerBytes);
     this.server.headersTimeout = limits.headerTimeoutMs;
     this.server.keepAliveTimeout = limits.idleTimeoutMs;
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,6 +6,7 @@
 import type {Membership, PeerLink} from '@hollowstack/peers';
 import type {StageCoordinator} from '@hollowstack/stages';
 import type {WatchHub} from '@hollowstack/store';
+import type {CallerGuard} from '@hollowstack/transport';
 import {splitAddress} from '@hollowstack/types';
 import type {SendGranter} from '@hollowstack/upstream-limits';
 import type {PathProber, TunnelServer} from '@hollowstack/upstream-paths';
@@ -63,6 +64,7 @@
   readonly coordinator: StageCoordinator;
   readonly coordinatorTasks: readonly CoordinatorTask[];
   readonly server: GatewayServer;
+  readonly callerGuard: CallerGuard;
   readonly operatorEndpoint: OperatorEndpoint;
   readonly probePath: string;
 }
@@ -235,12 +237,15 @@
     answer: (request: PlainRequest) => {status: number; text: string},
   ): Promise<void> {
     const {host, port} = splitAddress(address);
+    const {callerGuard} = this.parts;
     const server = createServer((incoming, outgoing) => {
+      if (!callerGuard.recordRequest(incoming, outgoing)) return;
       const {url: path = '/', method = 'GET', headers} = incoming;
       const {status, text} = answer({path, method, headers});
       outgoing.writeHead(status, {'content-type': 'text/plain'});
       outgoing.end(text);
     });
+    callerGuard.addServer(server);
     this.plainServers.push(server);
     return new Promise((resolve, reject) => {
       server.once('error', reject);
--- a/packages/gateway/src/request-reader.ts
+++ b/packages/gateway/src/request-reader.ts
@@ -12,6 +12,7 @@
   type Route,
   type RouteTable,
 } from '@hollowstack/routes';
+import type {MemoryBudget} from '@hollowstack/transport';
 import {createHash} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {GatewayLifecycle} from './gateway-lifecycle.ts';
@@ -24,6 +25,7 @@
 /** Dependencies of RequestReader. */
 export interface RequestReaderParts {
   readonly metrics: MetricsRegistry;
+  readonly memory: MemoryBudget;
   readonly protocol: Pick<RequestProtocol, 'headers'>;
   readonly routeHolder: Pick<RouteHolder, 'getCurrent'>;
   readonly freshnessGuard: Pick<
@@ -102,7 +104,7 @@
     }
     const body = known
       ? known.request.body
-      : await readBody(arrival.incoming, admission);
+      : await this.readBody(arrival, admission);
     const {requestId} = arrival;
     const request = this.createRequest(
       {...arrival, requestId},
@@ -128,7 +130,7 @@
     const admission = this.findAdmission(arrival.incoming);
     const {requestId} = arrival;
     if (!admission || requestId === undefined) return undefined;
-    const body = await readBody(arrival.incoming, admission);
+    const body = await this.readBody(arrival, admission);
     const request = this.createRequest(
       {...arrival, requestId},
       admission,
@@ -137,6 +139,15 @@
     return {request, table: admission.table};
   }
 
+  private readBody(
+    {incoming, outgoing}: RequestArrival,
+    {table}: Admission,
+  ): Promise<Buffer | undefined> {
+    const {limits} = table.configuration;
+    const {memory} = this.parts;
+    return readRequestBody(incoming, {limits, memory, outgoing});
+  }
+
   private findAdmission(incoming: IncomingMessage): Admission | undefined {
     try {
       return this.admit(incoming);
@@ -260,13 +271,6 @@
   }
 }
 
-function readBody(
-  incoming: IncomingMessage,
-  {table}: Admission,
-): Promise<Buffer | undefined> {
-  return readRequestBody(incoming, table.configuration.limits);
-}
-
 // Derived from the request's id, so that the choice of the service can be reproduced.
 function computeDraw(requestId: string): number {
   const digest = createHash('sha1').update(requestId).digest();
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -62,6 +62,11 @@
     level: 'info',
     text: 'new connections are admitted again',
   },
+  'entry.surplus': {
+    number: 114,
+    level: 'warn',
+    text: 'a caller sent too much that is no request; its connection is closed',
+  },
   'log.omitted': {
     number: 107,
     level: 'warn',
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -19,6 +19,11 @@
   type AnswerLimit,
 } from './answer-limit-error.ts';
 export {MemoryBudget, type MemoryReservation} from './memory-budget.ts';
+export {
+  CALLER_CHECK_INTERVAL_MS,
+  CallerGuard,
+  type SurplusKind,
+} from './caller-guard.ts';
 export {IdleConnections} from './idle-connections.ts';
 export {NodeHttpClient} from './node-http-client.ts';
 export {
--- a/packages/transport/src/node-http-server.ts
+++ b/packages/transport/src/node-http-server.ts
@@ -12,6 +12,7 @@
   type HttpRequest,
   type HttpResponse,
 } from './http-exchange.ts';
+import {CALLER_CHECK_INTERVAL_MS, CallerGuard} from './caller-guard.ts';
 import {IdleConnections} from './idle-connections.ts';
 import {joinHeaders} from './node-http-client.ts';
 
@@ -41,6 +42,8 @@
   private readonly handler: HttpHandler;
   private readonly limits: HttpServerLimits;
   private readonly idleConnections: IdleConnections;
+  private readonly guard = new CallerGuard();
+  private checkTimer: NodeJS.Timeout | undefined;
 
   constructor(
     handler: HttpHandler,
@@ -58,10 +61,21 @@
         noDelay: true,
       },
       (incoming, outgoing) => {
+        if (!this.guard.recordRequest(incoming, outgoing)) return;
         this.handleExchange(incoming, outgoing).catch(() => outgoing.destroy());
       },
     );
     this.idleConnections = new IdleConnections(this.server);
+    this.guard.setHeaderBytes(limits.headerBytes);
+    this.guard.addServer(this.server);
+    this.server.once('listening', () => {
+      this.checkTimer = setInterval(
+        () => this.guard.checkConnections(),
+        CALLER_CHECK_INTERVAL_MS,
+      );
+      this.checkTimer.unref();
+    });
+    this.server.once('close', () => clearInterval(this.checkTimer));
   }
 
   /** Starts listening; resolves to the address with the actual port. */
