Name the check of a caller's connection for what it does

findSurplus counted checks and moved the mark of received bytes, which its verb does not say; it is checkConnection now, with one path for a body that arrives and one for what follows it. Behaviour is as before: endless-request.test.ts and the tests of transport and entry pass.

--- a/packages/transport/src/answer-guard.ts
+++ b/packages/transport/src/answer-guard.ts
@@ -22,7 +22,10 @@
     this.handleExcess = handleExcess;
   }
 
-  /** Counts the bytes of a stream, whose listeners that parse them are set already. */
+  /**
+   * Counts the bytes of a stream, whose listeners that parse them are set already. The returned
+   * function ends this.
+   */
   watchStream(stream: Duplex): () => void {
     const countBytes = (bytes: Buffer) => this.countBytes(bytes.length);
     stream.on('data', countBytes);
--- a/packages/transport/src/caller-guard.ts
+++ b/packages/transport/src/caller-guard.ts
@@ -84,31 +84,31 @@
   /** Closes connections that have carried too much since the last check. */
   checkConnections(): void {
     for (const [socket, state] of this.states) {
-      const kind = this.findSurplus(socket, state);
+      const kind = this.checkConnection(socket, state);
       if (kind) this.closeConnection(socket, kind);
     }
   }
 
-  private findSurplus(
+  // Returns what the connection has carried too much of.
+  private checkConnection(
     {bytesRead}: Socket,
     state: ConnectionState,
   ): SurplusKind | undefined {
-    if (state.incoming?.complete === false) {
-      // The reader of a body limits it.
-      if (state.unreadChecks === undefined) return undefined;
-      state.unreadChecks += 1;
-      const isOver =
-        state.unreadChecks > MAX_UNREAD_CHECKS ||
-        bytesRead - (state.settledBytes ?? 0) > MAX_UNREAD_BYTES;
-      return isOver ? 'unread-body' : undefined;
-    }
-    if (state.unreadChecks !== undefined) {
+    const isBodyArriving = state.incoming?.complete === false;
+    if (!isBodyArriving) {
+      if (state.unreadChecks !== undefined) state.settledBytes = bytesRead;
       state.unreadChecks = undefined;
-      state.settledBytes = undefined;
+      state.settledBytes ??= bytesRead;
+      const surplusBytes = bytesRead - state.settledBytes;
+      return surplusBytes > this.maxHeadBytes ? 'no-request' : undefined;
     }
-    state.settledBytes ??= bytesRead;
-    const isOver = bytesRead - state.settledBytes > this.maxHeadBytes;
-    return isOver ? 'no-request' : undefined;
+    // The reader of a body limits it until its request is answered.
+    if (state.unreadChecks === undefined) return undefined;
+    state.unreadChecks += 1;
+    const unreadBytes = bytesRead - (state.settledBytes ?? 0);
+    const isOver =
+      state.unreadChecks > MAX_UNREAD_CHECKS || unreadBytes > MAX_UNREAD_BYTES;
+    return isOver ? 'unread-body' : undefined;
   }
 
   private closeConnection(socket: Socket, kind: SurplusKind): void {
