Log and count what is done for callers that have disconnected

The logs and metrics could not tell the three hypotheses of the incident apart: a request whose caller had disconnected ended with the same line as any other. `stage.job-cancelled` is the coordinator's line. Nothing is decided by these records.

--- a/packages/gateway/src/attempt-runner.ts
+++ b/packages/gateway/src/attempt-runner.ts
@@ -103,6 +103,7 @@
     const {quarantine, isolatedAttempts} = this.parts;
     if (!quarantine.isIsolated(request))
       return this.runAttempts(request, options);
+    request.presence.waitsFor = 'isolation';
     const release = await isolatedAttempts.acquire(
       request.service,
       request.signal,
@@ -123,6 +124,7 @@
     let unsentCount = 0;
     for (;;) {
       request.signal.throwIfAborted();
+      request.presence.waitsFor = 'choice';
       await quarantine.checkRequest(request);
       const upstream =
         (await this.acquireOnlyUpstream(request)) ??
@@ -263,6 +265,7 @@
     if (!upstream || !pool.maySend(upstreamId)) {
       return createWithdrawn('the upstream is gone or wants no work');
     }
+    request.presence.waitsFor = 'place';
     if (!(await places.acquire(upstreamId, request.signal))) {
       return createWithdrawn('the upstream has no place');
     }
@@ -318,6 +321,7 @@
       },
     });
     const sentAttempt = {request, upstream, sentAtMs: clock.getNow()};
+    request.presence.waitsFor = 'connection';
     pool.beginRequest(upstreamId);
     try {
       const outcome = await attempt.run();
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -164,8 +164,11 @@
           request.via = call.via;
           isWithdrawn = !acquireSend();
           // The upstream is given its full time, however long the path took to find.
-          if (!isWithdrawn) this.watchInactivity(call);
-          return !isWithdrawn;
+          if (isWithdrawn) return false;
+          request.presence.recordSend();
+          request.presence.waitsFor = 'upstream';
+          this.watchInactivity(call);
+          return true;
         },
       },
       connector,
--- a/packages/gateway/src/gateway-request-handler.ts
+++ b/packages/gateway/src/gateway-request-handler.ts
@@ -7,6 +7,7 @@
 import type {PathTable} from '@hollowstack/upstream-paths';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {writeError} from './answer-writer.ts';
+import {CallerPresence} from './caller-presence.ts';
 import type {GatewayLifecycle} from './gateway-lifecycle.ts';
 import type {RequestProtocol} from './request-protocol.ts';
 import {
@@ -60,18 +61,21 @@
     outgoing.once('close', endRequest);
     const id = incoming.headers[protocol.headers.requestId];
     const requestId = typeof id === 'string' ? id : undefined;
+    const presence = new CallerPresence(this.parts, {incoming, outgoing});
     if (lifecycle.isStopping()) outgoing.setHeader('Connection', 'close');
     try {
       const {clock, reader} = this.parts;
       const atMs = clock.getNow();
       const maxWaitMs = this.startedAtMs + MAX_START_WAIT_MS - atMs;
       await lifecycle.waitForStart(clock, maxWaitMs);
-      const arrival = {incoming, outgoing, requestId, atMs};
+      const arrival = {incoming, outgoing, presence, requestId, atMs};
       const {request, table} = await reader.readRequest(arrival);
       this.checkAccepting();
       await this.runRequest(request, table);
     } catch (thrown) {
-      this.settleRejection(toHollowstackError(thrown), requestId, outgoing);
+      const error = toHollowstackError(thrown);
+      this.settleRejection(error, requestId, outgoing);
+      presence.recordEnd({requestId, ran: error.ran, sentTo: []});
     }
   }
 
@@ -121,6 +125,11 @@
     } finally {
       timer.cancel();
       removeRejectHandler();
+      request.presence.recordEnd({
+        requestId: facts.requestId,
+        ran: request.getRunStatus(),
+        sentTo: request.sentTo,
+      });
     }
   }
 
--- a/packages/gateway/src/request-reader.test.ts
+++ b/packages/gateway/src/request-reader.test.ts
@@ -3,6 +3,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {test} from 'node:test';
 import {setImmediate as waitForTurn} from 'node:timers/promises';
+import type {CallerPresence} from './caller-presence.ts';
 import {
   RequestReader,
   type RequestArrival,
@@ -51,6 +52,7 @@
   return {
     incoming: incoming as unknown as IncomingMessage,
     outgoing: {} as ServerResponse,
+    presence: {} as CallerPresence,
     requestId: 'r1',
     atMs: 0,
   };
--- a/packages/gateway/src/request-reader.ts
+++ b/packages/gateway/src/request-reader.ts
@@ -15,6 +15,7 @@
 import type {MemoryBudget} from '@hollowstack/transport';
 import {createHash} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {CallerPresence} from './caller-presence.ts';
 import type {GatewayLifecycle} from './gateway-lifecycle.ts';
 import {RequestAgeEstimator} from './request-age-estimator.ts';
 import {readRequestBody} from './request-body.ts';
@@ -40,6 +41,7 @@
 export interface RequestArrival {
   readonly incoming: IncomingMessage;
   readonly outgoing: ServerResponse;
+  readonly presence: CallerPresence;
   /** Undefined if the caller sent none, which is an error. */
   readonly requestId: string | undefined;
   /** In milliseconds of the instance's clock. */
@@ -93,6 +95,7 @@
     const {freshnessGuard} = this.parts;
     let known: AdmittedRequest | undefined;
     if (freshnessGuard.isRefreshDue()) {
+      arrival.presence.waitsFor = 'view';
       const refreshing = freshnessGuard.refresh();
       known = await this.readKnownRequest(arrival);
       if (known && this.isRefusedAnyway(known)) return known;
@@ -140,9 +143,10 @@
   }
 
   private readBody(
-    {incoming, outgoing}: RequestArrival,
+    {incoming, outgoing, presence}: RequestArrival,
     {table}: Admission,
   ): Promise<Buffer | undefined> {
+    presence.waitsFor = 'body';
     const {limits} = table.configuration;
     const {memory} = this.parts;
     return readRequestBody(incoming, {limits, memory, outgoing});
@@ -218,11 +222,12 @@
   }
 
   private createRequest(
-    {incoming, outgoing, requestId, atMs}: RequestArrival & {requestId: string},
+    arrival: RequestArrival & {requestId: string},
     admission: Admission,
     body: Buffer | undefined,
   ): RoutedRequest {
     const {table, route, workspace} = admission;
+    const {incoming, requestId, atMs} = arrival;
     const callerDeadlineMs = this.readDeadlineMs(incoming, admission);
     const ageMs = this.ageEstimator.computeAgeMs(route, callerDeadlineMs);
     const resumedRequestId = this.findResumedRequestId(incoming, route);
@@ -241,8 +246,7 @@
         revision: table.revision,
         resumedRequestId,
       },
-      incoming,
-      outgoing,
+      arrival,
       body,
     );
   }
--- a/packages/gateway/src/request-runner.ts
+++ b/packages/gateway/src/request-runner.ts
@@ -75,6 +75,7 @@
     request.promptTokens = countTokens(promptParts);
     request.sharedParts = request.listSharedParts(protocol);
     const pieceCounts = this.readPieceCounts(request);
+    request.presence.waitsFor = 'admission';
     retryBudget.recordRequest(request.facts.service);
     await this.parts.quarantine.admitRequest(request);
     await this.resumeStream(request);
@@ -198,6 +199,7 @@
     const startedAtMs = clock.getNow();
     const excluded = new Set<string>();
     for (let rerun = 0; ; rerun++) {
+      request.presence.waitsFor = 'stages';
       const stageResults = await stages.run(request.signal);
       if (request.stagesMs === undefined) {
         request.stagesMs = Math.round(clock.getNow() - startedAtMs);
--- a/packages/gateway/src/routed-request.ts
+++ b/packages/gateway/src/routed-request.ts
@@ -10,6 +10,7 @@
 import {computeStreamKey} from '@hollowstack/stream-origins';
 import type {PromptPart} from '@hollowstack/types';
 import type {SendGrant} from '@hollowstack/upstream-limits';
+import type {CallerConnection, CallerPresence} from './caller-presence.ts';
 import type {RequestProtocol} from './request-protocol.ts';
 import type {RegistryState} from './upstream-registry.ts';
 
@@ -43,6 +44,7 @@
   readonly facts: RoutedRequestFacts;
   readonly incoming: IncomingMessage;
   readonly outgoing: ServerResponse;
+  readonly presence: CallerPresence;
   readonly body: Buffer | undefined;
   readonly controller = new AbortController();
   /** Ids of the upstreams that the request was sent to. */
@@ -80,13 +82,17 @@
 
   constructor(
     facts: RoutedRequestFacts,
-    incoming: IncomingMessage,
-    outgoing: ServerResponse,
+    {
+      incoming,
+      outgoing,
+      presence,
+    }: CallerConnection & {readonly presence: CallerPresence},
     body: Buffer | undefined,
   ) {
     this.facts = facts;
     this.incoming = incoming;
     this.outgoing = outgoing;
+    this.presence = presence;
     this.body = body;
   }
 
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -84,6 +84,11 @@
     level: 'info',
     text: 'a routed request has ended',
   },
+  'request.abandoned': {
+    number: 205,
+    level: 'info',
+    text: 'a caller has disconnected, and nothing is done for its request any more',
+  },
   'request.quarantined': {
     number: 220,
     level: 'warn',
@@ -444,6 +449,11 @@
     level: 'info',
     text: 'an upstream answered a call for stage work items',
   },
+  'stage.job-cancelled': {
+    number: 906,
+    level: 'info',
+    text: 'stage work was cancelled, because its request was given up',
+  },
   'results.orphaned': {
     number: 903,
     level: 'info',
--- a/packages/stages/src/stage-coordinator.ts
+++ b/packages/stages/src/stage-coordinator.ts
@@ -164,6 +164,15 @@
   /** Cancels a job and releases its results, including those of calls in flight. */
   cancelJob(jobId: string): void {
     const state = this.jobs.find(jobId);
+    const {logger} = this.parts;
+    logger.logEvent('stage.job-cancelled', {
+      jobId,
+      requestId: state?.job.requestId,
+      service: state?.job.service,
+      pieces: state?.job.pieceCount,
+      waitingPieces: state?.waitingCount,
+      isKnown: state !== undefined,
+    });
     if (!state) return;
     this.jobs.fail(state, 'cancelled', 'the request was given up');
   }
