See the close of a caller's connection from its arrival on

Callers that disconnected while their request waited for the start or for a refresh of a stale view were served to the end: the listener of 'close' was attached only once the request had been read, and a close before that was never seen. Upstreams worked for the request until its time-out, and it was repeated at a second one.

The connection is now watched from the turn in which the request arrives, and what is read after a wait ends with it. The watch looks at the state first and covers the answers of pipelined requests, which have no connection yet and emit no 'close'.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,3 +1,4 @@
+import {addCloseHandler} from '@hollowstack/cancellation';
 import {scheduleTimeout, type Clock, type Timer} from '@hollowstack/clock';
 import type {RegisteredUpstream} from '@hollowstack/routes';
 import {
@@ -324,7 +325,7 @@
     });
     request.recordRan('yes');
     this.holdsBody = !request.outgoing.closed;
-    request.outgoing.once('close', () => reservation.release());
+    addCloseHandler(request.outgoing, () => reservation.release());
     if (body.length > 0 && isCloseDelimited(head)) await this.checkEnd();
     const {outgoing} = request;
     if (status >= 500) {
--- a/packages/gateway/src/caller-presence.ts
+++ b/packages/gateway/src/caller-presence.ts
@@ -1,5 +1,6 @@
+import {addCloseHandler} from '@hollowstack/cancellation';
 import type {Clock} from '@hollowstack/clock';
-import type {RunStatus} from '@hollowstack/errors';
+import {HollowstackError, type RunStatus} from '@hollowstack/errors';
 import type {EventLogger} from '@hollowstack/logger';
 import type {MetricsRegistry} from '@hollowstack/metrics';
 import type {IncomingMessage, ServerResponse} from 'node:http';
@@ -47,14 +48,19 @@
   private disconnectedAtMs: number | undefined;
   private waitedForThen: RequestWait | undefined;
   private sendsAfter = 0;
+  private readonly controller = new AbortController();
+  private readonly removeHandlers: () => void;
 
-  /** Called in the turn in which the request arrives, so that no close is missed. */
-  constructor(parts: CallerPresenceParts, {outgoing}: CallerConnection) {
+  /** Called in the turn in which the request arrives. */
+  constructor(parts: CallerPresenceParts, connection: CallerConnection) {
     this.parts = parts;
     this.arrivedAtMs = parts.clock.getNow();
-    outgoing.once('close', () => {
-      if (!outgoing.writableFinished) this.recordDisconnect();
-    });
+    this.removeHandlers = this.watchConnection(connection);
+  }
+
+  /** Aborts once the caller has disconnected without a complete answer. */
+  get signal(): AbortSignal {
+    return this.controller.signal;
   }
 
   /** Records that the request, or one of its stages, is about to be sent to an upstream. */
@@ -71,6 +77,7 @@
 
   /** Records that nothing is done for the request any more. */
   recordEnd({requestId, ran, sentTo}: RequestEnd): void {
+    this.removeHandlers();
     if (this.disconnectedAtMs === undefined) return;
     const {clock, logger, metrics} = this.parts;
     const waitedFor = this.waitedForThen;
@@ -91,6 +98,23 @@
     });
   }
 
+  // The answer to a pipelined request has no connection, and so emits no 'close', until the
+  // earlier requests are answered.
+  private watchConnection({incoming, outgoing}: CallerConnection): () => void {
+    const {socket} = incoming;
+    const handleClose = () => {
+      if (!outgoing.writableFinished) this.recordDisconnect();
+    };
+    const removeAnswerHandler = addCloseHandler(outgoing, handleClose);
+    const removeSocketHandler = addCloseHandler(socket, handleClose);
+    socket.once('end', handleClose);
+    return () => {
+      removeAnswerHandler();
+      removeSocketHandler();
+      socket.off('end', handleClose);
+    };
+  }
+
   private recordDisconnect(): void {
     if (this.disconnectedAtMs !== undefined) return;
     const {clock, metrics} = this.parts;
@@ -99,5 +123,8 @@
     metrics.addToCounter('hollowstack_callers_disconnected_total', {
       waitedFor: this.waitsFor,
     });
+    this.controller.abort(
+      new HollowstackError('caller-gone', 'the caller has gone', {ran: 'no'}),
+    );
   }
 }
--- a/packages/gateway/src/gateway-request-handler.ts
+++ b/packages/gateway/src/gateway-request-handler.ts
@@ -1,3 +1,8 @@
+import {
+  addAbortHandler,
+  addCloseHandler,
+  rejectOnAbort,
+} from '@hollowstack/cancellation';
 import type {Clock} from '@hollowstack/clock';
 import {HollowstackError, toHollowstackError} from '@hollowstack/errors';
 import type {FreshnessTable} from '@hollowstack/freshness';
@@ -57,17 +62,19 @@
     outgoing: ServerResponse,
   ): Promise<void> {
     const {lifecycle, protocol} = this.parts;
-    const endRequest = lifecycle.beginRequest(outgoing);
-    outgoing.once('close', endRequest);
     const id = incoming.headers[protocol.headers.requestId];
     const requestId = typeof id === 'string' ? id : undefined;
     const presence = new CallerPresence(this.parts, {incoming, outgoing});
+    const endRequest = lifecycle.beginRequest(outgoing);
+    addCloseHandler(outgoing, endRequest);
+    addAbortHandler(presence.signal, endRequest);
     if (lifecycle.isStopping()) outgoing.setHeader('Connection', 'close');
     try {
       const {clock, reader} = this.parts;
       const atMs = clock.getNow();
       const maxWaitMs = this.startedAtMs + MAX_START_WAIT_MS - atMs;
-      await lifecycle.waitForStart(clock, maxWaitMs);
+      const started = lifecycle.waitForStart(clock, maxWaitMs);
+      await rejectOnAbort(started, presence.signal);
       const arrival = {incoming, outgoing, presence, requestId, atMs};
       const {request, table} = await reader.readRequest(arrival);
       this.checkAccepting();
@@ -101,15 +108,15 @@
       if (request.getRunStatus() === 'no')
         controller.abort(createStoppingError());
     });
-    outgoing.once('close', () => {
-      if (outgoing.writableFinished) return;
+    const removeAbortHandler = addAbortHandler(request.presence.signal, () =>
       controller.abort(
         new HollowstackError('caller-gone', 'the caller has gone', {
           ran: request.getRunStatus(),
         }),
-      );
-    });
+      ),
+    );
     try {
+      request.signal.throwIfAborted();
       await runner.run(request, table);
       this.recordSettled(request, 'answered', '');
     } catch (thrown) {
@@ -125,6 +132,7 @@
     } finally {
       timer.cancel();
       removeRejectHandler();
+      removeAbortHandler();
       request.presence.recordEnd({
         requestId: facts.requestId,
         ran: request.getRunStatus(),
--- a/packages/gateway/src/request-body.ts
+++ b/packages/gateway/src/request-body.ts
@@ -1,3 +1,4 @@
+import {addCloseHandler} from '@hollowstack/cancellation';
 import {HollowstackError} from '@hollowstack/errors';
 import type {CallerLimits} from '@hollowstack/routes';
 import type {MemoryBudget} from '@hollowstack/transport';
@@ -39,7 +40,7 @@
     isCancelled = true;
     chunks = [];
   });
-  outgoing.once('close', () => reservation.release());
+  addCloseHandler(outgoing, () => reservation.release());
   const bytesBefore = socket.bytesRead;
   try {
     for await (const chunk of incoming.iterator({destroyOnReturn: false})) {
--- a/packages/gateway/src/request-reader.test.ts
+++ b/packages/gateway/src/request-reader.test.ts
@@ -52,7 +52,7 @@
   return {
     incoming: incoming as unknown as IncomingMessage,
     outgoing: {} as ServerResponse,
-    presence: {} as CallerPresence,
+    presence: {signal: new AbortController().signal} as CallerPresence,
     requestId: 'r1',
     atMs: 0,
   };
--- a/packages/gateway/src/request-reader.ts
+++ b/packages/gateway/src/request-reader.ts
@@ -1,3 +1,4 @@
+import {rejectOnAbort} from '@hollowstack/cancellation';
 import {
   HollowstackError,
   toHollowstackError,
@@ -89,7 +90,8 @@
    * Reads a request. If the view of the store is stale, waits for a refresh first, unless the
    * request is refused whatever the view shows.
    *
-   * @throws HollowstackError if the request is not allowed or not complete.
+   * @throws HollowstackError if the request is not allowed or not complete, `caller-gone` once
+   * its caller has disconnected.
    */
   async readRequest(arrival: RequestArrival): Promise<AdmittedRequest> {
     const {freshnessGuard} = this.parts;
@@ -99,9 +101,10 @@
       const refreshing = freshnessGuard.refresh();
       known = await this.readKnownRequest(arrival);
       if (known && this.isRefusedAnyway(known)) return known;
-      await refreshing;
+      arrival.presence.waitsFor = 'view';
+      await rejectOnAbort(refreshing, arrival.presence.signal);
     }
-    const admission = await this.admitConfirmed(arrival.incoming);
+    const admission = await this.admitConfirmed(arrival);
     if (arrival.requestId === undefined) {
       throw new HollowstackError('bad-request', 'the request has no id');
     }
@@ -161,14 +164,19 @@
     }
   }
 
-  private async admitConfirmed(incoming: IncomingMessage): Promise<Admission> {
+  private async admitConfirmed({
+    incoming,
+    presence,
+  }: RequestArrival): Promise<Admission> {
     const {freshnessGuard} = this.parts;
     try {
       return this.admit(incoming);
     } catch (thrown) {
       const error = toHollowstackError(thrown);
       if (!UNKNOWN_KINDS.has(error.kind)) throw error;
-      if (!(await freshnessGuard.mayRefuseUnknown())) {
+      presence.waitsFor = 'view';
+      const confirmed = freshnessGuard.mayRefuseUnknown();
+      if (!(await rejectOnAbort(confirmed, presence.signal))) {
         throw this.createUnconfirmedError(error);
       }
       return this.admit(incoming);
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -1,9 +1,10 @@
+import {waitForDrain} from '@hollowstack/cancellation';
 import {
   TransportError,
   type MemoryReservation,
   type SingleCall,
 } from '@hollowstack/transport';
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {IncomingMessage} from 'node:http';
 import {isCloseDelimited, writeUpstreamHead} from './answer-writer.ts';
 import {EventSplitter, type CompleteEvents} from './event-splitter.ts';
 import type {RoutedRequest} from './routed-request.ts';
@@ -71,15 +72,3 @@
     if (!outgoing.write(bytes)) await waitForDrain(outgoing);
   }
 }
-
-function waitForDrain(outgoing: ServerResponse): Promise<void> {
-  return new Promise(resolve => {
-    const stopWaiting = () => {
-      outgoing.off('drain', stopWaiting);
-      outgoing.off('close', stopWaiting);
-      resolve();
-    };
-    outgoing.once('drain', stopWaiting);
-    outgoing.once('close', stopWaiting);
-  });
-}
--- a/packages/transport/src/node-http-server.ts
+++ b/packages/transport/src/node-http-server.ts
@@ -5,6 +5,7 @@
   type ServerResponse,
 } from 'node:http';
 import {Server as NetServer, type AddressInfo} from 'node:net';
+import {addCloseHandler, waitForDrain} from '@hollowstack/cancellation';
 import {HollowstackError} from '@hollowstack/errors';
 import {
   readBody,
@@ -117,7 +118,7 @@
     outgoing: ServerResponse,
   ): Promise<void> {
     const controller = new AbortController();
-    outgoing.once('close', () => {
+    addCloseHandler(outgoing, () => {
       if (!outgoing.writableFinished) {
         controller.abort(new HollowstackError('caller-gone', 'caller is gone'));
       }
@@ -174,15 +175,3 @@
   }
   outgoing.end();
 }
-
-function waitForDrain(outgoing: ServerResponse): Promise<void> {
-  return new Promise(resolve => {
-    const stopWaiting = () => {
-      outgoing.off('drain', stopWaiting);
-      outgoing.off('close', stopWaiting);
-      resolve();
-    };
-    outgoing.once('drain', stopWaiting);
-    outgoing.once('close', stopWaiting);
-  });
-}
