React to aborts and closes that came before their handler

Wherever a handler of an abort or a close is added after a wait, the event may have come already and the handler never runs. Four tests failed before: a call cancelled while its connection was being established was sent, a request given up before it asked for a place waited and took one, a connection given up before it began was established, and a tunnel whose upstream had closed before the claim stayed open.

All handlers of aborts now go through addAbortHandler, which looks at the signal first; a lint rule refuses others. A call that was cancelled or whose request was given up is not sent, and a job is not submitted again for one.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -59,10 +59,23 @@
       'n/no-extraneous-import': 'off',
       'n/no-unsupported-features/node-builtins': 'off',
       'n/no-process-exit': 'error',
+      'no-restricted-syntax': [
+        'error',
+        {
+          selector:
+            "CallExpression[callee.property.name='addEventListener'][arguments.0.value='abort']",
+          message:
+            'A listener that is added after the abort never runs: use addAbortHandler.',
+        },
+      ],
       '@typescript-eslint/no-floating-promises': 'error',
       '@typescript-eslint/switch-exhaustiveness-check': 'error',
     },
   },
+  {
+    files: ['packages/cancellation/src/abort-handler.ts'],
+    rules: {'no-restricted-syntax': 'off'},
+  },
   {
     files: ['**/*.test.ts'],
     rules: {'@typescript-eslint/no-floating-promises': 'off'},
--- a/packages/clock/src/waiting.ts
+++ b/packages/clock/src/waiting.ts
@@ -1,3 +1,4 @@
+import {addAbortHandler} from '@hollowstack/cancellation';
 import type {Clock, Timer} from './clock.ts';
 
 /**
@@ -11,19 +12,14 @@
   signal?: AbortSignal,
 ): Promise<void> {
   return new Promise((resolve, reject) => {
-    if (signal?.aborted) {
-      reject(signal.reason);
-      return;
-    }
-    const stopWaiting = () => {
-      timer.cancel();
-      reject(signal!.reason);
-    };
     const timer = clock.schedule(durationMs, () => {
-      signal?.removeEventListener('abort', stopWaiting);
+      removeAbortHandler();
       resolve();
     });
-    signal?.addEventListener('abort', stopWaiting, {once: true});
+    const removeAbortHandler = addAbortHandler(signal, reason => {
+      timer.cancel();
+      reject(reason);
+    });
   });
 }
 
@@ -111,15 +107,15 @@
   parent: AbortSignal | undefined,
 ): DeadlineSignal {
   const controller = new AbortController();
-  const followParent = () => controller.abort(parent!.reason);
-  if (parent?.aborted) followParent();
-  parent?.addEventListener('abort', followParent, {once: true});
+  const removeAbortHandler = addAbortHandler(parent, reason =>
+    controller.abort(reason),
+  );
   const timer = schedule(() => controller.abort(createReason()));
   return {
     signal: controller.signal,
     release: () => {
       timer.cancel();
-      parent?.removeEventListener('abort', followParent);
+      removeAbortHandler();
     },
   };
 }
--- a/packages/entry/src/service-endpoint.ts
+++ b/packages/entry/src/service-endpoint.ts
@@ -1,4 +1,5 @@
 import {createHash} from 'node:crypto';
+import {rejectOnAbort} from '@hollowstack/cancellation';
 import {createClaimKey, type ClaimedCalls} from '@hollowstack/claims';
 import type {Clock} from '@hollowstack/clock';
 import type {DecisionLog} from '@hollowstack/decisions';
@@ -294,17 +295,3 @@
 async function* createBytesBody(bytes: Uint8Array): AsyncGenerator<Uint8Array> {
   yield bytes;
 }
-
-function rejectOnAbort<Value>(
-  promise: Promise<Value>,
-  signal: AbortSignal,
-): Promise<Value> {
-  return new Promise((resolve, reject) => {
-    const handleAbort = () => reject(signal.reason);
-    signal.addEventListener('abort', handleAbort, {once: true});
-    if (signal.aborted) handleAbort();
-    promise.then(resolve, reject).finally(() => {
-      signal.removeEventListener('abort', handleAbort);
-    });
-  });
-}
--- a/packages/gateway/src/attempt-runner.ts
+++ b/packages/gateway/src/attempt-runner.ts
@@ -270,6 +270,7 @@
       return createWithdrawn('the upstream has no place');
     }
     try {
+      request.signal.throwIfAborted();
       return await this.sendOnce(request, upstream, options);
     } finally {
       places.release(upstreamId);
@@ -294,6 +295,7 @@
       upstream,
       signals,
       acquireSend: () =>
+        !request.signal.aborted &&
         hasSoftwareVersion(upstream, request.streamVersion) &&
         !quarantine.isQuarantined(request) &&
         limitedSends.takeGrant(request, upstreamId) &&
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,4 +1,4 @@
-import {addCloseHandler} from '@hollowstack/cancellation';
+import {addAbortHandler, addCloseHandler} from '@hollowstack/cancellation';
 import {scheduleTimeout, type Clock, type Timer} from '@hollowstack/clock';
 import type {RegisteredUpstream} from '@hollowstack/routes';
 import {
@@ -174,8 +174,9 @@
       },
       connector,
     );
-    const cancelCall = () => call.cancel('the request was given up');
-    request.signal.addEventListener('abort', cancelCall, {once: true});
+    const removeAbortHandler = addAbortHandler(request.signal, () =>
+      call.cancel('the request was given up'),
+    );
     request.recordRan('unknown');
     request.addAttempt(upstream);
     this.watchInactivity(call);
@@ -215,7 +216,7 @@
         exceededLimit,
       };
     } finally {
-      request.signal.removeEventListener('abort', cancelCall);
+      removeAbortHandler();
       this.inactivityTimer?.cancel();
       call.cancel('done');
       if (!this.holdsBody) reservation.release();
--- a/packages/gateway/src/place-queue.test.ts
+++ b/packages/gateway/src/place-queue.test.ts
@@ -57,3 +57,11 @@
   queue.release('u1');
   assert.equal(await queue.acquire('u1', NEVER), true);
 });
+
+test('a request that was given up before it asks for a place neither waits nor takes one', async () => {
+  const {queue} = createQueue({u1: 1});
+  const aborted = AbortSignal.abort();
+  assert.equal(await queue.acquire('u1', aborted), false);
+  assert.equal(await queue.acquire('u1', NEVER), true);
+  assert.equal(await queue.acquire('u1', aborted), false);
+});
--- a/packages/gateway/src/place-queue.ts
+++ b/packages/gateway/src/place-queue.ts
@@ -1,3 +1,4 @@
+import {addAbortHandler} from '@hollowstack/cancellation';
 import {scheduleTimeout, type Clock} from '@hollowstack/clock';
 
 /** Dependencies of PlaceQueue. */
@@ -37,6 +38,7 @@
    * @returns Whether a place was taken in time; the caller releases it.
    */
   async acquire(upstreamId: string, signal: AbortSignal): Promise<boolean> {
+    if (signal.aborted) return false;
     const used = this.used.get(upstreamId) ?? {count: 0, waiting: []};
     this.used.set(upstreamId, used);
     if (this.isFull(upstreamId, used)) {
@@ -75,7 +77,7 @@
     return new Promise(resolve => {
       const finish = (isFreed: boolean) => {
         timer.cancel();
-        signal.removeEventListener('abort', abandon);
+        removeAbortHandler();
         resolve(isFreed);
       };
       const resolveFreed = () => finish(true);
@@ -86,8 +88,8 @@
         finish(false);
       };
       const timer = scheduleTimeout(this.parts.clock, MAX_WAIT_MS, abandon);
-      signal.addEventListener('abort', abandon, {once: true});
       waiting.push(resolveFreed);
+      const removeAbortHandler = addAbortHandler(signal, abandon);
     });
   }
 
--- a/packages/gateway/src/test-utils/view-store.ts
+++ b/packages/gateway/src/test-utils/view-store.ts
@@ -1,3 +1,4 @@
+import {addAbortHandler} from '@hollowstack/cancellation';
 import type {
   KeyRange,
   KeyValue,
@@ -78,11 +79,12 @@
     return new Promise(resolve => {
       const wake = () => {
         this.waiters.delete(wake);
-        signal.removeEventListener('abort', wake);
+        removeAbortHandler();
         resolve();
       };
       this.waiters.add(wake);
-      signal.addEventListener('abort', wake, {once: true});
+      let removeAbortHandler = () => {};
+      removeAbortHandler = addAbortHandler(signal, wake);
     });
   }
 
--- a/packages/local-system/src/memory-http-client.ts
+++ b/packages/local-system/src/memory-http-client.ts
@@ -1,3 +1,4 @@
+import {addAbortHandler} from '@hollowstack/cancellation';
 import {
   AsyncQueue,
   HttpClient,
@@ -95,9 +96,8 @@
       failRequest('given up');
       void this.cancelAtServer();
     };
-    request.signal.addEventListener('abort', cancelAttempt, {once: true});
     this.cleanups.push(
-      () => request.signal.removeEventListener('abort', cancelAttempt),
+      addAbortHandler(request.signal, cancelAttempt),
       this.simulatedProcess.addDeathListener(() => void this.cancelAtServer()),
       this.served.simulatedProcess.addDeathListener(() =>
         failRequest('connection reset'),
@@ -135,10 +135,8 @@
       this.simulatedProcess.deliver(() =>
         queue.fail(new TransportError(message, 'some')),
       );
-    const failAborted = () => fail('given up');
-    request.signal.addEventListener('abort', failAborted, {once: true});
     this.cleanups.push(
-      () => request.signal.removeEventListener('abort', failAborted),
+      addAbortHandler(request.signal, () => fail('given up')),
       this.served.simulatedProcess.addDeathListener(() =>
         fail('connection reset'),
       ),
--- a/packages/pipeline/src/attempt.ts
+++ b/packages/pipeline/src/attempt.ts
@@ -1,3 +1,4 @@
+import {addAbortHandler} from '@hollowstack/cancellation';
 import type {Clock, Timer} from '@hollowstack/clock';
 import {
   TransportError,
@@ -57,9 +58,7 @@
   private readonly attemptId: string;
   private readonly monitor: AttemptMonitor;
   private readonly controller = new AbortController();
-  private readonly parent: AbortSignal;
-  private readonly cancelWithParent = () =>
-    this.cancelAttempt('given-up', 'stopped');
+  private readonly removeAbortHandler: () => void;
   private failure: AttemptError | undefined;
   private lastByteAtMs: number;
   private readonly startedAtMs: number;
@@ -80,12 +79,12 @@
     this.clock = clock;
     this.attemptId = attemptId;
     this.monitor = monitor;
-    this.parent = parent;
     this.startedAtMs = clock.getNow();
     this.lastByteAtMs = this.startedAtMs;
     this.timer = this.scheduleCheck(monitor.silenceMs);
-    parent.addEventListener('abort', this.cancelWithParent, {once: true});
-    if (parent.aborted) this.cancelWithParent();
+    this.removeAbortHandler = addAbortHandler(parent, () =>
+      this.cancelAttempt('given-up', 'stopped'),
+    );
   }
 
   /**
@@ -119,7 +118,7 @@
   /** Ends the attempt and aborts a response that is still arriving. */
   close(): void {
     this.timer.cancel();
-    this.parent.removeEventListener('abort', this.cancelWithParent);
+    this.removeAbortHandler();
     this.controller.abort(new Error('attempt closed'));
   }
 
--- a/packages/pipeline/src/pool-slot-queue.ts
+++ b/packages/pipeline/src/pool-slot-queue.ts
@@ -6,6 +6,7 @@
   type InServiceCount,
   type WaitingWork,
 } from '@hollowstack/admission';
+import {addAbortHandler} from '@hollowstack/cancellation';
 import type {Clock, Timer} from '@hollowstack/clock';
 import {HollowstackError} from '@hollowstack/errors';
 
@@ -108,17 +109,17 @@
         ...request,
         enqueuedAtMs: this.clock.getNow(),
         grant: slot => {
-          signal.removeEventListener('abort', handleAbort);
+          removeAbortHandler();
           resolve(slot);
         },
         reject: error => {
-          signal.removeEventListener('abort', handleAbort);
+          removeAbortHandler();
           reject(error);
         },
         timer: undefined,
       };
-      signal.addEventListener('abort', handleAbort, {once: true});
       this.waiting.push(waiter);
+      const removeAbortHandler = addAbortHandler(signal, handleAbort);
       this.grantSlots();
       if (this.waiting.includes(waiter)) this.scheduleRefusal(waiter);
     });
--- a/packages/stages/src/stage-dispatcher.ts
+++ b/packages/stages/src/stage-dispatcher.ts
@@ -1,4 +1,5 @@
 import {randomBytes} from 'node:crypto';
+import {addAbortHandler} from '@hollowstack/cancellation';
 import type {Clock} from '@hollowstack/clock';
 import type {EventLogger} from '@hollowstack/logger';
 import {
@@ -30,6 +31,13 @@
   readonly local: StageCoordinator;
 }
 
+/** Outcome of a job whose request was given up before the job was submitted. */
+const GIVEN_UP: StageOutcome = {
+  type: 'failed',
+  failure: 'cancelled',
+  message: 'the request was given up',
+};
+
 /** A job without the fields that each submission adds: its id and owner. */
 export type UnsentStageJob = Omit<StageJob, 'jobId' | 'owner'>;
 
@@ -111,11 +119,13 @@
     const startedAtMs = clock.getNow();
     let outcome: StageOutcome | undefined;
     for (let submission = 0; submission < MAX_SUBMISSIONS; submission++) {
+      if (signal.aborted) return GIVEN_UP;
       const job = this.createJob(unsent, startedAtMs);
       if (job.remainingMs <= 0) break;
       outcome = await this.attemptJob(job, signal);
       if (outcome) return outcome;
     }
+    if (signal.aborted) return GIVEN_UP;
     return this.runWithoutCoordinator(unsent, startedAtMs, signal);
   }
 
@@ -181,12 +191,13 @@
     job: StageJob,
     signal: AbortSignal,
   ): Promise<StageOutcome> {
-    const cancelJob = () => this.parts.local.cancelJob(job.jobId);
-    signal.addEventListener('abort', cancelJob, {once: true});
+    const removeAbortHandler = addAbortHandler(signal, () =>
+      this.parts.local.cancelJob(job.jobId),
+    );
     try {
       return await this.parts.local.runJob(job);
     } finally {
-      signal.removeEventListener('abort', cancelJob);
+      removeAbortHandler();
     }
   }
 
@@ -206,7 +217,7 @@
         )
         .catch(() => {});
     };
-    signal.addEventListener('abort', cancelJob, {once: true});
+    const removeAbortHandler = addAbortHandler(signal, cancelJob);
     const watchHandle = this.peerWatch.beginWatching(coordinator);
     try {
       const reply = await Promise.race([
@@ -225,7 +236,7 @@
       return undefined;
     } finally {
       watchHandle.end();
-      signal.removeEventListener('abort', cancelJob);
+      removeAbortHandler();
     }
   }
 
--- a/packages/stand-ins/src/engine-stand-in.ts
+++ b/packages/stand-ins/src/engine-stand-in.ts
@@ -1,3 +1,4 @@
+import {addAbortHandler} from '@hollowstack/cancellation';
 import type {Clock} from '@hollowstack/clock';
 import type {LoadReport} from '@hollowstack/types';
 import {
@@ -169,7 +170,7 @@
       removeSequence();
     };
     const queue = new AsyncQueue<Uint8Array>(cancelSequence);
-    request.signal.addEventListener('abort', cancelSequence, {once: true});
+    addAbortHandler(request.signal, cancelSequence);
     const {mode} = this.faults.getSetting();
     if (mode === 'wedged') return queue;
     let sent = 0;
--- a/packages/stand-ins/src/platform-stand-in.ts
+++ b/packages/stand-ins/src/platform-stand-in.ts
@@ -1,3 +1,4 @@
+import {addAbortHandler} from '@hollowstack/cancellation';
 import {waitFor, type Clock, type Timer} from '@hollowstack/clock';
 import {
   AsyncQueue,
@@ -298,7 +299,7 @@
       queue.end();
     };
     created.forEach(watcher => this.watchers.add(watcher));
-    request.signal.addEventListener('abort', removeWatchers, {once: true});
+    addAbortHandler(request.signal, removeWatchers);
     queue.push(encodeWatchLine({created: true, events: []}));
     return {status: 200, headers: {}, body: queue};
   }
--- a/packages/stand-ins/src/pool-stand-in.ts
+++ b/packages/stand-ins/src/pool-stand-in.ts
@@ -1,3 +1,4 @@
+import {addAbortHandler} from '@hollowstack/cancellation';
 import type {Clock} from '@hollowstack/clock';
 import type {LoadReport} from '@hollowstack/types';
 import {
@@ -103,14 +104,14 @@
         job.cancel();
         reject(request.signal.reason);
       };
-      request.signal.addEventListener('abort', cancelJob, {once: true});
+      const removeAbortHandler = addAbortHandler(request.signal, cancelJob);
       if (mode === 'wedged') return;
       job = this.slots.addJob(
         Number(request.headers['x-priority'] ?? 5),
         durationMs,
         () => this.workLog.addBusyMs(record, durationMs),
         () => {
-          request.signal.removeEventListener('abort', cancelJob);
+          removeAbortHandler();
           record.outcome = 'finished';
           resolve();
         },
--- a/packages/store-relay/src/relay-client.ts
+++ b/packages/store-relay/src/relay-client.ts
@@ -1,3 +1,4 @@
+import {addAbortHandler} from '@hollowstack/cancellation';
 import type {Clock} from '@hollowstack/clock';
 import type {EventLogger} from '@hollowstack/logger';
 import {
@@ -231,7 +232,7 @@
 
 function waitForAbort(signal: AbortSignal): Promise<undefined> {
   return new Promise(resolve => {
-    signal.addEventListener('abort', () => resolve(undefined), {once: true});
+    addAbortHandler(signal, () => resolve(undefined));
   });
 }
 
--- a/packages/transport/src/connector.ts
+++ b/packages/transport/src/connector.ts
@@ -1,3 +1,4 @@
+import {addAbortHandler} from '@hollowstack/cancellation';
 import {scheduleTimeout, type Clock} from '@hollowstack/clock';
 import {splitAddress} from '@hollowstack/types';
 import {connect, type Socket} from 'node:net';
@@ -73,7 +74,7 @@
     return new Promise((resolve, reject) => {
       const settle = (action: () => void) => {
         timer.cancel();
-        signal?.removeEventListener('abort', abort);
+        removeAbortHandler();
         socket.off('error', fail);
         action();
       };
@@ -82,11 +83,12 @@
           socket.destroy();
           reject(error);
         });
-      const abort = () => fail(signal?.reason);
       const timer = scheduleTimeout(this.clock, target.timeoutMs, () =>
         fail(new ConnectTimeoutError()),
       );
-      signal?.addEventListener('abort', abort, {once: true});
+      const removeAbortHandler = addAbortHandler(signal, reason =>
+        fail(reason as Error),
+      );
       socket.once('error', fail);
       socket.once('connect', () =>
         settle(() => resolve({stream: socket, via: undefined})),
--- a/packages/transport/src/node-http-client.ts
+++ b/packages/transport/src/node-http-client.ts
@@ -1,3 +1,4 @@
+import {addAbortHandler} from '@hollowstack/cancellation';
 import {splitAddress} from '@hollowstack/types';
 import {Agent, request as startRequest, type IncomingMessage} from 'node:http';
 import {AnswerGuard} from './answer-guard.ts';
@@ -36,10 +37,9 @@
         headers: {...request.headers, 'content-length': request.body.length},
         agent: this.agent,
       });
-      const cancelRequest = () => outgoing.destroy(new Error('given up'));
-      const stopListening = () =>
-        request.signal.removeEventListener('abort', cancelRequest);
-      request.signal.addEventListener('abort', cancelRequest, {once: true});
+      const stopListening = addAbortHandler(request.signal, () =>
+        outgoing.destroy(new Error('given up')),
+      );
       const guard = new AnswerGuard(error => outgoing.destroy(error));
       outgoing.once('socket', socket => {
         const stopWatching = guard.watchStream(socket);
--- a/packages/transport/src/single-call.test.ts
+++ b/packages/transport/src/single-call.test.ts
@@ -3,7 +3,7 @@
 import {test, type TestContext} from 'node:test';
 import {setTimeout as waitMs} from 'node:timers/promises';
 import {SystemClock} from '@hollowstack/clock';
-import {DirectConnector} from './connector.ts';
+import {DirectConnector, type ConnectTarget} from './connector.ts';
 import {SingleCall} from './single-call.ts';
 
 /** A server that records received bytes and answers each request with 200. */
@@ -24,7 +24,11 @@
   return {address, getReceived: () => received};
 }
 
-function createCall(address: string, mayStillSend: () => boolean): SingleCall {
+function createCall(
+  address: string,
+  mayStillSend: () => boolean,
+  connector = new DirectConnector(new SystemClock()),
+): SingleCall {
   return new SingleCall(
     {
       address,
@@ -35,7 +39,7 @@
       connectTimeoutMs: 400,
       mayStillSend,
     },
-    new DirectConnector(new SystemClock()),
+    connector,
   );
 }
 
@@ -55,3 +59,33 @@
   await waitMs(50);
   assert.equal(getReceived(), '');
 });
+
+/** Settles only once it is released, whether its caller has given up or not. */
+class DeafConnector extends DirectConnector {
+  private readonly released = Promise.withResolvers<void>();
+
+  override async connect({address, timeoutMs}: ConnectTarget) {
+    const connection = await super.connect({address, timeoutMs});
+    await this.released.promise;
+    return connection;
+  }
+
+  release(): void {
+    this.released.resolve();
+  }
+}
+
+test('a call that is cancelled while its connection is being established sends no byte', async t => {
+  const {address, getReceived} = await startServer(t);
+  const connector = new DeafConnector(new SystemClock());
+  let wasAsked = false;
+  const mayStillSend = () => (wasAsked = true);
+  const call = createCall(address, mayStillSend, connector);
+  await waitMs(20);
+  call.cancel('the caller has gone');
+  connector.release();
+  await assert.rejects(call.response, {progress: 'none'});
+  assert.equal(wasAsked, false);
+  await waitMs(50);
+  assert.equal(getReceived(), '');
+});
--- a/packages/transport/src/single-call.ts
+++ b/packages/transport/src/single-call.ts
@@ -1,3 +1,4 @@
+import {addAbortHandler} from '@hollowstack/cancellation';
 import {scheduleTimeout, type Clock} from '@hollowstack/clock';
 import {
   request as startRequest,
@@ -119,7 +120,7 @@
   ): Promise<IncomingMessage> {
     const {stream, via} = await this.connect(request, connector);
     this.carrier = via;
-    if (request.mayStillSend?.() === false) {
+    if (this.isCancelled || request.mayStillSend?.() === false) {
       this.isCancelled = true;
       stream.destroy();
       throw new TransportError('withdrawn before it was sent', 'none');
@@ -308,9 +309,8 @@
     call.cancel('no answer in time');
   });
   const cancelCall = () => call.cancel('given up');
-  limits.signal?.addEventListener('abort', cancelCall, {once: true});
+  const removeAbortHandler = addAbortHandler(limits.signal, cancelCall);
   try {
-    if (limits.signal?.aborted) cancelCall();
     const head = await call.response;
     const {maxBytes} = limits;
     const body = await readWholeBody(call, {maxBytes, reservation});
@@ -320,7 +320,7 @@
     throw new AnswerTimeoutError(call.mayHaveBeenSent() ? 'some' : 'none');
   } finally {
     timer.cancel();
-    limits.signal?.removeEventListener('abort', cancelCall);
+    removeAbortHandler();
     reservation.release();
     call.cancel('done');
   }
--- a/packages/upstream-paths/src/connect-race.ts
+++ b/packages/upstream-paths/src/connect-race.ts
@@ -1,3 +1,4 @@
+import {addAbortHandler} from '@hollowstack/cancellation';
 import {scheduleTimeout, type Clock, type Timer} from '@hollowstack/clock';
 import {
   ConnectTimeoutError,
@@ -61,20 +62,25 @@
   /** Connects; called once. Rejects as `Connector.connect` does. */
   run(path: PathChoice): Promise<Connection> {
     const {signal} = this.target;
-    const abort = () => this.fail(signal?.reason);
-    signal?.addEventListener('abort', abort, {once: true});
     const result = new Promise<Connection>((resolve, reject) => {
       this.settle = {resolve, reject};
     });
-    if (path === 'tunnel') void this.openTunnel();
-    else this.startDirect(STANDBY_DELAY_MS[path]);
+    const removeAbortHandler = addAbortHandler(signal, reason =>
+      this.fail(reason),
+    );
+    if (!this.isSettled) this.startPath(path);
     return result.finally(() => {
       this.standbyTimer?.cancel();
-      signal?.removeEventListener('abort', abort);
+      removeAbortHandler();
       this.abandoned.abort();
     });
   }
 
+  private startPath(path: PathChoice): void {
+    if (path === 'tunnel') void this.openTunnel();
+    else this.startDirect(STANDBY_DELAY_MS[path]);
+  }
+
   private startDirect(standbyDelayMs: number): void {
     void this.connectDirect();
     this.standbyTimer = scheduleTimeout(this.parts.clock, standbyDelayMs, () =>
--- a/packages/upstream-paths/src/join-streams.ts
+++ b/packages/upstream-paths/src/join-streams.ts
@@ -1,3 +1,4 @@
+import {addCloseHandler} from '@hollowstack/cancellation';
 import {encodeFrame} from '@hollowstack/peers';
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
@@ -18,12 +19,12 @@
     hasEnded = true;
     tunnel.end(END_FRAME);
   });
-  upstream.on('close', () => {
+  addCloseHandler(upstream, () => {
     if (!hasEnded) tunnel.destroy();
   });
   tunnel.on('data', (bytes: Buffer) => {
     if (!upstream.write(bytes)) tunnel.pause();
   });
   upstream.on('drain', () => tunnel.resume());
-  tunnel.on('close', () => upstream.destroy());
+  addCloseHandler(tunnel, () => upstream.destroy());
 }
--- a/packages/upstream-paths/src/path-connector.test.ts
+++ b/packages/upstream-paths/src/path-connector.test.ts
@@ -234,3 +234,14 @@
   await assert.rejects(clock.advanceUntil(connecting, 2 * TIMEOUT_MS));
   assert.equal(clock.getNow() - startedAtMs, TIMEOUT_MS + 50);
 });
+
+test('a connection that was given up before it begins is not established', async () => {
+  const connecting = connector.connect({
+    address: 'a',
+    timeoutMs: TIMEOUT_MS,
+    signal: AbortSignal.abort(new Error('given up')),
+  });
+  await assert.rejects(connecting, /given up/);
+  assert.deepEqual(direct.connects, []);
+  assert.equal(tunnelCount, 0);
+});
--- a/packages/upstream-paths/src/tunnel-client.ts
+++ b/packages/upstream-paths/src/tunnel-client.ts
@@ -1,3 +1,4 @@
+import {addCloseHandler} from '@hollowstack/cancellation';
 import {scheduleTimeout, type Clock} from '@hollowstack/clock';
 import type {PeerLink, PeerRecord, PeerReply} from '@hollowstack/peers';
 import type {Connection, ConnectTarget} from '@hollowstack/transport';
@@ -92,7 +93,7 @@
       peers.recordRefusal(via, 'silent');
       return {type: 'none'};
     }
-    stream.once('close', peers.recordOpened(via));
+    addCloseHandler(stream, peers.recordOpened(via));
     return {type: 'connected', connection: {stream, via}};
   }
 
--- a/packages/upstream-paths/src/tunnel-stream.ts
+++ b/packages/upstream-paths/src/tunnel-stream.ts
@@ -1,3 +1,4 @@
+import {addCloseHandler} from '@hollowstack/cancellation';
 import {FrameDecoder, MAX_FRAME_BYTES} from '@hollowstack/peers';
 import {Duplex} from 'node:stream';
 import type {Socket} from 'node:net';
@@ -21,7 +22,7 @@
   });
   // The reader of the stream handles 'close', which follows every error.
   stream.on('error', () => {});
-  stream.once('close', () => socket.destroy());
+  addCloseHandler(stream, () => socket.destroy());
   const handlePayload = (payload: Buffer) => {
     if (hasEnded) return;
     if (payload.length > 0) {
@@ -41,7 +42,7 @@
     }
   });
   socket.on('error', error => stream.destroy(error));
-  socket.on('close', () => {
+  addCloseHandler(socket, () => {
     if (!hasEnded) stream.destroy(createLostError());
   });
   return stream;
--- a/packages/upstream-paths/src/tunnel.test.ts
+++ b/packages/upstream-paths/src/tunnel.test.ts
@@ -207,3 +207,23 @@
   );
   assert.deepEqual(reply, {type: 'tunnel-failed', reason: 'not-accepting'});
 });
+
+test('a tunnel whose upstream has closed before it is claimed ends at once', async () => {
+  const address = await startUpstream(socket => {
+    setTimeout(() => socket.resetAndDestroy(), 20);
+  });
+  setAddresses([address]);
+  const reply = await tunnelServer.openTunnel(
+    {address, timeoutMs: 400},
+    'requester',
+  );
+  assert.equal(reply.type, 'tunnel');
+  if (reply.type !== 'tunnel') return;
+  await waitMs(50);
+  const socket = new TcpTunnelNetwork().connect(reply.address);
+  socket.on('error', () => {});
+  socket.write(Buffer.from(reply.token, 'hex'));
+  const isClosed = once(socket, 'close').then(() => true);
+  assert.equal(await Promise.race([isClosed, waitMs(300, false)]), true);
+  assert.equal(tunnelServer.countTunnels(), 0);
+});
