Cancel stage work whose requests were all given up

Stage calls ran on after every request in them had been given up, for up to three times their duration; the cancellation was sent to the coordinator once and its failure ignored; it could also overtake its job, which waits for a refresh of the view, and was then lost.

A call is now withdrawn if none of its jobs is needed when its connection is established, leaves out the pieces that are not, and is closed 0.3 s after its last job was cancelled. Until then its answer still names the results to release; afterwards their memory counts as used until they expire, and a trial of the upstream counts as not made. The coordinator remembers cancellations of unknown jobs for five seconds, and submitters send theirs up to three times. A request is created when it is sent, so that it carries the time that is left then.

Stages of callers that stay are served from a shared call as before.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -153,23 +153,24 @@
     const call: SingleCall = new SingleCall(
       {
         address: upstream.address,
-        method: request.incoming.method ?? 'GET',
-        path: request.incoming.url ?? '/',
-        headers: this.createHeaders(),
-        body: request.body,
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
         // Checked again once the connection is established: that may take 0.4 s, a fifth of
         // the time in which a leaving upstream must stop getting work, and fifty requests
         // may be connecting while the first answer asks for a back-off.
-        mayStillSend: () => {
+        createRequest: () => {
           request.via = call.via;
           isWithdrawn = !acquireSend();
           // The upstream is given its full time, however long the path took to find.
-          if (isWithdrawn) return false;
+          if (isWithdrawn) return undefined;
           request.presence.recordSend();
           request.presence.waitsFor = 'upstream';
           this.watchInactivity(call);
-          return true;
+          return {
+            method: request.incoming.method ?? 'GET',
+            path: request.incoming.url ?? '/',
+            headers: this.createHeaders(),
+            body: request.body,
+          };
         },
       },
       connector,
--- a/packages/gateway/src/cached-prompts-reader.ts
+++ b/packages/gateway/src/cached-prompts-reader.ts
@@ -66,7 +66,11 @@
     const sentAtMs = clock.getNow();
     try {
       const {head, body} = await callForWholeAnswer(
-        {...request, address, connectTimeoutMs: CONNECT_TIMEOUT_MS},
+        {
+          address,
+          connectTimeoutMs: CONNECT_TIMEOUT_MS,
+          createRequest: () => request,
+        },
         {clock, connector, memory},
         {timeoutMs: ANSWER_TIMEOUT_MS, maxBytes: MAX_ANSWER_BYTES},
       );
--- a/packages/gateway/src/request-runner.ts
+++ b/packages/gateway/src/request-runner.ts
@@ -79,8 +79,10 @@
     retryBudget.recordRequest(request.facts.service);
     await this.parts.quarantine.admitRequest(request);
     await this.resumeStream(request);
+    request.signal.throwIfAborted();
     this.checkAvailability(request);
     await this.parts.limitedSends.reserveSend(request);
+    request.signal.throwIfAborted();
     if (!pieceCounts) {
       await this.parts.attempts.run(request, {
         promptParts,
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -454,6 +454,16 @@
     level: 'info',
     text: 'stage work was cancelled, because its request was given up',
   },
+  'stage.call-abandoned': {
+    number: 907,
+    level: 'info',
+    text: 'no request needs a stage call any more; it was withdrawn or its connection closed',
+  },
+  'stage.cancel-failed': {
+    number: 908,
+    level: 'warn',
+    text: 'the coordinator could not be told that stage work is cancelled',
+  },
   'results.orphaned': {
     number: 903,
     level: 'info',
--- a/packages/routing/src/health.ts
+++ b/packages/routing/src/health.ts
@@ -69,6 +69,12 @@
   return {...health, state: 'trial'};
 }
 
+/** Records that a trial ended without a result; another one may begin at once. */
+export function cancelTrial(health: HealthState, nowMs: number): HealthState {
+  if (health.state !== 'trial') return health;
+  return {...health, state: 'out', nextTrialAtMs: nowMs};
+}
+
 /** Records a successful request. A leaving upstream that finishes its work stays leaving. */
 export function recordSuccess(health: HealthState, nowMs: number): HealthState {
   if (health.state === 'leaving') return {...health, consecutiveFailures: 0};
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -8,6 +8,7 @@
   recordLeaving,
   recordLiveReport,
   recordSuccess,
+  cancelTrial,
   recordTrial,
   DEFAULT_HEALTH_POLICY,
   type FailureKind,
--- a/packages/stages/src/batch-runner.ts
+++ b/packages/stages/src/batch-runner.ts
@@ -4,6 +4,7 @@
 import type {StageCapacity} from '@hollowstack/routes';
 import type {StageResult} from '@hollowstack/types';
 import type {Batch} from './batch-plan.ts';
+import {CallDemand} from './call-demand.ts';
 import type {EarlyInputReleaser} from './early-input-releaser.ts';
 import {splitBrokenCall} from './broken-call.ts';
 import {
@@ -98,30 +99,30 @@
     const expectedMs =
       capacity.callMs + this.parts.times.computePiecesMs(shares);
     const readTracker = this.parts.inputReleaser.beginCall(pieces, expectedMs);
+    const demand = new CallDemand(this.parts.clock, pieces);
+    const call = {startedAtMs: nowMs, expectedMs, capacity, hasBacklog};
     upstream.beginCall();
     try {
-      const answer = await this.parts.caller.runPieces(
-        upstream.record,
-        pieces.map(({piece}) => piece),
-        expectedMs *
-          CALL_TIMEOUT_FACTOR *
-          Math.max(1, upstream.getSlowness(nowMs)) +
+      const answer = await this.parts.caller.runPieces(upstream.record, {
+        timeoutMs:
+          expectedMs *
+            CALL_TIMEOUT_FACTOR *
+            Math.max(1, upstream.getSlowness(nowMs)) +
           CALL_TIMEOUT_MARGIN_MS,
-        () => {
-          if (!this.parts.fleet.acquireSend(id)) return false;
+        takePieces: () => {
+          if (!demand.isNeeded()) return [];
+          if (!this.parts.fleet.acquireSend(id)) return [];
           if (this.parts.releasesInputsEarly) readTracker.recordSent();
-          return true;
+          return demand.takePieces().map(({piece}) => piece);
         },
-      );
-      this.handleAnswer(upstream, pieces, answer, {
-        startedAtMs: nowMs,
-        expectedMs,
-        capacity,
-        hasBacklog,
+        signal: demand.signal,
       });
+      this.settleCall(upstream, demand, answer, call);
     } catch (error) {
-      this.handleFailure(upstream, pieces, error, nowMs);
+      if (demand.signal.aborted) this.closeUnneeded(upstream, demand, call);
+      else this.handleFailure(upstream, pieces, error, nowMs);
     } finally {
+      demand.end();
       readTracker.end();
       upstream.endCall(this.parts.clock.getNow());
       // Some pieces may have been requeued.
@@ -131,6 +132,67 @@
     }
   }
 
+  private settleCall(
+    upstream: StageUpstream,
+    demand: CallDemand,
+    answer: RunAnswer,
+    call: RunningCall,
+  ): void {
+    const {sentPieces} = demand;
+    if (sentPieces.length > 0) {
+      this.cancelReservations(upstream, demand.listUnsent());
+      this.handleAnswer(upstream, sentPieces, answer, call);
+    } else if (demand.isNeeded()) {
+      this.handleAnswer(upstream, demand.listUnsent(), answer, call);
+    } else this.closeUnneeded(upstream, demand, call);
+  }
+
+  // No job needs the call any more. The upstream may run it to its end and store results that
+  // this coordinator cannot name.
+  private closeUnneeded(
+    upstream: StageUpstream,
+    demand: CallDemand,
+    {startedAtMs, expectedMs, capacity}: RunningCall,
+  ): void {
+    const {id, service, address, failureDomain} = upstream.record;
+    const nowMs = this.parts.clock.getNow();
+    const dueAtMs =
+      startedAtMs + expectedMs * Math.max(1, upstream.getSlowness(nowMs));
+    if (nowMs > dueAtMs + CALL_TIMEOUT_MARGIN_MS) {
+      upstream.recordFailure(nowMs, 'broken');
+    } else upstream.cancelTrial(nowMs);
+    this.cancelReservations(upstream, demand.listUnsent());
+    for (const {job} of demand.sentPieces) {
+      this.parts.fleet.recordUnnamedResult({
+        upstreamId: id,
+        address,
+        failureDomain,
+        owner: undefined,
+        service,
+        bytes: job.resultBytes,
+        reservedAtMs: startedAtMs,
+        expiresAtMs: Math.max(nowMs, dueAtMs) + capacity.resultTtlMs,
+      });
+    }
+    this.parts.logger.logEvent('stage.call-abandoned', {
+      service,
+      upstream: id,
+      pieces: demand.sentPieces.length,
+      unsentPieces: demand.listUnsent().length,
+      tookMs: Math.round(nowMs - startedAtMs),
+      expectedMs: Math.round(expectedMs),
+    });
+  }
+
+  private cancelReservations(
+    {record}: StageUpstream,
+    pieces: readonly InFlightPiece[],
+  ): void {
+    for (const {job} of pieces) {
+      this.parts.fleet.cancelReservation(record.id, job.resultBytes);
+    }
+  }
+
   private handleAnswer(
     upstream: StageUpstream,
     pieces: readonly InFlightPiece[],
--- a/packages/stages/src/early-input-releaser.test.ts
+++ b/packages/stages/src/early-input-releaser.test.ts
@@ -11,7 +11,7 @@
 import {test} from 'node:test';
 import {StageCallError} from './stage-caller.ts';
 import {StageCoordinator} from './stage-coordinator.ts';
-import type {StagePiece} from './stage-protocol.ts';
+import type {StageCall} from './stage-caller.ts';
 import {createTestUpstream} from './test-utils/create-coordinator.ts';
 import {getMiddle} from './test-utils/get-middle.ts';
 import {NO_LIMITS} from './test-utils/no-limits.ts';
@@ -51,13 +51,9 @@
   const stored = new Set<string>();
   const calls = {broken: 0, missingInputs: 0, maxStored: 0};
   let nextHandle = 1;
-  const runPieces = async (
-    {id}: {id: string},
-    pieces: readonly StagePiece[],
-    _: number,
-    mayStillSend: () => boolean,
-  ) => {
-    if (!mayStillSend())
+  const runPieces = async ({id}: {id: string}, {takePieces}: StageCall) => {
+    const pieces = takePieces();
+    if (pieces.length === 0)
       return {type: 'not-run', isOtherUpstream: false} as const;
     await waitMs(clock, FETCH_MS);
     const areInputsPresent = pieces.map(({inputs}) =>
--- a/packages/stages/src/job-state.ts
+++ b/packages/stages/src/job-state.ts
@@ -45,7 +45,8 @@
   private isolation: Isolation | undefined;
   private failedPieces = 0;
   private areInputsReleased = false;
-  private isSettled = false;
+  private hasSettled = false;
+  private readonly cancelHandlers = new Set<() => void>();
 
   constructor(
     job: StageJob,
@@ -61,6 +62,11 @@
     this.results = new Array(job.pieceCount).fill(undefined);
   }
 
+  /** Whether the job has ended, successfully or not. */
+  get isSettled(): boolean {
+    return this.hasSettled;
+  }
+
   /** Number of pieces that wait for a call; 0 once the job is settled. */
   get waitingCount(): number {
     return this.isSettled ? 0 : this.waiting.length;
@@ -182,7 +188,7 @@
     this.results[piece] = result;
     const results = this.listResults();
     if (results.length === this.job.pieceCount) {
-      this.isSettled = true;
+      this.hasSettled = true;
       const {areInputsReleased} = this;
       this.settle({type: 'made', results, areInputsReleased});
     }
@@ -196,8 +202,20 @@
   /** Settles the job as failed. */
   fail(failed: JobFailure): void {
     if (this.isSettled) return;
-    this.isSettled = true;
+    this.hasSettled = true;
     this.settle({type: 'failed', ...failed});
+    if (failed.failure !== 'cancelled') return;
+    for (const handleCancelled of this.cancelHandlers) handleCancelled();
+  }
+
+  /**
+   * Calls a handler once the job is cancelled.
+   *
+   * @returns Function that removes the handler.
+   */
+  addCancelHandler(handleCancelled: () => void): () => void {
+    this.cancelHandlers.add(handleCancelled);
+    return () => this.cancelHandlers.delete(handleCancelled);
   }
 }
 
--- a/packages/stages/src/job-table.ts
+++ b/packages/stages/src/job-table.ts
@@ -18,10 +18,19 @@
   readonly releaseResults: (results: readonly StageResult[]) => void;
 }
 
+/**
+ * Milliseconds for which the cancellation of an unknown job is remembered. A job waits for a
+ * refresh of the view before it is added, its cancellation does not.
+ */
+const EARLY_CANCEL_TTL_MS = 5000;
+const CANCELLED = 'the request was given up';
+
 /** The unsettled jobs by id. */
 export class JobTable {
   private readonly parts: JobTableParts;
   private readonly jobs = new Map<string, JobState>();
+  /** When unknown jobs were cancelled, by job id. */
+  private readonly cancelledAtMs = new Map<string, number>();
 
   constructor(parts: JobTableParts) {
     this.parts = parts;
@@ -45,6 +54,27 @@
     return state;
   }
 
+  /** Cancels a job, also one that has not arrived yet. */
+  cancel(jobId: string): void {
+    const state = this.jobs.get(jobId);
+    if (state) {
+      this.fail(state, 'cancelled', CANCELLED);
+      return;
+    }
+    const nowMs = this.parts.getNow();
+    for (const [id, atMs] of this.cancelledAtMs) {
+      if (nowMs - atMs < EARLY_CANCEL_TTL_MS) break;
+      this.cancelledAtMs.delete(id);
+    }
+    this.cancelledAtMs.set(jobId, nowMs);
+  }
+
+  /** Returns the outcome of a job that was cancelled before it arrived; undefined for others. */
+  takeEarlyCancel(jobId: string): StageOutcome | undefined {
+    if (!this.cancelledAtMs.delete(jobId)) return undefined;
+    return {type: 'failed', failure: 'cancelled', message: CANCELLED};
+  }
+
   find(jobId: string): JobState | undefined {
     return this.jobs.get(jobId);
   }
--- a/packages/stages/src/learned-call-times.test.ts
+++ b/packages/stages/src/learned-call-times.test.ts
@@ -16,7 +16,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {StageCoordinator} from './stage-coordinator.ts';
-import type {StagePiece} from './stage-protocol.ts';
+import type {StageCall} from './stage-caller.ts';
 import {getMiddle} from './test-utils/get-middle.ts';
 import {createRankJob, createRankUpstream} from './test-utils/rank-service.ts';
 import {NO_LIMITS} from './test-utils/no-limits.ts';
@@ -64,10 +64,8 @@
   const clock = new ManualClock(0);
   const logger = new CallLogger();
   const random = createSeededRandom(5);
-  const runPieces = async (
-    {id}: {id: string},
-    pieces: readonly StagePiece[],
-  ) => {
+  const runPieces = async ({id}: {id: string}, {takePieces}: StageCall) => {
+    const pieces = takePieces();
     const {callMs, pieceMs, slowness} = truth;
     const tookMs = (callMs + pieceMs * pieces.length) * (slowness[id] ?? 1);
     await new Promise<void>(resolve => clock.schedule(tookMs, resolve));
--- a/packages/stages/src/limited-stage.test.ts
+++ b/packages/stages/src/limited-stage.test.ts
@@ -13,7 +13,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {StageCoordinator} from './stage-coordinator.ts';
-import type {StagePiece} from './stage-protocol.ts';
+import type {StageCall} from './stage-caller.ts';
 import {getMiddle} from './test-utils/get-middle.ts';
 import {createRankJob, createRankUpstream} from './test-utils/rank-service.ts';
 import {ALWAYS_FRESH} from './test-utils/always-fresh.ts';
@@ -81,13 +81,10 @@
     metrics,
     limiter,
     caller: {
-      runPieces: async (
-        {id}: {id: string},
-        pieces: readonly StagePiece[],
-        _: number,
-        mayStillSend: () => boolean,
-      ) => {
-        if (!mayStillSend()) return {type: 'not-run', isOtherUpstream: false};
+      runPieces: async ({id}: {id: string}, {takePieces}: StageCall) => {
+        const pieces = takePieces();
+        if (pieces.length === 0)
+          return {type: 'not-run', isOtherUpstream: false};
         callsAtMs.get(id)!.push(clock.getNow());
         await new Promise<void>(resolve => clock.schedule(CALL_MS, resolve));
         const outcomes = pieces.map(
--- a/packages/stages/src/stage-back-off.test.ts
+++ b/packages/stages/src/stage-back-off.test.ts
@@ -9,7 +9,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {StageCoordinator} from './stage-coordinator.ts';
-import type {StagePiece} from './stage-protocol.ts';
+import type {StageCall} from './stage-caller.ts';
 import {getMiddle} from './test-utils/get-middle.ts';
 import {createRankJob, createRankUpstream} from './test-utils/rank-service.ts';
 import {NO_LIMITS} from './test-utils/no-limits.ts';
@@ -39,14 +39,10 @@
   const backOffs = new BackOffTable({clock, logger});
   const callsAtMs: Array<{id: string; atMs: number}> = [];
   const caller = {
-    runPieces: async (
-      {id}: {id: string},
-      pieces: readonly StagePiece[],
-      _: number,
-      mayStillSend: () => boolean,
-    ) => {
+    runPieces: async ({id}: {id: string}, {takePieces}: StageCall) => {
       const notRun = {type: 'not-run', isOtherUpstream: false} as const;
-      if (!mayStillSend()) return notRun;
+      const pieces = takePieces();
+      if (pieces.length === 0) return notRun;
       callsAtMs.push({id, atMs: clock.getNow()});
       if (refusals.count > 0) {
         refusals.count -= 1;
--- a/packages/stages/src/stage-caller.ts
+++ b/packages/stages/src/stage-caller.ts
@@ -8,6 +8,7 @@
   isConnectionLost,
   isPathError,
   type WholeAnswer,
+  type WholeCallLimits,
 } from '@hollowstack/transport';
 import type {UpstreamSignals} from '@hollowstack/upstream-signals';
 import type {
@@ -31,6 +32,19 @@
   readonly address: string;
 }
 
+/** A call with a batch of pieces. */
+export interface StageCall {
+  /** Milliseconds until the answer must be complete. */
+  readonly timeoutMs: number;
+  /**
+   * Called right before the first byte is sent; returns the pieces that are sent, none if the
+   * call is withdrawn.
+   */
+  readonly takePieces: () => readonly StagePiece[];
+  /** Closes the call once it aborts. */
+  readonly signal: AbortSignal;
+}
+
 /** What a failed call reveals about its upstream. */
 export interface StageCallErrorDetails {
   /** Whether the upstream did not accept the call or did not answer in time. */
@@ -82,25 +96,27 @@
   /**
    * Sends a call with a batch of pieces to an upstream.
    *
-   * @param mayStillSend Called right before the first byte is sent; false cancels the call.
-   * @param timeoutMs Timeout for the complete answer.
    * @throws StageCallError if no answer could be read.
    */
   async runPieces(
     target: StageTarget,
-    pieces: readonly StagePiece[],
-    timeoutMs: number,
-    mayStillSend: () => boolean,
+    {timeoutMs, takePieces, signal}: StageCall,
   ): Promise<RunAnswer> {
     const {protocol, signals, clock} = this.parts;
     const {id, address} = target;
     const sentAtMs = clock.getNow();
+    let pieces: readonly StagePiece[] = [];
     let isSendCancelled = false;
-    const request = protocol.createRunRequest(id, address, pieces);
+    const createRequest = () => {
+      pieces = takePieces();
+      isSendCancelled = pieces.length === 0;
+      if (isSendCancelled) return undefined;
+      return protocol.createRunRequest(id, address, pieces);
+    };
     try {
-      const {head, body} = await this.call(address, request, timeoutMs, () => {
-        isSendCancelled = !mayStillSend();
-        return !isSendCancelled;
+      const {head, body} = await this.call(address, createRequest, {
+        timeoutMs,
+        signal: AbortSignal.any([this.controller.signal, signal]),
       });
       const answer = {
         status: head.statusCode ?? 0,
@@ -136,7 +152,10 @@
     handles: readonly string[],
   ): Promise<void> {
     const request = this.parts.protocol.createReleaseRequest(address, handles);
-    await this.call(address, request, RELEASE_TIMEOUT_MS).catch(() => {});
+    await this.call(address, () => request, {
+      timeoutMs: RELEASE_TIMEOUT_MS,
+      signal: this.controller.signal,
+    }).catch(() => {});
   }
 
   /** Closes the connections of all calls; later calls fail. */
@@ -155,23 +174,13 @@
 
   private call(
     address: string,
-    request: EncodedRequest,
-    timeoutMs: number,
-    mayStillSend?: () => boolean,
+    createRequest: () => EncodedRequest | undefined,
+    limits: Pick<WholeCallLimits, 'timeoutMs' | 'signal'>,
   ): Promise<WholeAnswer> {
     return callForWholeAnswer(
-      {
-        ...request,
-        address,
-        connectTimeoutMs: CONNECT_TIMEOUT_MS,
-        mayStillSend,
-      },
+      {address, connectTimeoutMs: CONNECT_TIMEOUT_MS, createRequest},
       this.parts,
-      {
-        timeoutMs,
-        maxBytes: MAX_ANSWER_BYTES,
-        signal: this.controller.signal,
-      },
+      {...limits, maxBytes: MAX_ANSWER_BYTES},
     );
   }
 }
--- a/packages/stages/src/stage-coordinator.ts
+++ b/packages/stages/src/stage-coordinator.ts
@@ -151,6 +151,8 @@
 
   /** Queues a job and resolves with its outcome. */
   runJob(job: StageJob): Promise<StageOutcome> {
+    const cancelled = this.jobs.takeEarlyCancel(job.jobId);
+    if (cancelled) return Promise.resolve(cancelled);
     return new Promise(resolve => {
       const state = this.jobs.add(job, outcome => {
         this.admission.recordDone(job.service, job.requestId, job.stage);
@@ -173,8 +175,7 @@
       waitingPieces: state?.waitingCount,
       isKnown: state !== undefined,
     });
-    if (!state) return;
-    this.jobs.fail(state, 'cancelled', 'the request was given up');
+    this.jobs.cancel(jobId);
   }
 
   /** Releases results at the upstreams that store them. */
@@ -204,6 +205,11 @@
     this.jobs.failAll(message);
   }
 
+  /** Counts the bytes of results that are reserved or stored at an upstream. */
+  countUsedBytes(upstreamId: string): number {
+    return this.fleet.getUsedBytes(upstreamId);
+  }
+
   /** Returns the number of unsettled jobs. */
   getWaitingCount(): number {
     return this.jobs.size;
--- a/packages/stages/src/stage-dispatcher.ts
+++ b/packages/stages/src/stage-dispatcher.ts
@@ -1,6 +1,6 @@
 import {randomBytes} from 'node:crypto';
 import {addAbortHandler} from '@hollowstack/cancellation';
-import type {Clock} from '@hollowstack/clock';
+import {waitFor, type Clock} from '@hollowstack/clock';
 import type {EventLogger} from '@hollowstack/logger';
 import {
   chooseCoordinator,
@@ -51,8 +51,11 @@
  * that the coordinator can still report that the deadline has passed.
  */
 const REPLY_MARGIN_MS = 100;
-/** Timeout of a cancellation, which no request waits for. */
-const CANCEL_TIMEOUT_MS = 1000;
+/** Maximum number of times that a cancellation is sent. */
+const MAX_CANCELLATIONS = 3;
+/** Timeout of a cancellation, and pause before it is sent again; no request waits for it. */
+const CANCEL_TIMEOUT_MS = 200;
+const CANCEL_RETRY_DELAY_MS = 50;
 /** Timeout of admission, after which a request is admitted; about thirty round trips. */
 const ADMIT_TIMEOUT_MS = 100;
 /** Random bytes in a job id; enough to make a collision practically impossible. */
@@ -208,16 +211,10 @@
   ): Promise<StageOutcome | undefined> {
     const {link, membership} = this.parts;
     const {address, id} = coordinator;
-    const cancelJob = () => {
-      link
-        .sendRequest(
-          address,
-          {type: 'stage-cancel', jobId: job.jobId},
-          CANCEL_TIMEOUT_MS,
-        )
-        .catch(() => {});
-    };
-    const removeAbortHandler = addAbortHandler(signal, cancelJob);
+    const removeAbortHandler = addAbortHandler(
+      signal,
+      () => void this.cancelAtCoordinator(job, coordinator),
+    );
     const watchHandle = this.peerWatch.beginWatching(coordinator);
     try {
       const reply = await Promise.race([
@@ -240,6 +237,34 @@
     }
   }
 
+  // A lost cancellation would leave the upstreams of the stage at work.
+  private async cancelAtCoordinator(
+    {jobId, requestId}: StageJob,
+    {id, address}: PeerRecord,
+  ): Promise<void> {
+    const {clock, link, logger} = this.parts;
+    let reason = '';
+    for (let attempt = 1; attempt <= MAX_CANCELLATIONS; attempt++) {
+      try {
+        await link.sendRequest(
+          address,
+          {type: 'stage-cancel', jobId},
+          CANCEL_TIMEOUT_MS,
+        );
+        return;
+      } catch (error) {
+        reason = error instanceof Error ? error.message : String(error);
+      }
+      await waitFor(clock, CANCEL_RETRY_DELAY_MS);
+    }
+    logger.logEvent('stage.cancel-failed', {
+      requestId,
+      jobId,
+      coordinator: id,
+      reason,
+    });
+  }
+
   private recordCoordinator(id: string): void {
     if (id === this.lastCoordinatorId) return;
     this.parts.logger.logEvent('stage.coordinator', {
--- a/packages/stages/src/stage-fleet.ts
+++ b/packages/stages/src/stage-fleet.ts
@@ -69,6 +69,7 @@
   private readonly resultMemory = new ResultMemory();
   private readonly retentionTimes: DurationEstimator;
   private readonly upstreams = new Map<string, StageUpstream>();
+  private nextUnnamedResult = 0;
   private capacities: ReadonlyMap<string, StageCapacity> = new Map();
 
   constructor({clock, backOffs, limiter, times}: StageFleetParts) {
@@ -295,6 +296,12 @@
     this.resultMemory.recordResult(handle, result);
   }
 
+  /** Converts a reservation to a result whose handle is not known; it stays until it expires. */
+  recordUnnamedResult(result: StoredResult): void {
+    this.nextUnnamedResult += 1;
+    this.resultMemory.recordResult(`unnamed/${this.nextUnnamedResult}`, result);
+  }
+
   /** Finds a stored result that a call of this instance produced. */
   findStoredInput(handle: string): StoredInput | undefined {
     const upstreamId = this.resultMemory.findUpstreamId(handle);
--- a/packages/stages/src/stage-upstream.ts
+++ b/packages/stages/src/stage-upstream.ts
@@ -10,6 +10,7 @@
   isCandidate,
   recordFailure,
   recordSuccess,
+  cancelTrial,
   recordTrial,
   type FailureKind,
   type HealthState,
@@ -97,6 +98,11 @@
     this.idleSinceMs = nowMs;
   }
 
+  /** Records that a call ended without showing whether the upstream is healthy. */
+  cancelTrial(nowMs: number): void {
+    this.health = cancelTrial(this.health, nowMs);
+  }
+
   recordSuccess(nowMs: number, ratio: number): void {
     this.health = recordSuccess(this.health, nowMs);
     this.slowness.recordSample(ratio, nowMs);
--- a/packages/stages/src/test-utils/create-coordinator.ts
+++ b/packages/stages/src/test-utils/create-coordinator.ts
@@ -31,6 +31,25 @@
   clock: ManualClock,
   stages: readonly TestStage[],
   runPieces: (id: string, pieces: readonly StagePiece[]) => Promise<RunAnswer>,
+  freshnessGuard?: StageCoordinatorParts['freshnessGuard'],
+): StageCoordinator {
+  const caller: StageCoordinatorParts['caller'] = {
+    runPieces: async ({id}, {takePieces}) => {
+      const pieces = takePieces();
+      if (pieces.length > 0) return runPieces(id, pieces);
+      return {type: 'not-run', isOtherUpstream: false};
+    },
+    releaseResults: async () => {},
+    close: () => {},
+  };
+  return createCallerCoordinator(clock, stages, caller, freshnessGuard);
+}
+
+/** Creates a coordinator that makes its calls through `caller`. */
+export function createCallerCoordinator(
+  clock: ManualClock,
+  stages: readonly TestStage[],
+  caller: StageCoordinatorParts['caller'],
   freshnessGuard: StageCoordinatorParts['freshnessGuard'] = ALWAYS_FRESH,
 ): StageCoordinator {
   const logger = new SilentEventLogger();
@@ -39,14 +58,7 @@
     clock,
     logger,
     metrics: new MetricsRegistry(),
-    caller: {
-      runPieces: async ({id}, pieces, _, mayStillSend) => {
-        if (mayStillSend()) return runPieces(id, pieces);
-        return {type: 'not-run', isOtherUpstream: false};
-      },
-      releaseResults: async () => {},
-      close: () => {},
-    },
+    caller,
     backOffs: new BackOffTable({clock, logger}),
     limiter: NO_LIMITS,
     random: getMiddle,
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -39,6 +39,7 @@
   isConnectionRefused,
   isPathError,
   readWholeBody,
+  type SentRequest,
   type SingleCallRequest,
   type WholeAnswer,
   type WholeBodyLimits,
--- a/packages/transport/src/single-call.test.ts
+++ b/packages/transport/src/single-call.test.ts
@@ -32,12 +32,16 @@
   return new SingleCall(
     {
       address,
-      method: 'POST',
-      path: '/x',
-      headers: ['Host', 'a.example'],
-      body: Buffer.from('body'),
       connectTimeoutMs: 400,
-      mayStillSend,
+      createRequest: () =>
+        mayStillSend()
+          ? {
+              method: 'POST',
+              path: '/x',
+              headers: ['Host', 'a.example'],
+              body: Buffer.from('body'),
+            }
+          : undefined,
     },
     connector,
   );
--- a/packages/transport/src/single-call.ts
+++ b/packages/transport/src/single-call.ts
@@ -20,21 +20,26 @@
 const pacer = new TurnPacer();
 
 /** A request that is sent without changes to its headers. */
-export interface SingleCallRequest {
-  readonly address: string;
+export interface SentRequest {
   readonly method: string;
   readonly path: string;
   /** Alternating names and values, in the order and spelling in which they are sent. */
   readonly headers: readonly string[];
   /** Undefined if the request has no body. */
   readonly body: Buffer | undefined;
+}
+
+/** The upstream of a call, and what is sent to it. */
+export interface SingleCallRequest {
+  readonly address: string;
   /** Milliseconds within which the connection must be established. */
   readonly connectTimeoutMs: number;
   /**
-   * Called once the connection is established, before the first byte is sent: the
-   * upstream may have announced in the meantime that it accepts no more calls.
+   * Called once the connection is established, before the first byte is sent. Returns undefined
+   * if the call may no longer be sent: the upstream may have announced in the meantime that it
+   * accepts no more calls, or its caller may have gone.
    */
-  readonly mayStillSend?: () => boolean;
+  readonly createRequest: () => SentRequest | undefined;
 }
 
 /**
@@ -120,13 +125,14 @@
   ): Promise<IncomingMessage> {
     const {stream, via} = await this.connect(request, connector);
     this.carrier = via;
-    if (this.isCancelled || request.mayStillSend?.() === false) {
+    const sentRequest = this.isCancelled ? undefined : request.createRequest();
+    if (!sentRequest) {
       this.isCancelled = true;
       stream.destroy();
       throw new TransportError('withdrawn before it was sent', 'none');
     }
     this.progress = 'some';
-    return this.send(request, stream);
+    return this.send(sentRequest, stream);
   }
 
   private async connect(
@@ -144,10 +150,7 @@
 
   // Runs in the same turn of the event loop as the end of `connect`, so that no event of the
   // stream is missed.
-  private send(
-    request: SingleCallRequest,
-    stream: Duplex,
-  ): Promise<IncomingMessage> {
+  private send(request: SentRequest, stream: Duplex): Promise<IncomingMessage> {
     const headers = [...request.headers];
     if (request.body) headers.push('Content-Length', `${request.body.length}`);
     const outgoing = startRequest({
