Release the engine that was chosen for a request given up meanwhile

The coordinator kept an engine assigned for 15 s to a request that was given up, or found its upstream withdrawn, between the choice and the send, and placed other requests as if it ran there. given-up-assignment.test.ts failed before.

--- a/packages/gateway/src/attempt-runner.ts
+++ b/packages/gateway/src/attempt-runner.ts
@@ -119,7 +119,7 @@
     request: RoutedRequest,
     options: AttemptOptions,
   ): Promise<void> {
-    const {retryBudget, quarantine} = this.parts;
+    const {retryBudget, quarantine, chooser} = this.parts;
     const {inputs, excluded} = options;
     let unsentCount = 0;
     for (;;) {
@@ -129,8 +129,14 @@
       const upstream =
         (await this.acquireOnlyUpstream(request)) ??
         (await this.chooseUpstream(request, options));
-      request.signal.throwIfAborted();
-      if (!upstream) throw this.createNoneLeftError(request);
+      if (!upstream) {
+        request.signal.throwIfAborted();
+        throw this.createNoneLeftError(request);
+      }
+      if (request.signal.aborted) {
+        chooser.recordUnsent(request, upstream.id);
+        throw request.signal.reason;
+      }
       const outcome = await this.attemptOnce(request, upstream.id, options);
       if (outcome.type === 'answered') return;
       this.logFailure(request, upstream.id, outcome);
@@ -259,18 +265,19 @@
     upstreamId: string,
     options: AttemptOptions,
   ): Promise<AttemptOutcome> {
-    const {pool, registry, places} = this.parts;
+    const {pool, registry, places, chooser} = this.parts;
     request.registryState = registry.getState();
     const upstream = pool.getRecord(upstreamId);
     if (!upstream || !pool.maySend(upstreamId)) {
+      chooser.recordUnsent(request, upstreamId);
       return createWithdrawn('the upstream is gone or wants no work');
     }
     request.presence.waitsFor = 'place';
     if (!(await places.acquire(upstreamId, request.signal))) {
+      chooser.recordUnsent(request, upstreamId);
       return createWithdrawn('the upstream has no place');
     }
     try {
-      request.signal.throwIfAborted();
       return await this.sendOnce(request, upstream, options);
     } finally {
       places.release(upstreamId);
@@ -328,7 +335,7 @@
     try {
       const outcome = await attempt.run();
       if (await this.isPathAtFault(upstream.address, outcome)) {
-        chooser.recordLostPath(request, upstreamId);
+        chooser.recordUnsent(request, upstreamId);
         return outcome;
       }
       if (outcome.type === 'answered') {
--- a/packages/gateway/src/upstream-chooser.ts
+++ b/packages/gateway/src/upstream-chooser.ts
@@ -196,8 +196,11 @@
     this.recordStep(request, upstreamId, {step, isTurnedAway});
   }
 
-  /** Records that the path to an upstream failed, which says nothing about the upstream. */
-  recordLostPath(request: RoutedRequest, upstreamId: string): void {
+  /**
+   * Records that an upstream did not get a request for which it was chosen, for a reason that
+   * says nothing about the upstream: the path failed, or the request was given up.
+   */
+  recordUnsent(request: RoutedRequest, upstreamId: string): void {
     this.recordStep(request, upstreamId, {step: 'ended', isTurnedAway: true});
   }
 
