Read the closes that have arrived before a request is sent

A call is now sent once the events that had arrived are handled: at the end of the turn in which its connection was established or, if that turn was long, at the end of the next one.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -147,7 +147,7 @@
   }
 
   async run(): Promise<AttemptOutcome> {
-    const {request, upstream, connector, acquireSend} = this.parts;
+    const {clock, request, upstream, connector, acquireSend} = this.parts;
     let isWithdrawn = false;
     const ranBefore = request.getRunStatus();
     const call: SingleCall = new SingleCall(
@@ -173,7 +173,7 @@
           };
         },
       },
-      connector,
+      {clock, connector},
     );
     const removeAbortHandler = addAbortHandler(request.signal, () =>
       call.cancel('the request was given up'),
--- a/packages/transport/src/single-call.test.ts
+++ b/packages/transport/src/single-call.test.ts
@@ -43,7 +43,7 @@
             }
           : undefined,
     },
-    connector,
+    {clock: new SystemClock(), connector},
   );
 }
 
--- a/packages/transport/src/single-call.ts
+++ b/packages/transport/src/single-call.ts
@@ -11,6 +11,7 @@
 import {NoPathError, type Connection, type Connector} from './connector.ts';
 import {TransportError, type SendProgress} from './http-exchange.ts';
 import type {MemoryBudget, MemoryReservation} from './memory-budget.ts';
+import {waitForPendingEvents} from './pending-events.ts';
 import {TurnPacer} from './turn-pacer.ts';
 
 /** Bytes of a body from which on it shares the turns of the event loop with other large ones. */
@@ -42,6 +43,12 @@
   readonly createRequest: () => SentRequest | undefined;
 }
 
+/** Dependencies of SingleCall. */
+export interface SingleCallParts {
+  readonly clock: Clock;
+  readonly connector: Connector;
+}
+
 /**
  * One request on a connection of its own. Since the connection is never shared, bytes
  * after the answer cannot be taken for another request's answer, and no request that
@@ -58,8 +65,8 @@
   private isCancelled = false;
   private carrier: string | undefined;
 
-  constructor(request: SingleCallRequest, connector: Connector) {
-    this.response = this.run(request, connector);
+  constructor(request: SingleCallRequest, {clock, connector}: SingleCallParts) {
+    this.response = this.run(request, {clock, connector});
     this.response.catch(() => {});
   }
 
@@ -121,10 +128,17 @@
 
   private async run(
     request: SingleCallRequest,
-    connector: Connector,
+    {clock, connector}: SingleCallParts,
   ): Promise<IncomingMessage> {
     const {stream, via} = await this.connect(request, connector);
     this.carrier = via;
+    // A process that stood still gets all events at once, the connection perhaps before the close
+    // by which the caller has given up the call.
+    await waitForPendingEvents(clock);
+    if (stream.destroyed) {
+      const message = 'the connection was closed before it was used';
+      throw new TransportError(message, 'none');
+    }
     const sentRequest = this.isCancelled ? undefined : request.createRequest();
     if (!sentRequest) {
       this.isCancelled = true;
@@ -148,8 +162,8 @@
     }
   }
 
-  // Runs in the same turn of the event loop as the end of `connect`, so that no event of the
-  // stream is missed.
+  // Runs in the same turn of the event loop as the look at the stream's state, so that no event of
+  // it is missed.
   private send(request: SentRequest, stream: Duplex): Promise<IncomingMessage> {
     const headers = [...request.headers];
     if (request.body) headers.push('Content-Length', `${request.body.length}`);
@@ -304,7 +318,7 @@
   {clock, connector, memory}: WholeCallParts,
   limits: WholeCallLimits,
 ): Promise<WholeAnswer> {
-  const call = new SingleCall(request, connector);
+  const call = new SingleCall(request, {clock, connector});
   const reservation = memory.createReservation(error => call.fail(error));
   let hasTimedOut = false;
   const timer = scheduleTimeout(clock, limits.timeoutMs, () => {
