Pass on the changes of a poll whose full read fails

A poll applied its changes to the mirror and then read the ranges with a gap; if that read failed, the changes were dropped, though the mirror never asks for them again.

--- a/packages/store-relay/src/relay-client.ts
+++ b/packages/store-relay/src/relay-client.ts
@@ -33,6 +33,8 @@
 /** What one poll of a source returned. */
 export interface RelayUpdate {
   readonly events: readonly WatchEvent[];
+  /** Whether all ranges are up to date; false if the full read of one failed. */
+  readonly isComplete: boolean;
   /**
    * Whether the source's watch began after an outage of the store and the source did not
    * have all requested changes.
@@ -114,7 +116,10 @@
     return undefined;
   }
 
-  /** Polls one peer for changes; undefined if the poll failed or was aborted. */
+  /**
+   * Polls one peer for changes; undefined if the poll failed or was aborted. The mirrors hold the
+   * events of an update and ask for them no more, so each update has to be passed on.
+   */
   async askForChanges(source: PeerRecord): Promise<RelayUpdate | undefined> {
     const {clock, mirrors, followWithinMs} = this.parts;
     const waitMs = this.isRefreshDue ? 0 : followWithinMs * LONG_POLL_FRACTION;
@@ -141,14 +146,15 @@
       .filter(({isGap}) => isGap)
       .map(({start}) => start);
     const read = await this.readRanges(source, gapStarts, READ_TIMEOUT_MS);
-    if (!read) return undefined;
     const rangesWithoutGap = reply.ranges.filter(({isGap}) => !isGap);
     return {
-      events: [...newEvents, ...read.events],
-      isAfterOutage: gapStarts.length > 0 && reply.isAfterOutage,
+      events: [...newEvents, ...(read?.events ?? [])],
+      isComplete: read !== undefined,
+      isAfterOutage:
+        read !== undefined && gapStarts.length > 0 && reply.isAfterOutage,
       progress: [
         ...listProgress(rangesWithoutGap, askedAtMs),
-        ...read.progress,
+        ...(read?.progress ?? []),
       ],
     };
   }
--- a/packages/store-relay/src/relayed-store.ts
+++ b/packages/store-relay/src/relayed-store.ts
@@ -321,7 +321,7 @@
       if (source) {
         const update = await this.client.askForChanges(source);
         if (!update) continue;
-        lastContactAtMs = clock.getNow();
+        if (update.isComplete) lastContactAtMs = clock.getNow();
         if (update.isAfterOutage) yield* this.publishOutageEnd();
         if (update.events.length > 0) yield update.events;
         for (const each of update.progress) this.recordProgress(each);
