Promise that a request has not run only if its upstream says so

Only the upstream's header says that; without it, 408, 429 and 503 now become an unsigned 502 for requests that must not be repeated. Other statuses, and requests that may be repeated, are passed on unchanged.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,6 +1,7 @@
 import {addAbortHandler, addCloseHandler} from '@hollowstack/cancellation';
 import {scheduleTimeout, type Clock, type Timer} from '@hollowstack/clock';
-import type {RegisteredUpstream} from '@hollowstack/routes';
+import {HollowstackError} from '@hollowstack/errors';
+import {isRepeatable, type RegisteredUpstream} from '@hollowstack/routes';
 import {
   SingleCall,
   TransportError,
@@ -22,6 +23,7 @@
 import {
   findHeadProblem,
   isCloseDelimited,
+  writeError,
   writeUpstreamAnswer,
 } from './answer-writer.ts';
 import {listEndToEndHeaders} from './header-list.ts';
@@ -128,6 +130,8 @@
  * buffers could exhaust an instance with 250 MB of memory.
  */
 const MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
+/** HTTP statuses that promise callers that their request was not run. */
+const PROMISING_STATUSES: ReadonlySet<number> = new Set([408, 429, 503]);
 /** HTTP status: the address now belongs to another upstream. */
 const MISDIRECTED = 421;
 /** HTTP status: a stage result that the request reads was lost. */
@@ -330,6 +334,7 @@
     addCloseHandler(request.outgoing, () => reservation.release());
     if (body.length > 0 && isCloseDelimited(head)) await this.checkEnd();
     const {outgoing} = request;
+    if (this.hasFalsePromise(status)) return this.createReplacedFailure(status);
     if (status >= 500) {
       return {
         ...createFailedOutcome(`answered ${status}`),
@@ -350,6 +355,28 @@
     };
   }
 
+  // An upstream that has not run a request says so in a header; without it, callers must not take
+  // the status for a promise.
+  private hasFalsePromise(status: number): boolean {
+    return (
+      PROMISING_STATUSES.has(status) &&
+      !isRepeatable(this.parts.request.facts.route)
+    );
+  }
+
+  private createReplacedFailure(status: number): AttemptOutcome {
+    const {request, protocol} = this.parts;
+    const {outgoing} = request;
+    const reason = `answered ${status}, but may have run the request`;
+    const error = new HollowstackError('upstream-failed', reason, {ran: 'yes'});
+    return {
+      ...createFailedOutcome(reason),
+      deliverFailure: outgoing.headersSent
+        ? undefined
+        : () => writeError(outgoing, error, request.requestId, protocol),
+    };
+  }
+
   private async deliverStream(
     head: IncomingMessage,
     call: SingleCall,
