--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -355,6 +355,7 @@
     {
       gate: new ConnectionGate({clock, logger, metrics, loadMeter}),
       callerGuard,
+      logger,
       traffic,
     },
   );
