Judge a connection that closes before its call is sent by its path

Since a call waits for a turn after its connection was established, the connection can close in between. That counted as an upstream that refuses connections and excluded it at once, although the path may be at fault, as it is where an instance loses its connections to all upstreams. Such a call now counts as not sent, the path is checked as for a connection that is lost during a call, and the upstream is excluded only after several.

--- a/packages/gateway/src/attempt-runner.ts
+++ b/packages/gateway/src/attempt-runner.ts
@@ -368,8 +368,11 @@
     address: string,
     outcome: AttemptOutcome,
   ): Promise<boolean> {
-    if (outcome.type === 'unsent') return outcome.isPathLost;
-    if (outcome.type !== 'failed' || !outcome.hasLostConnection) return false;
+    if (outcome.type === 'unsent' && outcome.isPathLost) return true;
+    const hasLostConnection =
+      (outcome.type === 'unsent' || outcome.type === 'failed') &&
+      outcome.hasLostConnection;
+    if (!hasLostConnection) return false;
     return this.parts.connector.isPathAtFault(address);
   }
 
@@ -461,5 +464,6 @@
     isWithdrawn: true,
     isRefused: false,
     isPathLost: false,
+    hasLostConnection: false,
   };
 }
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -5,6 +5,7 @@
 import {
   SingleCall,
   TransportError,
+  UnusedConnectionError,
   type AnswerLimit,
   type Connector,
   findExceededLimit,
@@ -96,6 +97,8 @@
       readonly isRefused: boolean;
       /** Whether this instance has no path to the upstream, which may be sound. */
       readonly isPathLost: boolean;
+      /** Whether the connection was established and lost before it was used. */
+      readonly hasLostConnection: boolean;
     }
   /** The upstream guarantees that it has not run the request. */
   | {
@@ -207,7 +210,15 @@
         const isRefused = isConnectionRefused(error);
         isWithdrawn ||= request.signal.aborted;
         const isPathLost = isPathError(error);
-        return {type: 'unsent', reason, isWithdrawn, isRefused, isPathLost};
+        const hasLostConnection = error instanceof UnusedConnectionError;
+        return {
+          type: 'unsent',
+          reason,
+          isWithdrawn,
+          isRefused,
+          isPathLost,
+          hasLostConnection,
+        };
       }
       const exceededLimit = findExceededLimit(error);
       const isLocallyAborted =
--- a/packages/gateway/src/upstream-chooser.ts
+++ b/packages/gateway/src/upstream-chooser.ts
@@ -182,9 +182,10 @@
     }
     const isMisdirected = outcome.type === 'not-run' && outcome.isMisdirected;
     // A withdrawn request was not sent by decision of this instance; the upstream is not at fault.
-    const isUnreached = outcome.type === 'unsent' && !outcome.isWithdrawn;
+    const isUnsent = outcome.type === 'unsent' && !outcome.isWithdrawn;
+    const isUnreached = isUnsent && !outcome.hasLostConnection;
     const countsAsFailure =
-      isUnreached ||
+      isUnsent ||
       isMisdirected ||
       (outcome.type === 'failed' &&
         !outcome.isLocallyAborted &&
--- a/packages/stages/src/stage-caller.ts
+++ b/packages/stages/src/stage-caller.ts
@@ -2,6 +2,7 @@
 import {
   AnswerTimeoutError,
   TransportError,
+  UnusedConnectionError,
   callForWholeAnswer,
   type Connector,
   type MemoryBudget,
@@ -167,9 +168,10 @@
   // refused.
   private isPathLost(address: string, error: unknown): boolean {
     if (isPathError(error)) return true;
-    const wasSent =
-      error instanceof TransportError && error.progress !== 'none';
-    return wasSent && this.parts.connector.isPathLost(address);
+    const hadConnection =
+      error instanceof TransportError &&
+      (error.progress !== 'none' || error instanceof UnusedConnectionError);
+    return hadConnection && this.parts.connector.isPathLost(address);
   }
 
   private call(
@@ -193,5 +195,6 @@
 
 function isUnreachable(error: unknown): boolean {
   if (error instanceof AnswerTimeoutError) return true;
+  if (error instanceof UnusedConnectionError) return false;
   return error instanceof TransportError && error.progress === 'none';
 }
--- a/packages/transport/src/http-exchange.ts
+++ b/packages/transport/src/http-exchange.ts
@@ -38,6 +38,14 @@
   }
 }
 
+/** A connection was closed before any byte was sent on it. */
+export class UnusedConnectionError extends TransportError {
+  constructor() {
+    super('the connection was closed before it was used', 'none');
+    this.name = 'UnusedConnectionError';
+  }
+}
+
 /** Sends requests to an address. */
 export abstract class HttpClient {
   /**
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -2,6 +2,7 @@
 export {
   HttpClient,
   TransportError,
+  UnusedConnectionError,
   createTextBody,
   readBody,
   readJson,
--- a/packages/transport/src/single-call.ts
+++ b/packages/transport/src/single-call.ts
@@ -9,7 +9,11 @@
 import {AnswerGuard} from './answer-guard.ts';
 import {AnswerLimitError} from './answer-limit-error.ts';
 import {NoPathError, type Connection, type Connector} from './connector.ts';
-import {TransportError, type SendProgress} from './http-exchange.ts';
+import {
+  TransportError,
+  UnusedConnectionError,
+  type SendProgress,
+} from './http-exchange.ts';
 import type {MemoryBudget, MemoryReservation} from './memory-budget.ts';
 import {waitForPendingEvents} from './pending-events.ts';
 import {TurnPacer} from './turn-pacer.ts';
@@ -135,10 +139,7 @@
     // A process that stood still gets all events at once, the connection perhaps before the close
     // by which the caller has given up the call.
     await waitForPendingEvents(clock);
-    if (stream.destroyed) {
-      const message = 'the connection was closed before it was used';
-      throw new TransportError(message, 'none');
-    }
+    if (stream.destroyed) throw new UnusedConnectionError();
     const sentRequest = this.isCancelled ? undefined : request.createRequest();
     if (!sentRequest) {
       this.isCancelled = true;
