--- a/packages/gateway/src/caller-presence.ts
+++ b/packages/gateway/src/caller-presence.ts
@@ -46,6 +46,7 @@
   private readonly parts: CallerPresenceParts;
   private readonly arrivedAtMs: number;
   private disconnectedAtMs: number | undefined;
+  /** What the request waited for when its caller disconnected. */
   private waitedForThen: RequestWait | undefined;
   private sendsAfter = 0;
   private readonly controller = new AbortController();
@@ -63,15 +64,14 @@
     return this.controller.signal;
   }
 
-  /** Records that the request, or one of its stages, is about to be sent to an upstream. */
+  /** Records that the request is about to be sent to an upstream. */
   recordSend(): void {
     if (this.disconnectedAtMs === undefined) return;
     this.sendsAfter += 1;
+    const labels = {waitedFor: this.waitsFor};
     this.parts.metrics.addToCounter(
       'hollowstack_sends_after_disconnect_total',
-      {
-        waitedFor: this.waitsFor,
-      },
+      labels,
     );
   }
 
--- a/packages/gateway/src/gateway-server.ts
+++ b/packages/gateway/src/gateway-server.ts
@@ -73,6 +73,8 @@
     // Node.js reads this for each new connection: nothing is received before it is resumed.
     Object.assign(this.server, {pauseOnConnect: true});
     this.server.on('connection', socket => {
+      // Each pipelined request watches the connection.
+      socket.setMaxListeners(0);
       traffic.addSocket(socket);
       gate.addConnection(socket);
     });
--- a/packages/stages/src/batch-runner.ts
+++ b/packages/stages/src/batch-runner.ts
@@ -140,15 +140,15 @@
   ): void {
     const {sentPieces} = demand;
     if (sentPieces.length > 0) {
-      this.cancelReservations(upstream, demand.listUnsent());
       this.handleAnswer(upstream, sentPieces, answer, call);
+      this.cancelReservations(upstream, demand.listUnsent());
     } else if (demand.isNeeded()) {
       this.handleAnswer(upstream, demand.listUnsent(), answer, call);
     } else this.closeUnneeded(upstream, demand, call);
   }
 
-  // No job needs the call any more. The upstream may run it to its end and store results that
-  // this coordinator cannot name.
+  // The upstream of a call that no job needs may run it to its end and store results whose handles
+  // this coordinator does not learn.
   private closeUnneeded(
     upstream: StageUpstream,
     demand: CallDemand,
