--- a/packages/store-relay/src/interrupted-gap-read.test.ts
+++ b/packages/store-relay/src/interrupted-gap-read.test.ts
@@ -9,11 +9,11 @@
 import {RelayClient, type RelayClientParts} from './relay-client.ts';
 
 const PEERS = ['p1', 'p2'].map(id => ({id, address: id, failureDomain: 'a'}));
-const KEY = 'servers/e1';
+const KEY = 'upstreams/e1';
 
 function createClient(answer: (request: PeerRequest) => PeerReply) {
   const mirrors = new RangeMirrors();
-  mirrors.replaceRanges(['servers/', 'op/'].map(createPrefixRange));
+  mirrors.replaceRanges(['upstreams/', 'settings/'].map(createPrefixRange));
   for (const {start} of mirrors.listRanges()) {
     mirrors.applyRangeResult(start, {
       storeId: 's',
@@ -43,25 +43,25 @@
     const event = {
       type: 'put',
       key: KEY,
-      value: 'draining',
+      value: 'leaving',
       modRevision: 6,
     } as const;
     return {
       type: 'relay-changes',
       isAfterOutage: true,
       ranges: [
-        {start: 'servers/', events: [event], isGap: false},
-        {start: 'op/', events: [], isGap: true},
+        {start: 'upstreams/', events: [event], isGap: false},
+        {start: 'settings/', events: [], isGap: true},
       ],
     };
   });
   const update = await client.askForChanges(PEERS[0]);
   assert.deepEqual(
     update?.events.map(({key, value}) => ({key, value})),
-    [{key: KEY, value: 'draining'}],
+    [{key: KEY, value: 'leaving'}],
   );
   assert.equal(update?.isComplete, false);
   assert.equal(update?.isAfterOutage, false);
-  assert.equal(mirrors.findMirror('servers/')?.getRevision(), 6);
-  assert.equal(mirrors.findMirror('op/')?.getRevision(), 5);
+  assert.equal(mirrors.findMirror('upstreams/')?.getRevision(), 6);
+  assert.equal(mirrors.findMirror('settings/')?.getRevision(), 5);
 });
