--- a/packages/stages/src/job-state.ts
+++ b/packages/stages/src/job-state.ts
@@ -32,6 +32,12 @@
 /** Why a job has no results. */
 export type JobFailure = Omit<Extract<StageOutcome, {type: 'failed'}>, 'type'>;
 
+/** Why a job ends whose request was given up. */
+export const CANCELLED = {
+  failure: 'cancelled',
+  message: 'the request was given up',
+} as const;
+
 /** A job and the progress of its pieces. */
 export class JobState {
   readonly job: StageJob;
--- a/packages/stages/src/job-table.ts
+++ b/packages/stages/src/job-table.ts
@@ -6,7 +6,7 @@
   StageResult,
 } from '@hollowstack/types';
 import type {WaitingJob} from './batch-plan.ts';
-import {JobState} from './job-state.ts';
+import {CANCELLED, JobState} from './job-state.ts';
 import type {ServiceTimes} from './service-times.ts';
 
 /** Dependencies of JobTable. */
@@ -23,7 +23,6 @@
  * refresh of the view before it is added, its cancellation does not.
  */
 const EARLY_CANCEL_TTL_MS = 5000;
-const CANCELLED = 'the request was given up';
 
 /** The unsettled jobs by id. */
 export class JobTable {
@@ -58,7 +57,7 @@
   cancel(jobId: string): void {
     const state = this.jobs.get(jobId);
     if (state) {
-      this.fail(state, 'cancelled', CANCELLED);
+      this.fail(state, CANCELLED.failure, CANCELLED.message);
       return;
     }
     const nowMs = this.parts.getNow();
@@ -72,7 +71,7 @@
   /** Returns the outcome of a job that was cancelled before it arrived; undefined for others. */
   takeEarlyCancel(jobId: string): StageOutcome | undefined {
     if (!this.cancelledAtMs.delete(jobId)) return undefined;
-    return {type: 'failed', failure: 'cancelled', message: CANCELLED};
+    return {type: 'failed', ...CANCELLED};
   }
 
   find(jobId: string): JobState | undefined {
--- a/packages/stages/src/stage-dispatcher.ts
+++ b/packages/stages/src/stage-dispatcher.ts
@@ -16,6 +16,7 @@
   StageOutcome,
   StageResult,
 } from '@hollowstack/types';
+import {CANCELLED} from './job-state.ts';
 import {PeerWatch} from './peer-watch.ts';
 import type {StageAdmissionDecision} from './stage-admission.ts';
 import type {StageCoordinator} from './stage-coordinator.ts';
@@ -31,13 +32,6 @@
   readonly local: StageCoordinator;
 }
 
-/** Outcome of a job whose request was given up before the job was submitted. */
-const GIVEN_UP: StageOutcome = {
-  type: 'failed',
-  failure: 'cancelled',
-  message: 'the request was given up',
-};
-
 /** A job without the fields that each submission adds: its id and owner. */
 export type UnsentStageJob = Omit<StageJob, 'jobId' | 'owner'>;
 
@@ -122,13 +116,13 @@
     const startedAtMs = clock.getNow();
     let outcome: StageOutcome | undefined;
     for (let submission = 0; submission < MAX_SUBMISSIONS; submission++) {
-      if (signal.aborted) return GIVEN_UP;
+      if (signal.aborted) return {type: 'failed', ...CANCELLED};
       const job = this.createJob(unsent, startedAtMs);
       if (job.remainingMs <= 0) break;
       outcome = await this.attemptJob(job, signal);
       if (outcome) return outcome;
     }
-    if (signal.aborted) return GIVEN_UP;
+    if (signal.aborted) return {type: 'failed', ...CANCELLED};
     return this.runWithoutCoordinator(unsent, startedAtMs, signal);
   }
 
