Tell how long a peer was silent, and count the outcomes of stage calls and admissions

The logs of the collapse of staged requests could not tell a slow peer from a dead one, nor show admissions that went unanswered or calls that found upstreams full. peer.stream-silent names the time since the last message and the pending requests; two counters show the rest. No logic changes.

--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -214,6 +214,7 @@
   const dispatcher = new StageDispatcher({
     clock,
     logger,
+    metrics,
     link,
     notes: notifications,
     membership,
--- a/packages/peers/src/peer-link.ts
+++ b/packages/peers/src/peer-link.ts
@@ -138,10 +138,14 @@
 
   // On an unresponsive stream, each further request would use up its whole time-out. If a
   // second stream becomes unresponsive, the same fault has most likely hit the idle ones.
-  private closeUnresponsive(address: string, {session}: PeerStream): void {
+  private closeUnresponsive(address: string, stream: PeerStream): void {
     const {clock, logger} = this.parts;
-    logger.logEvent('peer.stream-silent', {address});
-    session.close();
+    logger.logEvent('peer.stream-silent', {
+      address,
+      silentMs: Math.round(stream.getSilenceMs()),
+      pending: stream.getPendingCount(),
+    });
+    stream.session.close();
     const nowMs = clock.getNow();
     const {lastUnresponsive} = this;
     this.lastUnresponsive = {address, atMs: nowMs};
--- a/packages/peers/src/peer-stream.ts
+++ b/packages/peers/src/peer-stream.ts
@@ -30,10 +30,12 @@
    * Send time of the first request that timed out since the last message from the peer.
    */
   private unansweredSinceMs: number | undefined;
+  private contactAtMs: number;
 
   constructor(session: Session, clock: Clock) {
     this.session = session;
     this.clock = clock;
+    this.contactAtMs = clock.getNow();
   }
 
   /** Sends a request and keeps it as pending until its reply arrives. */
@@ -58,6 +60,17 @@
   /** Records that a message from the peer has just arrived. */
   recordContact(): void {
     this.unansweredSinceMs = undefined;
+    this.contactAtMs = this.clock.getNow();
+  }
+
+  /** Returns the milliseconds since the last message from the peer or, before one, the opening. */
+  getSilenceMs(): number {
+    return this.clock.getNow() - this.contactAtMs;
+  }
+
+  /** Returns the number of requests that await their replies. */
+  getPendingCount(): number {
+    return this.pending.size;
   }
 
   /**
--- a/packages/stages/src/batch-runner.ts
+++ b/packages/stages/src/batch-runner.ts
@@ -174,6 +174,7 @@
         expiresAtMs: Math.max(nowMs, dueAtMs) + capacity.resultTtlMs,
       });
     }
+    this.countCall(service, 'abandoned');
     this.parts.logger.logEvent('stage.call-abandoned', {
       service,
       upstream: id,
@@ -204,6 +205,7 @@
       throw new StageCallError(answer.message);
     }
     if (answer.type === 'not-run') {
+      this.countCall(upstream.record.service, 'rejected');
       upstream.pausedUntilMs = nowMs + FULL_PAUSE_MS;
       if (answer.isOtherUpstream) upstream.recordFailure(nowMs, 'refused');
       this.requeuePieces(upstream, pieces);
@@ -213,6 +215,7 @@
     upstream.recordSuccess(nowMs, tookMs / call.expectedMs);
     this.recordTimes(upstream, pieces, answer, call);
     const {id, service} = upstream.record;
+    this.countCall(service, 'answered');
     const {outcomes} = answer;
     for (const state of listJobStates(pieces)) state.recordAnsweredCall();
     logAnsweredCall(
@@ -320,6 +323,7 @@
     sentAtMs: number,
   ): void {
     const {id, service, address} = upstream.record;
+    this.countCall(service, 'failed');
     const nowMs = this.parts.clock.getNow();
     const details = error instanceof StageCallError ? error.details : undefined;
     if (details?.isPathLost) {
@@ -362,6 +366,16 @@
     }
   }
 
+  private countCall(
+    service: string,
+    outcome: 'answered' | 'rejected' | 'failed' | 'abandoned',
+  ): void {
+    this.parts.metrics.addToCounter('hollowstack_stage_calls_total', {
+      service,
+      outcome,
+    });
+  }
+
   private requeuePieces(
     upstream: StageUpstream,
     pieces: readonly InFlightPiece[],
--- a/packages/stages/src/stage-dispatcher.ts
+++ b/packages/stages/src/stage-dispatcher.ts
@@ -2,6 +2,7 @@
 import {addAbortHandler} from '@hollowstack/cancellation';
 import {waitFor, type Clock} from '@hollowstack/clock';
 import type {EventLogger} from '@hollowstack/logger';
+import type {MetricsRegistry} from '@hollowstack/metrics';
 import {
   chooseCoordinator,
   type Membership,
@@ -25,6 +26,7 @@
 export interface StageDispatcherParts {
   readonly clock: Clock;
   readonly logger: EventLogger;
+  readonly metrics: MetricsRegistry;
   readonly link: PeerLink;
   readonly notes: NotificationQueue;
   readonly membership: Membership;
@@ -86,7 +88,11 @@
         ADMIT_TIMEOUT_MS,
       )
       .catch((): undefined => undefined);
-    if (reply?.type === 'stage-admission') return reply;
+    if (reply?.type === 'stage-admission') {
+      this.countAdmission(reply.isAdmitted ? 'admitted' : 'rejected');
+      return reply;
+    }
+    this.countAdmission('unanswered');
     return {isAdmitted: true, predictedMs: 0, retryAfterMs: 0};
   }
 
@@ -259,6 +265,12 @@
     });
   }
 
+  private countAdmission(outcome: string): void {
+    this.parts.metrics.addToCounter('hollowstack_stage_admissions_total', {
+      outcome,
+    });
+  }
+
   private recordCoordinator(id: string): void {
     if (id === this.lastCoordinatorId) return;
     this.parts.logger.logEvent('stage.coordinator', {
