Judge a peer by all its messages, so that a busy one is not taken for dead

Callers saw staged requests fail in groups: a coordinator that was behind with its answers lost its streams, and the role, for 10 s. A stream was closed if a request timed out that had been sent 0.6 s ago, even right after another message; a ping, a gossip reply or a job that came late made the peer unreachable while its other messages arrived. Now only silence counts, from the request or the last message on. A peer that sends messages is not pinged in addition, which takes that work off a busy coordinator; one that goes silent is detected within 0.6 s as before.

--- a/packages/gateway/src/coordinator-search.ts
+++ b/packages/gateway/src/coordinator-search.ts
@@ -8,7 +8,8 @@
 
 /** Dependencies of CoordinatorSearch. */
 export interface CoordinatorSearchParts {
-  readonly link: Pick<PeerLink, 'sendRequest' | 'closePeer'>;
+  readonly link: Pick<PeerLink, 'sendRequest' | 'closePeer'> &
+    Partial<Pick<PeerLink, 'getSilenceMs'>>;
   readonly membership: Membership;
   readonly clock: Clock;
   readonly random: () => number;
@@ -88,12 +89,15 @@
     const {id, address} = candidate;
     if (this.pendingIds.has(id)) return;
     this.pendingIds.add(id);
-    const {link, membership} = this.parts;
+    const {link, membership, clock} = this.parts;
+    const askedAtMs = clock.getNow();
     const reply = await link
       .sendRequest(address, {type: 'ping'}, ASK_TIMEOUT_MS)
       .catch((): undefined => undefined);
     this.pendingIds.delete(id);
-    if (reply?.type === 'done') {
+    const silentMs = link.getSilenceMs?.(address) ?? Infinity;
+    const isBusy = !reply && silentMs < clock.getNow() - askedAtMs;
+    if (reply?.type === 'done' || isBusy) {
       membership.recordContact(candidate);
       return;
     }
--- a/packages/gateway/src/gossip-exchange.ts
+++ b/packages/gateway/src/gossip-exchange.ts
@@ -258,7 +258,8 @@
       )
       .catch((): undefined => undefined);
     if (reply?.type !== 'copy') {
-      this.recordUnreachable(address);
+      const isBusy = link.getSilenceMs(address) < clock.getNow() - askedAtMs;
+      if (!isBusy) this.recordUnreachable(address);
       return false;
     }
     const source = `peer ${address}`;
--- a/packages/peers/src/peer-link.ts
+++ b/packages/peers/src/peer-link.ts
@@ -44,6 +44,7 @@
 export class PeerLink {
   private readonly parts: PeerLinkParts;
   private readonly streams = new Map<string, Promise<PeerStream>>();
+  private readonly openStreams = new Map<string, PeerStream>();
   private readonly sessions = new Set<Session>();
   private handleRequest: PeerRequestHandler;
   private nextRequestId = 1;
@@ -123,6 +124,14 @@
     });
   }
 
+  /**
+   * Returns the milliseconds since the last message from a peer on the stream that this instance
+   * has opened to it; Infinity without one.
+   */
+  getSilenceMs(address: string): number {
+    return this.openStreams.get(address)?.getSilenceMs() ?? Infinity;
+  }
+
   /** Closes the stream to a peer that does not answer; its pending requests fail. */
   closePeer(address: string): void {
     const opening = this.streams.get(address);
@@ -193,6 +202,7 @@
       const session = this.createSession(socket, 'dialer', {
         handleOpen: () => {
           timer.cancel();
+          this.openStreams.set(address, stream);
           resolve(stream);
         },
         handleEnvelope: envelope => {
@@ -204,6 +214,9 @@
           const error = createLinkError(refusal ?? `${address} has closed`);
           reject(error);
           stream.failPending(error);
+          if (this.openStreams.get(address) === stream) {
+            this.openStreams.delete(address);
+          }
           handleClosed();
         },
       });
--- a/packages/peers/src/peer-stream.ts
+++ b/packages/peers/src/peer-stream.ts
@@ -27,7 +27,8 @@
   private readonly clock: Clock;
   private readonly pending = new Map<number, PendingRequest>();
   /**
-   * Send time of the first request that timed out since the last message from the peer.
+   * Since when the peer has sent nothing although it has been asked; undefined if no request has
+   * timed out since its last message.
    */
   private unansweredSinceMs: number | undefined;
   private contactAtMs: number;
@@ -80,7 +81,7 @@
    */
   recordTimeout(id: number, sentAtMs: number): boolean {
     this.pending.delete(id);
-    this.unansweredSinceMs ??= sentAtMs;
+    this.unansweredSinceMs ??= Math.max(sentAtMs, this.contactAtMs);
     return this.clock.getNow() - this.unansweredSinceMs >= UNRESPONSIVE_MS;
   }
 
--- a/packages/stages/src/peer-watch.ts
+++ b/packages/stages/src/peer-watch.ts
@@ -6,7 +6,8 @@
 export interface PeerWatchParts {
   readonly clock: Clock;
   readonly logger: EventLogger;
-  readonly link: Pick<PeerLink, 'sendRequest' | 'closePeer'>;
+  readonly link: Pick<PeerLink, 'sendRequest' | 'closePeer'> &
+    Partial<Pick<PeerLink, 'getSilenceMs'>>;
   readonly membership: Pick<Membership, 'getLiveCount'>;
 }
 
@@ -43,7 +44,8 @@
 
 /**
  * Detects unresponsive peers by pings. A peer is pinged only while callers wait for its
- * answers, and all callers share one ping at a time.
+ * answers and nothing else arrives from it, and all callers share one ping at a time. A peer that
+ * answers a ping late but sends other messages is busy, not gone.
  */
 export class PeerWatch {
   private readonly parts: PeerWatchParts;
@@ -88,12 +90,30 @@
       MIN_PING_INTERVAL_MS,
       membership.getLiveCount() * PING_INTERVAL_MS_PER_INSTANCE,
     );
-    peer.timer = clock.schedule(intervalMs, () => void this.sendPing(peer));
+    peer.timer = clock.schedule(intervalMs, () =>
+      this.checkPeer(peer, intervalMs),
+    );
+  }
+
+  private checkPeer(peer: WatchedPeer, intervalMs: number): void {
+    const leftMs = intervalMs - this.getSilenceMs(peer);
+    if (leftMs <= 0) {
+      void this.sendPing(peer);
+      return;
+    }
+    peer.timer = this.parts.clock.schedule(leftMs, () =>
+      this.checkPeer(peer, intervalMs),
+    );
+  }
+
+  private getSilenceMs({record}: WatchedPeer): number {
+    return this.parts.link.getSilenceMs?.(record.address) ?? Infinity;
   }
 
   private async sendPing(peer: WatchedPeer): Promise<void> {
-    const {link, logger} = this.parts;
+    const {clock, link, logger} = this.parts;
     const {address, id} = peer.record;
+    const sentAtMs = clock.getNow();
     const isAnswered = await link
       .sendRequest(address, {type: 'ping'}, PING_TIMEOUT_MS)
       .then(
@@ -101,11 +121,16 @@
         () => false,
       );
     if (this.watched.get(id) !== peer) return;
-    if (isAnswered) {
+    const silentMs = this.getSilenceMs(peer);
+    if (isAnswered || silentMs < clock.getNow() - sentAtMs) {
       this.schedulePing(peer);
       return;
     }
-    logger.logEvent('peer.silent', {peer: id, address});
+    logger.logEvent('peer.silent', {
+      peer: id,
+      address,
+      silentMs: Math.round(silentMs),
+    });
     link.closePeer(address);
     this.removePeer(peer);
     for (const waiter of peer.waiters) waiter();
--- a/packages/stages/src/stage-dispatcher.ts
+++ b/packages/stages/src/stage-dispatcher.ts
@@ -216,6 +216,7 @@
       () => void this.cancelAtCoordinator(job, coordinator),
     );
     const watchHandle = this.peerWatch.beginWatching(coordinator);
+    const sentAtMs = this.parts.clock.getNow();
     try {
       const reply = await Promise.race([
         link.sendRequest(
@@ -229,7 +230,9 @@
       membership.recordUnreachable(id);
       return undefined;
     } catch {
-      membership.recordUnreachable(id);
+      const waitedMs = this.parts.clock.getNow() - sentAtMs;
+      const isBusy = link.getSilenceMs(address) < waitedMs;
+      if (!isBusy) membership.recordUnreachable(id);
       return undefined;
     } finally {
       watchHandle.end();
