Reject staged requests that a busy coordinator cannot serve

Callers of staged requests waited until their time was over while the coordinator had no processor time left, and most stage work was done for requests that failed. Admission that was not answered within 100 ms let a request in, and what a busy coordinator let in was judged by its upstreams alone.

- A request that is not answered within an eighth of the time until its objective is rejected if the coordinator sends other messages meanwhile; if it is silent, the request goes on as before.
- A coordinator whose timers run late takes jobs for as slow as those before them: jobs in progress by jobs settled lately.
It rejects more and more of the requests whose chain of stages would take 0.3 to 0.6 of the time until their objective.
- A plan that is due is no longer postponed by each event that asks for another.

--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -219,6 +219,7 @@
     notes: notifications,
     membership,
     local: coordinator,
+    random,
   });
   const directory = new EngineDirectory(
     getNow,
--- a/packages/stages/src/stage-admission.test.ts
+++ b/packages/stages/src/stage-admission.test.ts
@@ -45,6 +45,7 @@
 function createAdmission(
   clock = new ManualClock(),
   memoryBytes = Infinity,
+  predictJobMs?: () => number,
 ): StageAdmission {
   return new StageAdmission({
     clock,
@@ -58,6 +59,7 @@
     },
     times: new ServiceTimes(),
     random: getMiddle,
+    predictJobMs,
   });
 }
 
@@ -278,3 +280,19 @@
   assert.ok(large > small + 300, `${small} ${large}`);
   admission.stop();
 });
+
+// Guards against requests that wait at a busy coordinator until their time is over.
+test('a request whose chain of stages a busy coordinator cannot settle in time is rejected', () => {
+  const createBusy = () => createAdmission(undefined, undefined, () => 260);
+  const chain = [
+    createStep('a', 1, []),
+    createStep('b', 1, [0]),
+    createStep('c', 1, [1]),
+  ];
+  const rejected = createBusy().judge(createRequest('r1', {steps: chain}));
+  assert.equal(rejected.isAdmitted, false);
+  assert.ok(rejected.retryAfterMs > 0);
+  const single = [chain[0]];
+  const admitted = createBusy().judge(createRequest('r2', {steps: single}));
+  assert.equal(admitted.isAdmitted, true);
+});
--- a/packages/stages/src/stage-admission.ts
+++ b/packages/stages/src/stage-admission.ts
@@ -31,6 +31,11 @@
   readonly times: ServiceTimes;
   /** Returns a random number from 0 to below 1; spreads the retries of refused requests. */
   readonly random: () => number;
+  /**
+   * Predicts the milliseconds that a job takes because this process is short of processor time; 0
+   * if it is not, or if left out.
+   */
+  readonly predictJobMs?: () => number;
 }
 
 /** Whether a request may start its stages. */
@@ -88,6 +93,11 @@
  * shares 57 to 84 times (five runs).
  */
 const RETRY_SHARES = {least: 0.2, most: 0.3} as const;
+/**
+ * Share of the time until the objective that a busy coordinator may need for the stages before
+ * some requests are rejected, and from which on all are.
+ */
+const BUSY_SHARES = {some: 0.3, all: 0.6} as const;
 
 /**
  * Decides whether the stages of a request can be done in time. A request that others would
@@ -109,6 +119,13 @@
 
   /** Decides on a request and, if it is admitted, records its pending work. */
   judge(request: StageAdmissionRequest): StageAdmissionDecision {
+    if (this.isOverloaded(request)) {
+      return createRefusal(
+        request,
+        this.predictMs(request),
+        this.parts.random(),
+      );
+    }
     const aloneMs = this.predictAloneMs(request);
     const unavailability = this.findUnavailability(request);
     const unavailableMs = unavailability ? getWaitMs(unavailability) : 0;
@@ -139,6 +156,17 @@
     return this.admit(demoted, demotedMs);
   }
 
+  // Whether this process, not the upstreams, has too little time for the request.
+  private isOverloaded(request: StageAdmissionRequest): boolean {
+    const jobMs = this.parts.predictJobMs?.() ?? 0;
+    const stagesMs = jobMs * countLongestChain(request);
+    const availableMs =
+      request.dueInMs > 0 ? request.dueInMs : request.remainingMs;
+    const {some, all} = BUSY_SHARES;
+    const rejectedShare = (stagesMs / availableMs - some) / (all - some);
+    return this.parts.random() < rejectedShare;
+  }
+
   /**
    * Records the milliseconds from the send of a request, after its stages, to its first event.
    * All instances report it to the coordinator: one of 200 instances has a request of a route
@@ -333,3 +361,14 @@
   const retryAfterMs = remainingMs * (least + randomValue * (most - least));
   return {isAdmitted: false, predictedMs, retryAfterMs};
 }
+
+function countLongestChain({steps}: StageAdmissionRequest): number {
+  const lengths: number[] = [];
+  const getLength = (index: number): number => {
+    lengths[index] ??=
+      (steps[index].pieceCount > 0 ? 1 : 0) +
+      Math.max(0, ...steps[index].after.map(getLength));
+    return lengths[index];
+  };
+  return Math.max(0, ...steps.map((_, index) => getLength(index)));
+}
--- a/packages/stages/src/stage-coordinator.ts
+++ b/packages/stages/src/stage-coordinator.ts
@@ -16,6 +16,7 @@
 } from '@hollowstack/types';
 import {SLOW_FACTOR, assembleBatches, type Batch} from './batch-plan.ts';
 import {BatchRunner} from './batch-runner.ts';
+import {CoordinatorLoad} from './coordinator-load.ts';
 import {EarlyInputReleaser} from './early-input-releaser.ts';
 import type {JobState} from './job-state.ts';
 import {JobTable} from './job-table.ts';
@@ -67,10 +68,16 @@
   private readonly runner: BatchRunner;
   private readonly admission: StageAdmission;
   private readonly times = new ServiceTimes();
+  private readonly load: CoordinatorLoad;
   private timer: Timer | undefined;
+  private planDueAtMs = Infinity;
 
   constructor(parts: StageCoordinatorParts) {
     this.parts = parts;
+    this.load = new CoordinatorLoad({
+      clock: parts.clock,
+      countJobs: () => this.jobs.size,
+    });
     this.fleet = new StageFleet({
       clock: parts.clock,
       backOffs: parts.backOffs,
@@ -82,6 +89,7 @@
       fleet: this.fleet,
       times: this.times,
       random: parts.random,
+      predictJobMs: () => this.load.predictJobMs(),
     });
     this.releaser = new ResultReleaser({
       clock: parts.clock,
@@ -156,6 +164,7 @@
     return new Promise(resolve => {
       const state = this.jobs.add(job, outcome => {
         this.admission.recordDone(job.service, job.requestId, job.stage);
+        this.load.recordSettled();
         resolve(outcome);
       });
       this.recordPhase(state);
@@ -223,8 +232,21 @@
   }
 
   private scheduleCalls(): void {
+    this.schedulePlan(0);
+  }
+
+  // A plan that is due earlier stays, so that frequent events do not postpone it.
+  private schedulePlan(delayMs: number): void {
+    const {clock} = this.parts;
+    const dueAtMs = clock.getNow() + delayMs;
+    if (this.planDueAtMs <= dueAtMs) return;
     this.timer?.cancel();
-    this.timer = this.parts.clock.schedule(0, () => this.runDueCalls());
+    this.planDueAtMs = dueAtMs;
+    this.timer = clock.schedule(delayMs, () => {
+      this.planDueAtMs = Infinity;
+      this.load.recordDelay(clock.getNow() - dueAtMs);
+      this.runDueCalls();
+    });
   }
 
   private runDueCalls(): void {
@@ -238,12 +260,7 @@
       return;
     }
     for (const service of services) this.runServiceCalls(service, nowMs);
-    if (services.size > 0) {
-      this.timer?.cancel();
-      this.timer = this.parts.clock.schedule(REPLAN_INTERVAL_MS, () =>
-        this.runDueCalls(),
-      );
-    }
+    if (services.size > 0) this.schedulePlan(REPLAN_INTERVAL_MS);
   }
 
   private runServiceCalls(service: string, nowMs: number): void {
--- a/packages/stages/src/stage-dispatcher.ts
+++ b/packages/stages/src/stage-dispatcher.ts
@@ -17,6 +17,7 @@
   StageOutcome,
   StageResult,
 } from '@hollowstack/types';
+import {AdmissionThrottle} from './admission-throttle.ts';
 import {CANCELLED} from './job-state.ts';
 import {PeerWatch} from './peer-watch.ts';
 import type {StageAdmissionDecision} from './stage-admission.ts';
@@ -32,6 +33,8 @@
   readonly membership: Membership;
   /** This instance's own coordinator. */
   readonly local: StageCoordinator;
+  /** Returns a random number from 0 to below 1. */
+  readonly random: () => number;
 }
 
 /** A job without the fields that each submission adds: its id and owner. */
@@ -52,8 +55,12 @@
 /** Timeout of a cancellation, and pause before it is sent again; no request waits for it. */
 const CANCEL_TIMEOUT_MS = 200;
 const CANCEL_RETRY_DELAY_MS = 50;
-/** Timeout of admission, after which a request is admitted; about thirty round trips. */
-const ADMIT_TIMEOUT_MS = 100;
+/** Timeout of admission as a share of the time until the request's objective, with bounds. */
+const ADMIT_TIMEOUT_SHARE = 0.125;
+const MIN_ADMIT_TIMEOUT_MS = 100;
+const MAX_ADMIT_TIMEOUT_MS = 400;
+/** Bounds of the retry delay of requests that a busy coordinator does not answer, in milliseconds. */
+const BUSY_RETRY_MS = {least: 500, most: 1500} as const;
 /** Random bytes in a job id; enough to make a collision practically impossible. */
 const JOB_ID_BYTES = 8;
 
@@ -64,36 +71,68 @@
 export class StageDispatcher {
   private readonly parts: StageDispatcherParts;
   private readonly peerWatch: PeerWatch;
+  private readonly throttle: AdmissionThrottle;
   private lastCoordinatorId = '';
 
   constructor(parts: StageDispatcherParts) {
     this.parts = parts;
     this.peerWatch = new PeerWatch(parts);
+    this.throttle = new AdmissionThrottle(parts);
   }
 
   /**
-   * Asks the coordinator whether the stages of a request may start. Without an answer the
-   * request is admitted, so that an outage of the coordinator does not refuse requests.
+   * Asks the coordinator whether the stages of a request may start. A request that a busy
+   * coordinator does not answer in time is rejected, since its stages would wait there as well.
+   * If the coordinator is silent, the request is admitted, so that an outage does not reject it.
    */
   async admitRequest(
     request: StageAdmissionRequest,
   ): Promise<StageAdmissionDecision> {
-    const {link, local, membership} = this.parts;
+    const {clock, link, local, membership} = this.parts;
     const coordinator = chooseCoordinator(membership);
     if (!coordinator) return local.admitRequest(request);
+    const {id, address} = coordinator;
+    if (!this.throttle.maySend(id)) {
+      this.countAdmission('throttled');
+      return this.createBusyRejection();
+    }
+    const sentAtMs = clock.getNow();
     const reply = await link
       .sendRequest(
-        coordinator.address,
+        address,
         {type: 'stage-admit', request},
-        ADMIT_TIMEOUT_MS,
+        computeAdmitTimeoutMs(request),
       )
       .catch((): undefined => undefined);
     if (reply?.type === 'stage-admission') {
+      this.throttle.recordOutcome(id, true);
       this.countAdmission(reply.isAdmitted ? 'admitted' : 'rejected');
       return reply;
     }
     this.countAdmission('unanswered');
-    return {isAdmitted: true, predictedMs: 0, retryAfterMs: 0};
+    if (reply || !this.isBusy(address, sentAtMs)) {
+      return {isAdmitted: true, predictedMs: 0, retryAfterMs: 0};
+    }
+    this.throttle.recordOutcome(id, false);
+    // The coordinator may have admitted the request by the time it reads this.
+    this.endRequest(request.requestId);
+    return this.createBusyRejection();
+  }
+
+  // Whether a peer has sent other messages while an answer was due.
+  private isBusy(address: string, sentAtMs: number): boolean {
+    const {clock, link} = this.parts;
+    return link.getSilenceMs(address) < clock.getNow() - sentAtMs;
+  }
+
+  private createBusyRejection(): StageAdmissionDecision {
+    const {least, most} = BUSY_RETRY_MS;
+    return {
+      isAdmitted: false,
+      predictedMs: 0,
+      retryAfterMs: least + this.parts.random() * (most - least),
+      reason: 'the coordinator of the stages is overloaded',
+    };
   }
 
   /** Notifies the coordinator that a request needs no more stages. */
@@ -230,9 +269,7 @@
       membership.recordUnreachable(id);
       return undefined;
     } catch {
-      const waitedMs = this.parts.clock.getNow() - sentAtMs;
-      const isBusy = link.getSilenceMs(address) < waitedMs;
-      if (!isBusy) membership.recordUnreachable(id);
+      if (!this.isBusy(address, sentAtMs)) membership.recordUnreachable(id);
       return undefined;
     } finally {
       watchHandle.end();
@@ -284,3 +321,11 @@
     this.lastCoordinatorId = id;
   }
 }
+
+function computeAdmitTimeoutMs({dueInMs}: StageAdmissionRequest): number {
+  const timeoutMs = dueInMs * ADMIT_TIMEOUT_SHARE;
+  return Math.min(
+    MAX_ADMIT_TIMEOUT_MS,
+    Math.max(MIN_ADMIT_TIMEOUT_MS, timeoutMs),
+  );
+}
