Share the planning of stages, with one planner for each upstream

Callers of staged requests were rejected or late though most instances had time: each stage of each request passed through one process.

A fleet has one planner for each six instances' worth of its strongest instances, if each gets two upstreams of each service; each upstream belongs to one planner, by bounded rendezvous hashing. The coordinator keeps engines and grants where enough instances follow it in rank. A request stays with the planner that admitted it, and asks a second one if the first rejects it. An instance plans only for upstreams that are its own by its own view: a job that reaches one that plans nothing is passed on once, and an instance whose planner does not answer no longer plans by itself, unless it has heard from no peer for 3 s. Fleets of fewer than twelve equal instances, and those with an older instance, have one planner as before.

The tests of a dispatcher that plans what nobody answers, and of planners, are new and fail before.

--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -11,10 +11,12 @@
   chooseCoordinator,
   type PeerNetwork,
 } from '@hollowstack/peers';
+import type {RouteTable} from '@hollowstack/routes';
 import {
   StageCaller,
   StageCoordinator,
   StageDispatcher,
+  StagePlanners,
   type StageProtocol,
 } from '@hollowstack/stages';
 import {
@@ -193,6 +195,7 @@
     handleLeaving: (id, requestId) =>
       registry.recordLeaving(id, {source: 'answer', requestId}),
   });
+  const planners = new StagePlanners({membership, link});
   const coordinator = new StageCoordinator({
     clock,
     logger,
@@ -209,6 +212,7 @@
     freshnessGuard,
     random,
     releasesInputsEarly: settings.policy.readRelease,
+    mayPlan: id => planners.mayPlan(id),
   });
   const notifications = new NotificationQueue({clock, link});
   const dispatcher = new StageDispatcher({
@@ -218,6 +222,7 @@
     link,
     notes: notifications,
     membership,
+    planners,
     local: coordinator,
     random,
   });
@@ -363,6 +368,7 @@
   );
 
   routeHolder.addListener(table => {
+    planners.setServices(listStageServices(table));
     coordinator.setConfiguration(table);
     directory.setConfiguration(table);
     pool.setConfiguration(table);
@@ -374,6 +380,7 @@
     tunnelServer.setUpstreams(upstreams);
     pool.setUpstreams(upstreams);
     versionHistory.setUpstreams(upstreams);
+    planners.setUpstreams(upstreams);
     coordinator.setUpstreams(upstreams);
     directory.setUpstreams(upstreams);
     detector.setUpstreams(upstreams);
@@ -391,6 +398,7 @@
   });
   const peerRequestHandler = new GatewayPeerRequestHandler({
     coordinator,
+    dispatcher,
     directory,
     cachedPrompts,
     exchange,
@@ -505,3 +513,8 @@
   const {user, system} = process.cpuUsage();
   return (user + system) / 1000;
 }
+
+function listStageServices({configuration}: RouteTable): ReadonlySet<string> {
+  const services = configuration.services.filter(({stage}) => stage);
+  return new Set(services.map(({name}) => name));
+}
--- a/packages/gateway/src/create-store-view.ts
+++ b/packages/gateway/src/create-store-view.ts
@@ -1,6 +1,11 @@
 import {FreshnessTable, type FreshnessGuard} from '@hollowstack/freshness';
 import type {SuspectPartTable, SuspectTable} from '@hollowstack/quarantine';
-import {Membership, PEER_PREFIX, type PeerLink} from '@hollowstack/peers';
+import {
+  Membership,
+  PEER_PREFIX,
+  SHARED_PLANNING,
+  type PeerLink,
+} from '@hollowstack/peers';
 import {
   WatchHub,
   createPrefixRange,
@@ -101,7 +106,12 @@
       address: advertisedPeerAddress ?? peerAddress,
       cores: cpuShare * cpuSpeed,
       startedAtMs: clock.getNow(),
-      acceptedRequests: ['stream-began', 'stream-origin', 'part-trial'],
+      acceptedRequests: [
+        'stream-began',
+        'stream-origin',
+        'part-trial',
+        SHARED_PLANNING,
+      ],
     },
     store,
     clock,
--- a/packages/gateway/src/gateway-peer-request-handler.ts
+++ b/packages/gateway/src/gateway-peer-request-handler.ts
@@ -5,7 +5,7 @@
   PeerReply,
   PeerRequest,
 } from '@hollowstack/peers';
-import type {StageCoordinator} from '@hollowstack/stages';
+import type {StageCoordinator, StageDispatcher} from '@hollowstack/stages';
 import type {RelayServer} from '@hollowstack/store-relay';
 import type {PartTrials} from '@hollowstack/quarantine';
 import type {StreamOrigins} from '@hollowstack/stream-origins';
@@ -19,6 +19,10 @@
 /** Dependencies of GatewayPeerRequestHandler. */
 export interface GatewayPeerRequestHandlerParts {
   readonly coordinator: StageCoordinator;
+  readonly dispatcher: Pick<
+    StageDispatcher,
+    'answerJob' | 'answerAdmission' | 'cancelPeerJob'
+  >;
   readonly directory: EngineDirectory;
   readonly cachedPrompts: CachedPromptsReader;
   readonly exchange: GossipExchange;
@@ -58,7 +62,7 @@
 
   /** @param peer Id of the peer that sent the request. */
   async answerRequest(request: PeerRequest, peer: string): Promise<PeerReply> {
-    const {coordinator, directory, exchange, cachedPrompts, lifecycle, relay} =
+    const {dispatcher, directory, exchange, cachedPrompts, lifecycle, relay} =
       this.parts;
     const {freshnessGuard} = this.parts;
     if (
@@ -72,21 +76,16 @@
         if (lifecycle.isStopping()) return STOPPING;
         return {type: 'done'};
       })
-      .with({type: 'stage-job'}, async ({job}) => {
-        if (lifecycle.isStopping()) {
-          return STOPPING;
-        }
-        const outcome = await coordinator.runJob(job);
-        return {type: 'stage-outcome', outcome};
+      .with({type: 'stage-job'}, ({job}) => {
+        if (lifecycle.isStopping()) return STOPPING;
+        return dispatcher.answerJob(job);
       })
       .with({type: 'stage-admit'}, ({request: asked}) => {
-        if (lifecycle.isStopping()) {
-          return STOPPING;
-        }
-        return {type: 'stage-admission', ...coordinator.admitRequest(asked)};
+        if (lifecycle.isStopping()) return STOPPING;
+        return dispatcher.answerAdmission(asked);
       })
       .with({type: 'stage-cancel'}, ({jobId}) => {
-        coordinator.cancelJob(jobId);
+        dispatcher.cancelPeerJob(jobId);
         return {type: 'done'};
       })
       .with({type: 'assign'}, ({request}) => {
@@ -144,17 +143,14 @@
   private applyNotification(notification: PeerNotification): void {
     const {coordinator, directory} = this.parts;
     match<PeerNotification, void>(notification)
-      .with({type: 'stage-end'}, ({requestId}) =>
-        coordinator.endRequest(requestId),
+      .with({type: 'stage-end'}, ({requestId, firstMs}) =>
+        coordinator.endRequest(requestId, firstMs),
       )
       .with({type: 'stage-release'}, ({results}) =>
         coordinator.releaseResults(results),
       )
       .with({type: 'assignment-progress'}, ({progress}) => {
         directory.recordProgress(progress);
-        const {requestId, firstMs} = progress;
-        if (firstMs !== undefined)
-          coordinator.recordFirstEvent(requestId, firstMs);
       })
       .exhaustive();
   }
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -437,7 +437,7 @@
   'stage.coordinator': {
     number: 900,
     level: 'info',
-    text: 'another instance coordinates the stages from now on',
+    text: 'other instances plan the stages from now on',
   },
   'stage.call-failed': {
     number: 901,
--- a/packages/peers/src/coordinator.test.ts
+++ b/packages/peers/src/coordinator.test.ts
@@ -12,7 +12,9 @@
 import {
   Membership,
   PEER_PREFIX,
+  SHARED_PLANNING,
   chooseCoordinator,
+  listPlanners,
   listUnconfirmedCandidates,
   type PeerRecord,
 } from './index.ts';
@@ -219,3 +221,48 @@
   assert.equal(store.putCount, 2);
   await running;
 });
+
+function createPlanning(id: string, cores: number): PeerRecord {
+  return {...createRecord(id, cores), acceptedRequests: [SHARED_PLANNING]};
+}
+
+function createLargeFleet(otherCount = 54): Membership {
+  const membership = createMembership();
+  for (let index = 0; index < 6; index++) {
+    membership.recordContact(createPlanning(`strong-${index}`, 4));
+  }
+  for (let index = 0; index < otherCount; index++) {
+    membership.recordContact(createPlanning(`weak-${index}`, 1));
+  }
+  return membership;
+}
+
+function listPlannerIds(membership: Membership): string[] {
+  return listPlanners(membership).map(({id}) => id);
+}
+
+// Guards against one instance that plans the stages of a large fleet by itself.
+test('the strongest instances of a large fleet share the planning with each other, not with the coordinator', () => {
+  const membership = createLargeFleet();
+  const ids = listPlannerIds(membership);
+  assert.equal(ids.length, 3);
+  assert.ok(ids.every(id => id.startsWith('strong-')));
+  assert.ok(!ids.includes(getCoordinatorId(membership)));
+});
+
+test('a planner that is gone is replaced by the next in rank, and the others stay', () => {
+  const membership = createLargeFleet();
+  const before = listPlannerIds(membership);
+  membership.recordUnreachable(before[1]);
+  const after = listPlannerIds(membership);
+  assert.equal(after.length, 3);
+  assert.equal(after.filter(id => before.includes(id)).length, 2);
+});
+
+test('the coordinator of a small fleet, or of one with older instances, plans alone', () => {
+  const small = createLargeFleet(8);
+  assert.deepEqual(listPlannerIds(small), [getCoordinatorId(small)]);
+  const mixed = createLargeFleet();
+  mixed.recordContact(createRecord('older', 1));
+  assert.deepEqual(listPlannerIds(mixed), [getCoordinatorId(mixed)]);
+});
--- a/packages/peers/src/coordinator.ts
+++ b/packages/peers/src/coordinator.ts
@@ -29,17 +29,67 @@
   );
 }
 
-function findCoordinator(membership: Membership): PeerRecord | undefined {
+/** Request type that an instance names if it plans only the upstreams that it is assigned. */
+export const SHARED_PLANNING = 'shared-planning';
+const RANKING_KEY = 'coordinator-ranking';
+/**
+ * Capacity of the live instances, in multiples of the strongest one, for which one instance plans
+ * the stages: it handles several messages for each request of all others.
+ */
+const INSTANCES_PER_PLANNER = 6;
+
+/**
+ * Lists the instances that share the planning of stages, in order of rank; this instance may be
+ * one of them. A small fleet has one, its coordinator. In a larger one the coordinator keeps its
+ * other decisions and those that follow in rank plan.
+ */
+export function listPlanners(membership: Membership): PeerRecord[] {
+  const ranking = listRanking(membership);
+  const count = countPlanners(membership);
+  if (count === 1 || ranking.length <= count) return ranking.slice(0, count);
+  return ranking.slice(1, count + 1);
+}
+
+function listRanking(membership: Membership): PeerRecord[] {
+  return membership.getCached(RANKING_KEY, () => {
+    const candidates = listCandidates(membership);
+    const ids = listByRendezvous(
+      COORDINATOR_KEY,
+      listIdsWithMostCores(candidates),
+    );
+    const records = new Map(candidates.map(each => [each.id, each]));
+    return ids.map(id => records.get(id)!);
+  });
+}
+
+// Instances of older versions know only one planner. Registered instances that are gone count
+// until their registration expires, so that a loss of many does not move all upstreams.
+function countPlanners(membership: Membership): number {
+  const peers = membership.listPeers();
+  const isShared = peers.every(({acceptedRequests}) =>
+    acceptedRequests?.includes(SHARED_PLANNING),
+  );
+  if (!isShared) return 1;
+  const cores = [membership.getSelf(), ...peers].map(getCores);
+  const sum = cores.reduce((total, each) => total + each, 0);
+  const capacity = sum / Math.max(...cores);
+  return Math.max(1, Math.floor(capacity / INSTANCES_PER_PLANNER));
+}
+
+function listCandidates(membership: Membership): PeerRecord[] {
   const peers = membership.listConfirmedPeers();
   const isSelfExcluded = membership.isLeaving() && peers.length > 0;
-  const candidates = isSelfExcluded ? peers : [membership.getSelf(), ...peers];
-  const preferredId = findPreferredId(candidates);
-  return peers.find(({id}) => id === preferredId);
+  return isSelfExcluded ? peers : [membership.getSelf(), ...peers];
+}
+
+function findCoordinator(membership: Membership): PeerRecord | undefined {
+  const preferredId = findPreferredId(listCandidates(membership));
+  return membership.listConfirmedPeers().find(({id}) => id === preferredId);
 }
 
 /**
- * Lists the unconfirmed peers that would replace the current coordinator, the
- * preferred one first. Other peers need not be probed.
+ * Lists the unconfirmed peers that would replace the current coordinator or one of the current
+ * planners, the preferred one first. Other peers need not be probed.
  *
  * @param cooldownMs Milliseconds for which a peer that did not answer is left out.
  */
@@ -47,11 +97,17 @@
   membership: Membership,
   cooldownMs: number,
 ): PeerRecord[] {
-  const current = chooseCoordinator(membership) ?? membership.getSelf();
+  const current =
+    listPlanners(membership).at(-1) ??
+    chooseCoordinator(membership) ??
+    membership.getSelf();
+  const plannerCount = countPlanners(membership);
+  const isShort =
+    plannerCount > 1 && listRanking(membership).length <= plannerCount;
   return membership
     .listUnconfirmedPeers(cooldownMs)
     .filter(peer => getCores(peer) >= MIN_CORES_RATIO * getCores(current))
-    .filter(peer => findPreferredId([peer, current]) === peer.id)
+    .filter(peer => isShort || findPreferredId([peer, current]) === peer.id)
     .sort((left, right) =>
       findPreferredId([left, right]) === left.id ? -1 : 1,
     );
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -21,7 +21,12 @@
   type PeerReply,
   type PeerRequest,
 } from './messages.ts';
-export {chooseCoordinator, listUnconfirmedCandidates} from './coordinator.ts';
+export {
+  SHARED_PLANNING,
+  chooseCoordinator,
+  listPlanners,
+  listUnconfirmedCandidates,
+} from './coordinator.ts';
 export {Membership, PEER_PREFIX, type MembershipParts} from './membership.ts';
 export {RevisionGossip, type RevisionGossipParts} from './revision-gossip.ts';
 export {ShareAllocator} from './share-allocator.ts';
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -106,7 +106,12 @@
 
 /** A message that the peer only acknowledges. */
 const peerNotificationSchema = z.discriminatedUnion('type', [
-  z.object({type: z.literal('stage-end'), requestId: z.string()}),
+  z.object({
+    type: z.literal('stage-end'),
+    requestId: z.string(),
+    /** Milliseconds from sending the request, after its stages, to its first event, if it came. */
+    firstMs: z.number().optional(),
+  }),
   z.object({
     type: z.literal('stage-release'),
     results: z.array(stageResultSchema),
--- a/packages/peers/src/peer-link.ts
+++ b/packages/peers/src/peer-link.ts
@@ -48,11 +48,13 @@
   private readonly sessions = new Set<Session>();
   private handleRequest: PeerRequestHandler;
   private nextRequestId = 1;
+  private contactAtMs: number;
   /** The peer whose stream was the last to become unresponsive, and when. */
   private lastUnresponsive = {address: '', atMs: -Infinity};
 
   constructor(parts: PeerLinkParts) {
     this.parts = parts;
+    this.contactAtMs = parts.clock.getNow();
     this.handleRequest = async () => ({
       type: 'failed',
       message: 'not ready for requests',
@@ -132,6 +134,11 @@
     return this.openStreams.get(address)?.getSilenceMs() ?? Infinity;
   }
 
+  /** Returns the milliseconds since the last message from any peer or, before one, the start. */
+  getCommonSilenceMs(): number {
+    return this.parts.clock.getNow() - this.contactAtMs;
+  }
+
   /** Closes the stream to a peer that does not answer; its pending requests fail. */
   closePeer(address: string): void {
     const opening = this.streams.get(address);
@@ -265,6 +272,7 @@
     peer: string,
     stream?: PeerStream,
   ): void {
+    this.contactAtMs = this.parts.clock.getNow();
     if (envelope.kind === 'request') {
       void this.answerRequest(envelope.id, envelope.request, session, peer);
       return;
--- a/packages/stages/src/index.ts
+++ b/packages/stages/src/index.ts
@@ -17,6 +17,7 @@
   StageCoordinator,
   type StageCoordinatorParts,
 } from './stage-coordinator.ts';
+export {StagePlanners, type StagePlannersParts} from './stage-planners.ts';
 export {
   StageDispatcher,
   type StageDispatcherParts,
--- a/packages/stages/src/request-stages.ts
+++ b/packages/stages/src/request-stages.ts
@@ -103,6 +103,8 @@
    * predicts.
    */
   private firstMs: number | undefined;
+  /** Id of the planner that admitted the request. */
+  private plannerId: string | undefined;
   private stageStartsMs: Array<number | undefined> = [];
   private areDone: boolean[] = [];
   private readonly tookMs: Array<number | undefined> = [];
@@ -149,6 +151,7 @@
       mayComeBack: input.mayRetry,
     });
     this.firstMs = decision.firstMs;
+    this.plannerId = decision.plannerId;
     if (decision.isAdmitted) return decision.predictedMs;
     const {predictedMs, retryAfterMs, reason} = decision;
     if (reason !== undefined) {
@@ -199,7 +202,7 @@
     const settled = await Promise.allSettled(runs);
     if (settled.some(({status}) => status === 'rejected')) {
       this.releaseAll();
-      this.dispatcher.endRequest(this.input.requestId);
+      this.dispatcher.endRequest(this.input.requestId, this.plannerId);
       throw failureController.signal.reason;
     }
     const results: StageResult[] = [];
@@ -217,6 +220,7 @@
   /** Records the milliseconds from the send of the request, after its stages, to its first event. */
   recordFirstEvent(firstMs: number): void {
     this.durations.recordMs(this.createRequestKey(), firstMs);
+    this.dispatcher.endRequest(this.input.requestId, this.plannerId, firstMs);
   }
 
   private predictRequestMs(): number {
@@ -324,6 +328,7 @@
         isIsolated: input.isIsolated || undefined,
       },
       signal,
+      this.plannerId,
     );
     if (outcome.type === 'made') return outcome;
     throw new StageError(
--- a/packages/stages/src/stage-coordinator.ts
+++ b/packages/stages/src/stage-coordinator.ts
@@ -51,6 +51,8 @@
    * Whether inputs are released while the calls that have read them are still in flight.
    */
   readonly releasesInputsEarly: boolean;
+  /** Returns whether this instance plans the calls to an upstream; all if left out. */
+  readonly mayPlan?: (upstreamId: string) => boolean;
 }
 
 /** Interval between plans while jobs wait; other events trigger a plan earlier. */
@@ -83,6 +85,7 @@
       backOffs: parts.backOffs,
       limiter: parts.limiter,
       times: this.times,
+      mayPlan: parts.mayPlan,
     });
     this.admission = new StageAdmission({
       clock: parts.clock,
@@ -129,13 +132,15 @@
     return this.admission.judge(request);
   }
 
-  /** Records the milliseconds from the send of a request, after its stages, to its first event. */
-  recordFirstEvent(requestId: string, firstMs: number): void {
-    this.admission.recordFirstEvent(requestId, firstMs);
-  }
-
-  /** Removes a request that needs no more stages from the pending work. */
-  endRequest(requestId: string): void {
+  /**
+   * Removes a request that needs no more stages from the pending work.
+   *
+   * @param firstMs Milliseconds from sending the request, after its stages, to its first event.
+   */
+  endRequest(requestId: string, firstMs?: number): void {
+    if (firstMs !== undefined) {
+      this.admission.recordFirstEvent(requestId, firstMs);
+    }
     this.admission.recordEnded(requestId);
   }
 
--- a/packages/stages/src/stage-dispatcher.test.ts
+++ b/packages/stages/src/stage-dispatcher.test.ts
@@ -2,7 +2,7 @@
 import {SilentEventLogger} from '@hollowstack/logger';
 import {MetricsRegistry} from '@hollowstack/metrics';
 import type {PeerLink, PeerRecord, PeerRequest} from '@hollowstack/peers';
-import type {StageAdmissionRequest} from '@hollowstack/types';
+import type {StageAdmissionRequest, StageJob} from '@hollowstack/types';
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {StageDispatcher, type StageDispatcherParts} from './index.ts';
@@ -49,7 +49,6 @@
     } as unknown as PeerLink;
     const membership = {
       getSelf: () => ({...COORDINATOR, id: 'self'}),
-      getCached: () => COORDINATOR,
       getLiveCount: () => 2,
       recordUnreachable: () => {},
     } as unknown as StageDispatcherParts['membership'];
@@ -66,6 +65,11 @@
       link,
       notes,
       membership,
+      planners: {
+        listForRequest: () => [COORDINATOR],
+        listIds: () => [COORDINATOR.id],
+        isPlanner: () => false,
+      } as unknown as StageDispatcherParts['planners'],
       local: {} as StageDispatcherParts['local'],
       random: getMiddle,
     });
@@ -106,3 +110,42 @@
   }
   assert.ok(sent.length < 10, `${sent.length} sent`);
 });
+
+const JOB: StageJob = {
+  jobId: 'j',
+  requestId: 'r',
+  service: 's',
+  stage: 0,
+  stageKey: 's',
+  pieceCount: 1,
+  inputs: [],
+  resultBytes: 1,
+  dueInMs: 2000,
+  remainingMs: 6000,
+  priority: 1,
+  crossingBytes: 0,
+};
+
+// Guards against an instance that plans for the upstreams of another one because a peer asks it.
+test('an instance that is no planner passes a job on once, and rejects one that was passed on', async () => {
+  const {clock, dispatcher, sent} = new UnansweredDispatcher(20);
+  const answer = dispatcher.answerJob(JOB);
+  const second = await dispatcher.answerJob({...JOB, isForwarded: true});
+  assert.equal(second.type, 'failed');
+  await clock.advanceUntil(answer, 10_000);
+  const jobs = sent.flatMap(each => (each.type === 'stage-job' ? [each] : []));
+  assert.deepEqual(
+    jobs.map(({job}) => job),
+    [{...JOB, isForwarded: true}],
+  );
+});
+
+// Guards against instances that all plan by themselves while their planner is overloaded.
+test('an instance whose planner does not answer fails its job instead of planning it', async () => {
+  const {clock, dispatcher} = new UnansweredDispatcher(5000);
+  const outcome = await clock.advanceUntil(
+    dispatcher.runJob(JOB, new AbortController().signal),
+    10_000,
+  );
+  assert.equal(outcome.type === 'failed' && outcome.failure, 'overloaded');
+});
--- a/packages/stages/src/stage-dispatcher.ts
+++ b/packages/stages/src/stage-dispatcher.ts
@@ -4,12 +4,12 @@
 import type {EventLogger} from '@hollowstack/logger';
 import type {MetricsRegistry} from '@hollowstack/metrics';
 import {
-  chooseCoordinator,
   type Membership,
   type NotificationQueue,
   type PeerNotification,
   type PeerLink,
   type PeerRecord,
+  type PeerReply,
 } from '@hollowstack/peers';
 import type {
   StageAdmissionRequest,
@@ -22,6 +22,7 @@
 import {PeerWatch} from './peer-watch.ts';
 import type {StageAdmissionDecision} from './stage-admission.ts';
 import type {StageCoordinator} from './stage-coordinator.ts';
+import type {StagePlanners} from './stage-planners.ts';
 
 /** Dependencies of StageDispatcher. */
 export interface StageDispatcherParts {
@@ -31,20 +32,29 @@
   readonly link: PeerLink;
   readonly notes: NotificationQueue;
   readonly membership: Membership;
+  readonly planners: StagePlanners;
   /** This instance's own coordinator. */
   readonly local: StageCoordinator;
   /** Returns a random number from 0 to below 1. */
   readonly random: () => number;
 }
 
+/** Whether a request may start its stages, and the planner that decided so. */
+export interface PlannerDecision extends StageAdmissionDecision {
+  readonly plannerId: string;
+}
+
 /** A job without the fields that each submission adds: its id and owner. */
 export type UnsentStageJob = Omit<StageJob, 'jobId' | 'owner'>;
 
-/**
- * Maximum submissions of a job, which is submitted again if its coordinator is gone. After the
- * last one the job runs at this instance.
- */
-const MAX_SUBMISSIONS = 2;
+/** Maximum submissions of a job, which is submitted again if its planner is gone. */
+const MAX_SUBMISSIONS = 4;
+/** Milliseconds before a job is submitted again that its receiver does not plan. */
+const VIEW_DELAY_MS = 50;
+const NOT_PLANNING = {
+  type: 'failed',
+  message: 'this instance plans no stages',
+} as const satisfies PeerReply;
 /**
  * Time by which the wait for a coordinator's reply exceeds the remaining time of the job, so
  * that the coordinator can still report that the deadline has passed.
@@ -65,14 +75,16 @@
 const JOB_ID_BYTES = 8;
 
 /**
- * Submits jobs to the instance that coordinates stages. If two instances act as coordinator at
- * the same time, batches are less full, but results stay correct.
+ * Submits jobs to the instances that plan stages. If two instances plan for an upstream at the
+ * same time, batches are less full, but results stay correct.
  */
 export class StageDispatcher {
   private readonly parts: StageDispatcherParts;
   private readonly peerWatch: PeerWatch;
   private readonly throttle: AdmissionThrottle;
-  private lastCoordinatorId = '';
+  /** Cancel the jobs of peers that were passed on, by job id. */
+  private readonly forwardedJobs = new Map<string, AbortController>();
+  private lastPlannerIds = '';
 
   constructor(parts: StageDispatcherParts) {
     this.parts = parts;
@@ -85,16 +97,28 @@
    * coordinator does not answer in time is rejected, since its stages would wait there as well.
    * If the coordinator is silent, the request is admitted, so that an outage does not reject it.
    */
-  async admitRequest(
+  async admitRequest(request: StageAdmissionRequest): Promise<PlannerDecision> {
+    const [planner, second] = this.parts.planners.listForRequest(
+      request.requestId,
+    );
+    const decision = await this.askPlanner(planner, request);
+    if (decision.isAdmitted || !second) return decision;
+    const other = await this.askPlanner(second, request);
+    return other.isAdmitted ? other : decision;
+  }
+
+  private async askPlanner(
+    planner: PeerRecord,
     request: StageAdmissionRequest,
-  ): Promise<StageAdmissionDecision> {
-    const {clock, link, local, membership} = this.parts;
-    const coordinator = chooseCoordinator(membership);
-    if (!coordinator) return local.admitRequest(request);
-    const {id, address} = coordinator;
+  ): Promise<PlannerDecision> {
+    const {clock, link, local} = this.parts;
+    const {id, address} = planner;
+    if (this.isSelf(planner)) {
+      return {...local.admitRequest(request), plannerId: id};
+    }
     if (!this.throttle.maySend(id)) {
       this.countAdmission('throttled');
-      return this.createBusyRejection();
+      return this.createBusyRejection(id);
     }
     const sentAtMs = clock.getNow();
     const reply = await link
@@ -107,16 +131,21 @@
     if (reply?.type === 'stage-admission') {
       this.throttle.recordOutcome(id, true);
       this.countAdmission(reply.isAdmitted ? 'admitted' : 'rejected');
-      return reply;
+      return {...reply, plannerId: id};
     }
     this.countAdmission('unanswered');
     if (reply || !this.isBusy(address, sentAtMs)) {
-      return {isAdmitted: true, predictedMs: 0, retryAfterMs: 0};
+      return {
+        isAdmitted: true,
+        predictedMs: 0,
+        retryAfterMs: 0,
+        plannerId: id,
+      };
     }
     this.throttle.recordOutcome(id, false);
-    // The coordinator may have admitted the request by the time it reads this.
-    this.endRequest(request.requestId);
-    return this.createBusyRejection();
+    // The planner may have admitted the request by the time it reads this.
+    this.endRequest(request.requestId, id);
+    return this.createBusyRejection(id);
   }
 
   // Whether a peer has sent other messages while an answer was due.
@@ -125,59 +154,122 @@
     return link.getSilenceMs(address) < clock.getNow() - sentAtMs;
   }
 
-  private createBusyRejection(): StageAdmissionDecision {
-    const {least, most} = BUSY_RETRY_MS;
+  private createBusyRejection(plannerId: string): PlannerDecision {
     return {
       isAdmitted: false,
       predictedMs: 0,
-      retryAfterMs: least + this.parts.random() * (most - least),
+      retryAfterMs: this.chooseRetryMs(),
       reason: 'the coordinator of the stages is overloaded',
+      plannerId,
     };
   }
 
-  /** Notifies the coordinator that a request needs no more stages. */
-  endRequest(requestId: string): void {
-    const {notes, local, membership} = this.parts;
-    const coordinator = chooseCoordinator(membership);
-    if (!coordinator) {
-      local.endRequest(requestId);
+  private chooseRetryMs(): number {
+    const {least, most} = BUSY_RETRY_MS;
+    return least + this.parts.random() * (most - least);
+  }
+
+  /**
+   * Notifies the planner of a request that it needs no more stages.
+   *
+   * @param firstMs Milliseconds from sending the request, after its stages, to its first event.
+   */
+  endRequest(requestId: string, plannerId?: string, firstMs?: number): void {
+    const {notes, local, planners} = this.parts;
+    const [planner] = planners.listForRequest(requestId, plannerId);
+    if (this.isSelf(planner)) {
+      local.endRequest(requestId, firstMs);
       return;
     }
-    // A failed notification is ignored: a coordinator that is gone has lost the request as well.
+    // A failed notification is ignored: a planner that is gone has lost the request as well.
     notes
-      .sendNotification(coordinator.address, {type: 'stage-end', requestId})
+      .sendNotification(planner.address, {
+        type: 'stage-end',
+        requestId,
+        firstMs,
+      })
       .catch(() => {});
   }
 
   /**
-   * Runs a job at the coordinator, or at this instance if no coordinator answers. Cancels the
-   * job if the signal aborts.
+   * Runs a job at a planner. Cancels the job if the signal aborts.
+   *
+   * @param plannerId Id of the planner that admitted the request, if known.
    */
   async runJob(
     unsent: UnsentStageJob,
     signal: AbortSignal,
+    plannerId?: string,
   ): Promise<StageOutcome> {
-    const {clock} = this.parts;
+    const {clock, planners} = this.parts;
     const startedAtMs = clock.getNow();
-    let outcome: StageOutcome | undefined;
     for (let submission = 0; submission < MAX_SUBMISSIONS; submission++) {
       if (signal.aborted) return {type: 'failed', ...CANCELLED};
       const job = this.createJob(unsent, startedAtMs);
       if (job.remainingMs <= 0) break;
-      outcome = await this.attemptJob(job, signal);
+      const [planner] = planners.listForRequest(job.requestId, plannerId);
+      this.recordPlanners();
+      const outcome = this.isSelf(planner)
+        ? await this.runLocally(job, signal)
+        : await this.sendToPlanner(job, planner, signal);
       if (outcome) return outcome;
     }
     if (signal.aborted) return {type: 'failed', ...CANCELLED};
-    return this.runWithoutCoordinator(unsent, startedAtMs, signal);
+    return {
+      type: 'failed',
+      failure: 'overloaded',
+      message: 'no instance that plans stages answered',
+      retryAfterMs: this.chooseRetryMs(),
+    };
   }
 
-  // Used if no coordinator answers.
-  private runWithoutCoordinator(
-    unsent: UnsentStageJob,
-    startedAtMs: number,
-    signal: AbortSignal,
-  ): Promise<StageOutcome> {
-    return this.runLocally(this.createJob(unsent, startedAtMs), signal);
+  /**
+   * Answers the job of a peer. An instance that plans for no upstream passes it on once, so that a
+   * peer with another view of the planners adds no planner.
+   */
+  async answerJob(job: StageJob): Promise<PeerReply> {
+    const {local, planners} = this.parts;
+    if (planners.isPlanner()) {
+      const outcome = await local.runJob(job);
+      const hasLostRole = outcome.type === 'failed' && !planners.isPlanner();
+      return hasLostRole ? NOT_PLANNING : {type: 'stage-outcome', outcome};
+    }
+    if (job.isForwarded) return NOT_PLANNING;
+    const [planner] = planners.listForRequest(job.requestId);
+    const controller = new AbortController();
+    this.forwardedJobs.set(job.jobId, controller);
+    try {
+      const outcome = await this.sendToPlanner(
+        {...job, isForwarded: true},
+        planner,
+        controller.signal,
+      );
+      return outcome ? {type: 'stage-outcome', outcome} : NOT_PLANNING;
+    } finally {
+      this.forwardedJobs.delete(job.jobId);
+    }
+  }
+
+  /** Cancels the job of a peer, here or where it was passed on to. */
+  cancelPeerJob(jobId: string): void {
+    const forwarded = this.forwardedJobs.get(jobId);
+    if (forwarded) forwarded.abort(new Error('cancelled by the peer'));
+    else this.parts.local.cancelJob(jobId);
+  }
+
+  /** Answers the admission request of a peer, passing it on once like a job. */
+  async answerAdmission(request: StageAdmissionRequest): Promise<PeerReply> {
+    const {local, link, planners} = this.parts;
+    if (planners.isPlanner()) {
+      return {type: 'stage-admission', ...local.admitRequest(request)};
+    }
+    if (request.isForwarded) return NOT_PLANNING;
+    const [planner] = planners.listForRequest(request.requestId);
+    return link.sendRequest(
+      planner.address,
+      {type: 'stage-admit', request: {...request, isForwarded: true}},
+      computeAdmitTimeoutMs(request),
+    );
   }
 
   private createJob(unsent: UnsentStageJob, startedAtMs: number): StageJob {
@@ -197,36 +289,31 @@
   }
 
   /**
-   * Releases results through the coordinator, or through this instance if the coordinator
-   * cannot be notified.
+   * Releases results through the planners of their upstreams, or through this instance if a
+   * planner cannot be notified.
    */
   releaseResults(results: readonly StageResult[]): void {
-    if (results.length === 0) return;
-    const coordinator = chooseCoordinator(this.parts.membership);
-    if (!coordinator) {
-      this.parts.local.releaseResults(results);
-      return;
+    const {planners, local, notes} = this.parts;
+    const groups = Map.groupBy(results, ({address}) =>
+      planners.getPlannerOf(address),
+    );
+    for (const [planner, group] of groups) {
+      if (this.isSelf(planner)) {
+        local.releaseResults(group);
+        continue;
+      }
+      const notification: PeerNotification = {
+        type: 'stage-release',
+        results: group,
+      };
+      notes
+        .sendNotification(planner.address, notification)
+        .catch(() => local.releaseResults(group));
     }
-    const notification: PeerNotification = {
-      type: 'stage-release',
-      results: [...results],
-    };
-    this.parts.notes
-      .sendNotification(coordinator.address, notification)
-      .catch(() => this.parts.local.releaseResults(results));
   }
 
-  // Resolves with undefined if the coordinator is gone and the job has to be submitted again.
-  private async attemptJob(
-    job: StageJob,
-    signal: AbortSignal,
-  ): Promise<StageOutcome | undefined> {
-    const coordinator = chooseCoordinator(this.parts.membership);
-    this.recordCoordinator(
-      coordinator?.id ?? this.parts.membership.getSelf().id,
-    );
-    if (!coordinator) return this.runLocally(job, signal);
-    return this.sendToCoordinator(job, coordinator, signal);
+  private isSelf({id}: PeerRecord): boolean {
+    return id === this.parts.membership.getSelf().id;
   }
 
   private async runLocally(
@@ -243,18 +330,19 @@
     }
   }
 
-  private async sendToCoordinator(
+  // Resolves with undefined if the job has to be submitted again.
+  private async sendToPlanner(
     job: StageJob,
-    coordinator: PeerRecord,
+    planner: PeerRecord,
     signal: AbortSignal,
   ): Promise<StageOutcome | undefined> {
     const {link, membership} = this.parts;
-    const {address, id} = coordinator;
+    const {address, id} = planner;
     const removeAbortHandler = addAbortHandler(
       signal,
-      () => void this.cancelAtCoordinator(job, coordinator),
+      () => void this.cancelAtPlanner(job, planner),
     );
-    const watchHandle = this.peerWatch.beginWatching(coordinator);
+    const watchHandle = this.peerWatch.beginWatching(planner);
     const sentAtMs = this.parts.clock.getNow();
     try {
       const reply = await Promise.race([
@@ -266,7 +354,8 @@
         watchHandle.failed,
       ]);
       if (reply?.type === 'stage-outcome') return reply.outcome;
-      membership.recordUnreachable(id);
+      if (isNotPlanning(reply)) await this.waitForView(signal);
+      else membership.recordUnreachable(id);
       return undefined;
     } catch {
       if (!this.isBusy(address, sentAtMs)) membership.recordUnreachable(id);
@@ -277,8 +366,13 @@
     }
   }
 
+  // Gives the views of the instances time to become the same.
+  private waitForView(signal: AbortSignal): Promise<void> {
+    return waitFor(this.parts.clock, VIEW_DELAY_MS, signal).catch(() => {});
+  }
+
   // A lost cancellation would leave the upstreams of the stage at work.
-  private async cancelAtCoordinator(
+  private async cancelAtPlanner(
     {jobId, requestId}: StageJob,
     {id, address}: PeerRecord,
   ): Promise<void> {
@@ -311,14 +405,15 @@
     });
   }
 
-  private recordCoordinator(id: string): void {
-    if (id === this.lastCoordinatorId) return;
+  private recordPlanners(): void {
+    const ids = this.parts.planners.listIds().join(',');
+    if (ids === this.lastPlannerIds) return;
     this.parts.logger.logEvent('stage.coordinator', {
-      coordinator: id,
-      before: this.lastCoordinatorId,
+      coordinator: ids,
+      before: this.lastPlannerIds,
       members: this.parts.membership.getLiveCount(),
     });
-    this.lastCoordinatorId = id;
+    this.lastPlannerIds = ids;
   }
 }
 
@@ -329,3 +424,7 @@
     Math.max(MIN_ADMIT_TIMEOUT_MS, timeoutMs),
   );
 }
+
+function isNotPlanning(reply: PeerReply | undefined): boolean {
+  return reply?.type === 'failed' && reply.message === NOT_PLANNING.message;
+}
--- a/packages/stages/src/stage-fleet.ts
+++ b/packages/stages/src/stage-fleet.ts
@@ -42,6 +42,8 @@
   readonly limiter: StageLimiter;
   /** Learned durations of calls. */
   readonly times: Pick<ServiceTimes, 'getCallMs'>;
+  /** Returns whether this instance plans the calls to an upstream; all if left out. */
+  readonly mayPlan?: (upstreamId: string) => boolean;
 }
 
 /** A result that a job reads, with the upstream that stores it. */
@@ -66,13 +68,21 @@
   private readonly backOffs: StageBackOffs;
   private readonly limiter: StageLimiter;
   private readonly times: StageFleetParts['times'];
+  private readonly mayPlan: (upstreamId: string) => boolean;
   private readonly resultMemory = new ResultMemory();
   private readonly retentionTimes: DurationEstimator;
   private readonly upstreams = new Map<string, StageUpstream>();
   private nextUnnamedResult = 0;
   private capacities: ReadonlyMap<string, StageCapacity> = new Map();
 
-  constructor({clock, backOffs, limiter, times}: StageFleetParts) {
+  constructor({
+    clock,
+    backOffs,
+    limiter,
+    times,
+    mayPlan = () => true,
+  }: StageFleetParts) {
+    this.mayPlan = mayPlan;
     this.clock = clock;
     this.backOffs = backOffs;
     this.limiter = limiter;
@@ -366,7 +376,7 @@
 
   private listOfService(service: string): StageUpstream[] {
     return [...this.upstreams.values()].filter(
-      ({record}) => record.service === service,
+      ({record}) => record.service === service && this.mayPlan(record.id),
     );
   }
 }
--- a/packages/types/src/stage-job.ts
+++ b/packages/types/src/stage-job.ts
@@ -48,6 +48,8 @@
   crossingBytes: z.number().nonnegative(),
   /** Whether upstreams crashed while they ran the request; its calls are not shared. */
   isIsolated: z.boolean().optional(),
+  /** Whether another instance has passed the job on, so that the receiver runs it itself. */
+  isForwarded: z.boolean().optional(),
 });
 /** The work items of one stage of one request, which are executed together. */
 export type StageJob = z.infer<typeof stageJobSchema>;
@@ -153,6 +155,8 @@
   priority: z.number(),
   /** Whether the caller has enough time for a retry. */
   mayComeBack: z.boolean(),
+  /** Whether another instance has passed the question on, so that the receiver answers it itself. */
+  isForwarded: z.boolean().optional(),
 });
 /** Asks whether the stages of a request can finish in time. */
 export type StageAdmissionRequest = z.infer<typeof stageAdmissionRequestSchema>;
