Judge a busy coordinator by the wait that it adds, not by the work itself

Requests with a long chain of stages were rejected by every busy coordinator: the time of a job was compared with the whole time until the objective, though most of it is the work of the stages. The wait beyond that work is compared with the spare time of the request now.

--- a/packages/stages/src/stage-admission.ts
+++ b/packages/stages/src/stage-admission.ts
@@ -94,10 +94,10 @@
  */
 const RETRY_SHARES = {least: 0.2, most: 0.3} as const;
 /**
- * Share of the time until the objective that a busy coordinator may need for the stages before
- * some requests are rejected, and from which on all are.
+ * Share of the spare time of a request that its stages may wait for a busy coordinator before some
+ * requests are rejected, and from which on all are.
  */
-const BUSY_SHARES = {some: 0.3, all: 0.6} as const;
+const BUSY_SHARES = {some: 0.1, all: 0.4} as const;
 
 /**
  * Decides whether the stages of a request can be done in time. A request that others would
@@ -159,11 +159,16 @@
   // Whether this process, not the upstreams, has too little time for the request.
   private isOverloaded(request: StageAdmissionRequest): boolean {
     const jobMs = this.parts.predictJobMs?.() ?? 0;
-    const stagesMs = jobMs * countLongestChain(request);
-    const availableMs =
-      request.dueInMs > 0 ? request.dueInMs : request.remainingMs;
+    if (jobMs === 0) return false;
+    const aloneMs = this.predictAloneMs(request);
+    const stagesMs = aloneMs - this.predictFirstMs(request);
+    const waitMs = jobMs * countLongestChain(request) - stagesMs;
+    const {dueInMs, remainingMs} = request;
+    const slackMs = dueInMs - aloneMs;
+    const mayBeInTime = slackMs > dueInMs * MIN_WAIT_SHARE;
+    const spareMs = mayBeInTime ? slackMs : remainingMs - aloneMs;
     const {some, all} = BUSY_SHARES;
-    const rejectedShare = (stagesMs / availableMs - some) / (all - some);
+    const rejectedShare = (waitMs / Math.max(1, spareMs) - some) / (all - some);
     return this.parts.random() < rejectedShare;
   }
 
