--- a/packages/stages/src/stage-dispatcher.ts
+++ b/packages/stages/src/stage-dispatcher.ts
@@ -101,15 +101,22 @@
     const [planner, second] = this.parts.planners.listForRequest(
       request.requestId,
     );
-    const decision = await this.askPlanner(planner, request);
-    if (decision.isAdmitted || !second) return decision;
-    const other = await this.askPlanner(second, request);
+    const {clock} = this.parts;
+    const timeoutMs = computeAdmitTimeoutMs(request);
+    const askedAtMs = clock.getNow();
+    const decision = await this.askPlanner(planner, request, timeoutMs);
+    const leftMs = timeoutMs - (clock.getNow() - askedAtMs);
+    if (decision.isAdmitted || !second || leftMs < MIN_ADMIT_TIMEOUT_MS) {
+      return decision;
+    }
+    const other = await this.askPlanner(second, request, leftMs);
     return other.isAdmitted ? other : decision;
   }
 
   private async askPlanner(
     planner: PeerRecord,
     request: StageAdmissionRequest,
+    timeoutMs: number,
   ): Promise<PlannerDecision> {
     const {clock, link, local} = this.parts;
     const {id, address} = planner;
@@ -122,11 +129,7 @@
     }
     const sentAtMs = clock.getNow();
     const reply = await link
-      .sendRequest(
-        address,
-        {type: 'stage-admit', request},
-        computeAdmitTimeoutMs(request),
-      )
+      .sendRequest(address, {type: 'stage-admit', request}, timeoutMs)
       .catch((): undefined => undefined);
     if (reply?.type === 'stage-admission') {
       this.throttle.recordOutcome(id, true);
