Look the planners up once while the list of instances stays the same

Each upstream of each plan asked whether this instance hears from its peers, and for the table of planners. Both are kept for 200 ms, or until an instance joins or leaves.

--- a/packages/gateway/src/create-gateway.ts
+++ b/packages/gateway/src/create-gateway.ts
@@ -176,7 +176,8 @@
     logger,
     random,
     getInstanceCount: () => membership.getLiveCount(),
-    // The coordinator alone sends work to engines and stage upstreams, and knows their places.
+    // The coordinator alone sends work to an engine, a planner alone to a stage upstream; they know
+    // its places.
     findPlaces: ({id, service}) => {
       const {engine, stage} =
         routeHolder.getCurrent()?.getService(service) ?? {};
--- a/packages/stages/src/stage-planners.ts
+++ b/packages/stages/src/stage-planners.ts
@@ -39,6 +39,7 @@
   private upstreams: readonly RegisteredUpstream[] = [];
   private stageServices: ReadonlySet<string> = new Set();
   private version = 0;
+  private cacheKey = 'stage-planners';
 
   constructor(parts: StagePlannersParts) {
     this.parts = parts;
@@ -47,13 +48,13 @@
   /** Replaces the services whose upstreams run stages. */
   setServices(services: ReadonlySet<string>): void {
     this.stageServices = services;
-    this.version += 1;
+    this.replaceCacheKey();
   }
 
   /** Replaces the registered upstreams. */
   setUpstreams(upstreams: readonly RegisteredUpstream[]): void {
     this.upstreams = upstreams;
-    this.version += 1;
+    this.replaceCacheKey();
   }
 
   /** Lists the ids of the planners in order of rank. */
@@ -101,12 +102,19 @@
 
   private getTable(): PlannerTable {
     const {membership} = this.parts;
-    if (this.isCutOff()) return this.createTable([membership.getSelf()]);
-    return membership.getCached(`stage-planners/${this.version}`, () =>
-      this.createTable(listPlanners(membership)),
+    return membership.getCached(this.cacheKey, () =>
+      this.createTable(
+        this.isCutOff() ? [membership.getSelf()] : listPlanners(membership),
+      ),
     );
   }
 
+  // A table of earlier upstreams stays in the cache under another key.
+  private replaceCacheKey(): void {
+    this.version += 1;
+    this.cacheKey = `stage-planners/${this.version}`;
+  }
+
   private isCutOff(): boolean {
     return this.parts.link.getCommonSilenceMs() >= CUT_OFF_MS;
   }
