--- a/packages/peers/src/coordinator.ts
+++ b/packages/peers/src/coordinator.ts
@@ -33,10 +33,12 @@
 export const SHARED_PLANNING = 'shared-planning';
 const RANKING_KEY = 'coordinator-ranking';
 /**
- * Capacity of the live instances, in multiples of the strongest one, for which one instance plans
- * the stages: it handles several messages for each request of all others.
+ * Capacity of the live instances, in multiples of a planner's, for which a planner with little
+ * processor time plans the stages: it handles several messages for each request of all others.
  */
 const INSTANCES_PER_PLANNER = 6;
+/** Cores up to which a planner counts as one with little; one with more plans for more instances. */
+const LITTLE_CORES = 0.25;
 
 /**
  * Lists the instances that share the planning of stages, in order of rank; this instance may be
@@ -72,8 +74,10 @@
   if (!isShared) return 1;
   const cores = [membership.getSelf(), ...peers].map(getCores);
   const sum = cores.reduce((total, each) => total + each, 0);
-  const capacity = sum / Math.max(...cores);
-  return Math.max(1, Math.floor(capacity / INSTANCES_PER_PLANNER));
+  const plannerCores = getCores(listRanking(membership)[0]);
+  const perPlanner =
+    INSTANCES_PER_PLANNER * Math.max(1, plannerCores / LITTLE_CORES);
+  return Math.max(1, Math.floor(sum / plannerCores / perPlanner));
 }
 
 function listCandidates(membership: Membership): PeerRecord[] {
